--- /dev/null
+++ b/libs/base/include/base/strong_id.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <compare>
+#include <functional>
+#include <ostream>
+#include <string>
+
+namespace orioledrum
+{
+
+/// A string identifier whose tag keeps identifiers of different kinds apart at compile time.
+template<typename Tag>
+class strong_id
+{
+public:
+    strong_id() = default;
+    explicit strong_id(std::string value)
+        : m_value(std::move(value))
+    {
+    }
+
+    [[nodiscard]] const std::string &str() const { return m_value; }
+    [[nodiscard]] bool empty() const { return m_value.empty(); }
+    auto operator<=>(const strong_id &other) const = default;
+
+private:
+    std::string m_value;
+};
+
+template<typename Tag>
+std::ostream &operator<<(std::ostream &out, const strong_id<Tag> &id)
+{
+    return out << id.str();
+}
+
+} // namespace orioledrum
+
+template<typename Tag>
+struct std::hash<orioledrum::strong_id<Tag>> {
+    std::size_t operator()(const orioledrum::strong_id<Tag> &id) const noexcept { return std::hash<std::string>{}(id.str()); }
+};
--- /dev/null
+++ b/libs/base/tests/test_random_source.cpp
@@ -0,0 +1,31 @@
+#include <base/random_source.h>
+
+#include <gtest/gtest.h>
+
+using namespace orioledrum;
+
+// Guards against a generator whose sequence is not repeatable, which would make seeded tests differ between runs.
+TEST(RandomSource, EqualSeedsGiveEqualSequences)
+{
+    random_source left(7);
+    random_source right(7);
+    for (int round = 0; round < 100; ++round) {
+        EXPECT_EQ(left.next(), right.next());
+    }
+}
+
+// Guards against values outside the bound and against a constant generator.
+TEST(RandomSource, BelowStaysInRangeAndCoversIt)
+{
+    random_source source(3);
+    std::array<int, 5> seen{};
+    for (int round = 0; round < 1000; ++round) {
+        const auto value = source.below(5);
+        ASSERT_LT(value, 5U);
+        ++seen[value];
+    }
+    for (const int count : seen) {
+        EXPECT_GT(count, 100);
+    }
+    EXPECT_EQ(source.hexId().size(), 32U);
+}
--- /dev/null
+++ b/libs/logging/include/logging/log_level.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <base/error.h>
+
+#include <string_view>
+
+namespace orioledrum
+{
+
+/// Severity of a log line.
+enum class log_level { debug, info, warning, error };
+
+/// @param text "debug", "info", "warning" or "error".
+/// @return The level, or invalidArgument.
+expected<log_level> parseLogLevel(std::string_view text);
+
+/// Sends logs to standard error. Called once at program start.
+/// @param process Name of this process, part of each line.
+/// @param least Lines below this level are dropped.
+void initLogging(std::string_view process, log_level least);
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/logging/src/part_logger.cpp
@@ -0,0 +1,90 @@
+#include <logging/part_logger.h>
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+
+#include <iostream>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+using severity_source = boost::log::sources::severity_logger_mt<log_level>;
+
+severity_source &source()
+{
+    static severity_source instance;
+    return instance;
+}
+
+} // namespace
+
+std::ostream &operator<<(std::ostream &out, log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return out << "debug";
+    case log_level::info:
+        return out << "info";
+    case log_level::warning:
+        return out << "warning";
+    case log_level::error:
+        return out << "error";
+    }
+    return out << "error";
+}
+
+expected<log_level> parseLogLevel(std::string_view text)
+{
+    if (text == "debug") {
+        return log_level::debug;
+    }
+    if (text == "info") {
+        return log_level::info;
+    }
+    if (text == "warning") {
+        return log_level::warning;
+    }
+    if (text == "error") {
+        return log_level::error;
+    }
+    return makeError(
+        error_code::invalidArgument, "read log level", "found '" + std::string(text) + "'; allowed are debug, info, warning, error");
+}
+
+void initLogging(std::string_view process, log_level least)
+{
+    namespace expr = boost::log::expressions;
+    boost::log::add_common_attributes();
+    boost::log::core::get()->set_filter(expr::attr<log_level>("Severity") >= least);
+    boost::log::add_console_log(std::clog,
+                                boost::log::keywords::format = expr::stream
+                                    << expr::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%f") << ' '
+                                    << std::string(process) << ' ' << expr::attr<log_level>("Severity") << ' ' << expr::smessage,
+                                boost::log::keywords::auto_flush = true);
+}
+
+part_logger::part_logger(std::string part)
+    : m_part(std::move(part))
+{
+}
+
+void part_logger::write(log_level level, std::string_view sentence, std::initializer_list<log_field> fields) const
+{
+    BOOST_LOG_SEV(source(), level) << m_part << ": " << sentence << [&fields] {
+        std::string text;
+        for (const auto &field : fields) {
+            text.append(" ").append(field.key).append("=").append(field.value);
+        }
+        return text;
+    }();
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/wire/src/codec.cpp
@@ -0,0 +1,305 @@
+#include <wire/codec.h>
+
+#include <wire/control_messages.h>
+#include <wire/order_messages.h>
+#include <wire/search_messages.h>
+
+#include <msgpack.hpp>
+
+#include <algorithm>
+
+using namespace orioledrum;
+
+MSGPACK_ADD_ENUM(orioledrum::backend_state)
+MSGPACK_ADD_ENUM(orioledrum::shard_status)
+MSGPACK_ADD_ENUM(orioledrum::error_code)
+MSGPACK_ADD_ENUM(orioledrum::order_outcome)
+MSGPACK_ADD_ENUM(orioledrum::host_state)
+MSGPACK_ADD_ENUM(orioledrum::host_kind)
+
+namespace
+{
+
+/// Lists the members of a message in wire order; one overload for each struct.
+template<typename Visitor>
+void visitFields(snapshot_ref &value, Visitor &&visit)
+{
+    visit(value.snapshot, value.layout);
+}
+template<typename Visitor>
+void visitFields(backend_report &value, Visitor &&visit)
+{
+    visit(value.state, value.slotsInUse, value.slots, value.instance, value.held);
+}
+template<typename Visitor>
+void visitFields(hit &value, Visitor &&visit)
+{
+    visit(value.id, value.score, value.text);
+}
+template<typename Visitor>
+void visitFields(shard_call &value, Visitor &&visit)
+{
+    visit(value.attempt, value.backend, value.shard);
+}
+template<typename Visitor>
+void visitFields(search_request &value, Visitor &&visit)
+{
+    visit(value.request, value.service, value.customer, value.snapshot, value.remaining, value.query, value.limit, value.calls);
+}
+template<typename Visitor>
+void visitFields(shard_answer &value, Visitor &&visit)
+{
+    visit(value.attempt,
+          value.backend,
+          value.shard,
+          value.status,
+          value.code,
+          value.snapshot,
+          value.hits,
+          value.report,
+          value.hasReport,
+          value.holder,
+          value.queueTime,
+          value.serviceTime);
+}
+template<typename Visitor>
+void visitFields(shard_answers &value, Visitor &&visit)
+{
+    visit(value.answers);
+}
+template<typename Visitor>
+void visitFields(cancel_request &value, Visitor &&visit)
+{
+    visit(value.request, value.attempts);
+}
+template<typename Visitor>
+void visitFields(order_request &value, Visitor &&visit)
+{
+    visit(value.ticket, value.attempt, value.service, value.customer, value.backend, value.remaining, value.body);
+}
+template<typename Visitor>
+void visitFields(order_answer &value, Visitor &&visit)
+{
+    visit(value.ticket, value.attempt, value.outcome, value.code, value.message, value.body, value.holder);
+}
+template<typename Visitor>
+void visitFields(lease_request &value, Visitor &&visit)
+{
+    visit(value.group, value.holder, value.incarnation, value.roster, value.sequence);
+}
+template<typename Visitor>
+void visitFields(lease_answer &value, Visitor &&visit)
+{
+    visit(value.group, value.voter, value.sequence, value.granted, value.holder, value.roster);
+}
+template<typename Visitor>
+void visitFields(lease_release &value, Visitor &&visit)
+{
+    visit(value.group, value.holder, value.incarnation);
+}
+template<typename Visitor>
+void visitFields(lease_batch &value, Visitor &&visit)
+{
+    visit(value.requests, value.releases);
+}
+template<typename Visitor>
+void visitFields(lease_batch_answer &value, Visitor &&visit)
+{
+    visit(value.answers);
+}
+template<typename Visitor>
+void visitFields(member_entry &value, Visitor &&visit)
+{
+    visit(value.host, value.zone, value.address, value.incarnation, value.heartbeat, value.state);
+}
+template<typename Visitor>
+void visitFields(digest &value, Visitor &&visit)
+{
+    visit(value.sender, value.configRevision, value.configHash, value.hostListRevision, value.members);
+}
+template<typename Visitor>
+void visitFields(config_pull &value, Visitor &&visit)
+{
+    visit(value.have);
+}
+template<typename Visitor>
+void visitFields(config_files_message &value, Visitor &&visit)
+{
+    visit(value.revision, value.base, value.hash, value.files, value.removed);
+}
+template<typename Visitor>
+void visitFields(platform_host &value, Visitor &&visit)
+{
+    visit(value.id, value.kind, value.zone, value.address, value.leaving);
+}
+template<typename Visitor>
+void visitFields(host_list &value, Visitor &&visit)
+{
+    visit(value.revision, value.hosts);
+}
+template<typename Visitor>
+void visitFields(host_list_pull &value, Visitor &&visit)
+{
+    visit(value.have);
+}
+
+struct any_visitor {
+    template<typename... Fields>
+    void operator()(Fields &...) const
+    {
+    }
+};
+
+template<typename T>
+concept message_struct = requires(T &value)
+{
+    visitFields(value, any_visitor{});
+};
+
+} // namespace
+
+namespace msgpack
+{
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
+{
+    namespace adaptor
+    {
+
+    template<message_struct T>
+    struct pack<T> {
+        template<typename Stream>
+        msgpack::packer<Stream> &operator()(msgpack::packer<Stream> &out, const T &value) const
+        {
+            // visitFields takes a mutable reference so that one list serves both directions; packing does not write.
+            visitFields(const_cast<T &>(value), [&out](auto &...fields) { // NOLINT(cppcoreguidelines-pro-type-const-cast)
+                out.pack_array(sizeof...(fields));
+                (out.pack(fields), ...);
+            });
+            return out;
+        }
+    };
+
+    template<message_struct T>
+    struct convert<T> {
+        const msgpack::object &operator()(const msgpack::object &in, T &value) const
+        {
+            if (in.type != msgpack::type::ARRAY) {
+                throw msgpack::type_error();
+            }
+            visitFields(value, [&in](auto &...fields) {
+                if (in.via.array.size != sizeof...(fields)) {
+                    throw msgpack::type_error();
+                }
+                std::size_t index = 0;
+                (in.via.array.ptr[index++].convert(fields), ...);
+            });
+            return in;
+        }
+    };
+
+    template<typename Tag>
+    struct pack<strong_id<Tag>> {
+        template<typename Stream>
+        msgpack::packer<Stream> &operator()(msgpack::packer<Stream> &out, const strong_id<Tag> &value) const
+        {
+            return out.pack(value.str());
+        }
+    };
+
+    template<typename Tag>
+    struct convert<strong_id<Tag>> {
+        const msgpack::object &operator()(const msgpack::object &in, strong_id<Tag> &value) const
+        {
+            value = strong_id<Tag>(in.as<std::string>());
+            return in;
+        }
+    };
+
+    template<>
+    struct pack<std::chrono::microseconds> {
+        template<typename Stream>
+        msgpack::packer<Stream> &operator()(msgpack::packer<Stream> &out, const std::chrono::microseconds &value) const
+        {
+            return out.pack(static_cast<std::int64_t>(value.count()));
+        }
+    };
+
+    template<>
+    struct convert<std::chrono::microseconds> {
+        const msgpack::object &operator()(const msgpack::object &in, std::chrono::microseconds &value) const
+        {
+            value = std::chrono::microseconds(in.as<std::int64_t>());
+            return in;
+        }
+    };
+
+    } // namespace adaptor
+}
+} // namespace msgpack
+
+namespace orioledrum
+{
+
+namespace
+{
+
+/// Appends packed bytes to a string.
+class string_stream
+{
+public:
+    explicit string_stream(std::string &out)
+        : m_out(out)
+    {
+    }
+    void write(const char *data, std::size_t size) { m_out.append(data, size); }
+
+private:
+    std::string &m_out;
+};
+
+} // namespace
+
+template<typename Message>
+std::string encode(const Message &message)
+{
+    std::string bytes;
+    string_stream stream(bytes);
+    msgpack::pack(stream, message);
+    return bytes;
+}
+
+template<typename Message>
+expected<Message> decode(std::string_view bytes)
+{
+    try {
+        std::size_t offset = 0;
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), offset);
+        if (offset != bytes.size()) {
+            return makeError(error_code::protocolError, "decode message", "unexpected bytes after the message");
+        }
+        return handle.get().template as<Message>();
+    } catch (const std::exception &failure) {
+        return makeError(error_code::protocolError, "decode message", std::string("malformed message: ") + failure.what());
+    }
+}
+
+#define ORIOLEDRUM_MESSAGE(Type)                                                                                                           \
+    template std::string encode<Type>(const Type &);                                                                                       \
+    template expected<Type> decode<Type>(std::string_view);
+
+ORIOLEDRUM_MESSAGE(search_request)
+ORIOLEDRUM_MESSAGE(shard_answers)
+ORIOLEDRUM_MESSAGE(cancel_request)
+ORIOLEDRUM_MESSAGE(order_request)
+ORIOLEDRUM_MESSAGE(order_answer)
+ORIOLEDRUM_MESSAGE(lease_batch)
+ORIOLEDRUM_MESSAGE(lease_batch_answer)
+ORIOLEDRUM_MESSAGE(digest)
+ORIOLEDRUM_MESSAGE(config_pull)
+ORIOLEDRUM_MESSAGE(config_files_message)
+ORIOLEDRUM_MESSAGE(host_list)
+ORIOLEDRUM_MESSAGE(host_list_pull)
+
+#undef ORIOLEDRUM_MESSAGE
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/wire/tests/test_codec.cpp
@@ -0,0 +1,71 @@
+#include <wire/codec.h>
+#include <wire/control_messages.h>
+#include <wire/order_messages.h>
+#include <wire/search_messages.h>
+
+#include <gtest/gtest.h>
+
+using namespace orioledrum;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+search_request sampleSearch()
+{
+    search_request request;
+    request.request = request_id("r1");
+    request.service = service_id("planning");
+    request.snapshot = {41, 2};
+    request.remaining = 79ms;
+    request.query = "oak";
+    request.limit = 10;
+    request.calls.push_back({7, backend_id("b1"), shard_id("s1")});
+    return request;
+}
+
+} // namespace
+
+// Guards against fields that are swapped or dropped between encode and decode.
+TEST(Codec, SearchRequestRoundTrip)
+{
+    const auto decoded = decode<search_request>(encode(sampleSearch()));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->request.str(), "r1");
+    EXPECT_EQ(decoded->snapshot, (snapshot_ref{41, 2}));
+    EXPECT_EQ(decoded->remaining, std::chrono::microseconds(79ms));
+    ASSERT_EQ(decoded->calls.size(), 1U);
+    EXPECT_EQ(decoded->calls[0].backend.str(), "b1");
+}
+
+// Guards against a delta whose removed files get lost.
+TEST(Codec, ConfigFilesRoundTrip)
+{
+    config_files_message message;
+    message.revision = 12;
+    message.base = 11;
+    message.files["90-zone-b-out.json"] = "{}";
+    message.removed = {"20-old.json"};
+    const auto decoded = decode<config_files_message>(encode(message));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->files, message.files);
+    EXPECT_EQ(decoded->removed, message.removed);
+}
+
+// Guards against a truncated peer message that is applied in part or crashes the process.
+TEST(Codec, EveryTruncationIsRejected)
+{
+    const std::string bytes = encode(sampleSearch());
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        const auto decoded = decode<search_request>(std::string_view(bytes).substr(0, size));
+        ASSERT_FALSE(decoded.has_value()) << size;
+        EXPECT_EQ(decoded.error().code, error_code::protocolError);
+    }
+}
+
+// Guards against a message of another kind, or with trailing bytes, that is taken as valid.
+TEST(Codec, ForeignMessagesAreRejected)
+{
+    EXPECT_FALSE(decode<search_request>(encode(config_pull{3})).has_value());
+    EXPECT_FALSE(decode<config_pull>(encode(config_pull{3}) + "x").has_value());
+}
