--- /dev/null
+++ b/libs/entryhost/tests/test_settings.cpp
@@ -0,0 +1,69 @@
+#include <entryhost/settings.h>
+
+#include <gtest/gtest.h>
+
+using namespace orioledrum;
+
+namespace
+{
+
+std::vector<std::string> validArguments()
+{
+    return {"--id=e0",
+            "--zone=a",
+            "--caller-address=127.0.0.1:0",
+            "--peer-address=127.0.0.1:0",
+            "--admin-address=127.0.0.1:0",
+            "--config-service=http://127.0.0.1:1",
+            "--host-service=http://127.0.0.1:2",
+            "--peer=e1,b,127.0.0.1:9",
+            "--admin-token=secret"};
+}
+
+} // namespace
+
+// Guards against settings that are read into the wrong field.
+TEST(Settings, ReadsEveryRequiredKey)
+{
+    const auto request = parseSettings(validArguments());
+    ASSERT_TRUE(request.has_value()) << request.error().describe();
+    EXPECT_EQ(request->values.id.str(), "e0");
+    EXPECT_EQ(request->values.zone.str(), "a");
+    ASSERT_EQ(request->values.peers.size(), 1U);
+    EXPECT_EQ(request->values.peers[0].address, "127.0.0.1:9");
+    EXPECT_EQ(request->values.balancerDelay, std::chrono::milliseconds(2000));
+}
+
+// Guards against a process that starts with a missing key and fails later.
+TEST(Settings, EachMissingRequiredKeyIsNamed)
+{
+    for (const std::size_t missing : {0U, 1U, 2U, 3U, 4U, 5U, 6U, 8U}) {
+        auto arguments = validArguments();
+        const auto key = arguments[missing].substr(2, arguments[missing].find('=') - 2);
+        arguments.erase(arguments.begin() + static_cast<std::ptrdiff_t>(missing));
+        const auto request = parseSettings(arguments);
+        ASSERT_FALSE(request.has_value()) << key;
+        EXPECT_NE(request.error().message.find("'" + key + "'"), std::string::npos) << request.error().message;
+    }
+}
+
+// Guards against values that are accepted although no socket or thread count can be made of them.
+TEST(Settings, WrongValuesAreRejected)
+{
+    for (const std::string wrong : {"--caller-address=nowhere",
+                                    "--caller-address=127.0.0.1:70000",
+                                    "--config-service=ftp://x",
+                                    "--peer=e1,b",
+                                    "--workers=0",
+                                    "--workers=many",
+                                    "--log-level=loud",
+                                    "--unknown=1"}) {
+        auto arguments = validArguments();
+        const auto key = wrong.substr(0, wrong.find('=') + 1);
+        std::erase_if(arguments, [&key](const std::string &argument) { return argument.starts_with(key); });
+        arguments.push_back(wrong);
+        const auto request = parseSettings(arguments);
+        ASSERT_FALSE(request.has_value()) << wrong;
+        EXPECT_EQ(request.error().code, error_code::invalidArgument);
+    }
+}
