Add the public headers of the transport library

Cause: the libraries above transport are written at the same time. Conclusion: implementation and tests follow.

--- /dev/null
+++ b/libs/transport/include/transport/http_client.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <base/error.h>
+#include <transport/http_call.h>
+#include <transport/http_failure.h>
+#include <transport/http_reply.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace asio
+{
+class io_context;
+}
+
+namespace orioledrum
+{
+
+/// Settings of an http_client.
+struct http_client_settings {
+    std::chrono::milliseconds connectTimeout{1000};
+    std::size_t maxReplyBytes = 16 * 1024 * 1024; ///< A larger reply body fails with tooLarge.
+    std::size_t maxIdleConnections = 1024; ///< Connections kept for reuse, over all addresses.
+    std::size_t maxConnectionsPerAddress = 0; ///< Further calls wait for a free connection; 0: no limit.
+};
+
+/// Names one call of an http_client.
+enum class http_call_handle : std::uint64_t {};
+
+/// Sends HTTP/1.1 requests and reuses connections.
+/// Not thread-safe by design: one instance belongs to one io_context that one thread runs, and every function,
+/// including the destructor, is called on that thread (or while the io_context does not run).
+class http_client
+{
+public:
+    using settings = http_client_settings;
+    using result = tl::expected<http_reply, http_failure>;
+    using callback = std::function<void(result)>;
+
+    /// @param context Runs the calls; must outlive the client.
+    /// @param settings Limits.
+    /// @return The client, or an error if libcurl could not be initialised.
+    static expected<std::unique_ptr<http_client>> create(asio::io_context &context, const settings &settings);
+
+    /// Closes all connections. Callbacks of open calls are dropped without being called.
+    ~http_client();
+    http_client(const http_client &) = delete;
+    http_client &operator=(const http_client &) = delete;
+
+    /// Starts a call.
+    /// @param call What to send.
+    /// @param done Called exactly once with the result, never from inside send() or cancel().
+    /// @return A handle for cancel().
+    http_call_handle send(http_call call, callback done);
+
+    /// Ends a call; its callback gets the code `cancelled`. No effect when the call has already ended.
+    /// @param handle The call.
+    void cancel(http_call_handle handle);
+
+    /// @return Calls without a result, including cancelled ones that go on because of closeOnCancel = false.
+    [[nodiscard]] std::size_t openCalls() const;
+
+    /// @return Number of open connections, idle ones included.
+    [[nodiscard]] std::size_t connections() const;
+
+    /// @param address "address:port" of a server.
+    /// @return Number of open connections to that server, idle ones included.
+    [[nodiscard]] std::size_t connections(std::string_view address) const;
+
+    /// Closes the connections to a server that no call is using.
+    /// @param address "address:port" of the server.
+    void closeIdleConnections(std::string_view address);
+
+private:
+    class impl;
+    explicit http_client(std::shared_ptr<impl> implementation);
+    std::shared_ptr<impl> m_impl;
+};
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/transport/include/transport/http_header.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace orioledrum
+{
+
+/// One header field of an HTTP message.
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
+using http_headers = std::vector<http_header>;
+
+/// @param headers Header fields to search.
+/// @param name Field name, compared without regard to case.
+/// @return The value of the first field with that name, or an empty view. Valid as long as the headers.
+std::string_view headerValue(const http_headers &headers, std::string_view name);
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/transport/include/transport/http_reply.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <transport/http_header.h>
+
+#include <string>
+
+namespace orioledrum
+{
+
+/// A complete reply to an http_call, with any status code.
+struct http_reply {
+    int status = 0;
+    http_headers headers;
+    std::string body;
+};
+
+} // namespace orioledrum
