Add the age of the last service confirmation to the digest

Cause: hosts that are cut off from the configuration service confirm each other's revision for ever, so without the age of the service's own confirmation none of them would start fallback reads. Change: digest.configConfirmedAge, negative when unknown, in the codec.

--- a/libs/wire/include/wire/control_messages.h
+++ b/libs/wire/include/wire/control_messages.h
@@ -2,6 +2,7 @@
 
 #include <base/ids.h>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -68,6 +69,8 @@
     member_entry sender;
     revision_number configRevision = 0;
     std::uint64_t configHash = 0;
+    /// Time since the service confirmed configRevision, directly or through peers; negative when it never did.
+    std::chrono::microseconds configConfirmedAge{-1};
     revision_number hostListRevision = 0;
     std::vector<member_entry> members; ///< The freshest entries the sender knows.
 };
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -115,7 +115,7 @@
 template<typename Visitor>
 void visitFields(digest &value, Visitor &&visit)
 {
-    visit(value.sender, value.configRevision, value.configHash, value.hostListRevision, value.members);
+    visit(value.sender, value.configRevision, value.configHash, value.configConfirmedAge, value.hostListRevision, value.members);
 }
 template<typename Visitor>
 void visitFields(config_pull &value, Visitor &&visit)
