Add a release sequence and the isolated flag to the lease messages

A delayed or repeated lease_release could free a grant that the same holder has obtained again since, so the release now carries the number of the last request it gives back. A zone that is cut off from all others decides alone on its groups; the request and the answer state that mode, because a voter in it counts towards another quorum.

--- a/libs/wire/include/wire/control_messages.h
+++ b/libs/wire/include/wire/control_messages.h
@@ -17,6 +17,7 @@
     incarnation_id incarnation;
     revision_number roster = 0; ///< Host list revision under which the voters were chosen.
     std::uint64_t sequence = 0; ///< Numbered by the asker; lets it match the answer to the time of sending.
+    bool isolated = false; ///< The asker's zone is cut off from all others and the zone's hosts decide alone.
 };
 
 /// A voter's answer to a lease_request.
@@ -27,6 +28,7 @@
     bool granted = false;
     entry_host_id holder; ///< The present holder when the request was not granted.
     revision_number roster = 0; ///< The voter's host list revision.
+    bool isolated = false; ///< The voter's zone counts as cut off from all others.
 };
 
 /// Gives a lease back; the voter may grant it to another host at once.
@@ -34,6 +36,7 @@
     group_id group;
     entry_host_id holder;
     incarnation_id incarnation;
+    std::uint64_t sequence = 0; ///< Number of the last request it gives back; a late copy does not affect later grants.
 };
 
 /// Several lease messages for one voter in one request.
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -85,17 +85,17 @@
 template<typename Visitor>
 void visitFields(lease_request &value, Visitor &&visit)
 {
-    visit(value.group, value.holder, value.incarnation, value.roster, value.sequence);
+    visit(value.group, value.holder, value.incarnation, value.roster, value.sequence, value.isolated);
 }
 template<typename Visitor>
 void visitFields(lease_answer &value, Visitor &&visit)
 {
-    visit(value.group, value.voter, value.sequence, value.granted, value.holder, value.roster);
+    visit(value.group, value.voter, value.sequence, value.granted, value.holder, value.roster, value.isolated);
 }
 template<typename Visitor>
 void visitFields(lease_release &value, Visitor &&visit)
 {
-    visit(value.group, value.holder, value.incarnation);
+    visit(value.group, value.holder, value.incarnation, value.sequence);
 }
 template<typename Visitor>
 void visitFields(lease_batch &value, Visitor &&visit)
