Add the public headers of the ownership and membership libraries

The entry host is written against these interfaces at the same time, so they land before their implementation. They compile on their own; nothing is implemented or tested yet.

--- /dev/null
+++ b/libs/membership/include/membership/membership.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <membership/membership_actions.h>
+#include <membership/membership_view.h>
+
+#include <base/monotonic_clock.h>
+#include <base/random_source.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace orioledrum
+{
+
+/// Settings of the membership.
+struct membership_settings {
+    entry_host_id self;
+    zone_id zone;
+    std::string address; ///< Own "ip:port" for traffic between entry hosts.
+    incarnation_id incarnation;
+    std::vector<std::string> seeds; ///< Addresses of entry hosts to contact while no other is known.
+    std::chrono::milliseconds period{1000}; ///< Time between heartbeats.
+    std::chrono::milliseconds suspectAfter{5000}; ///< Entries not refreshed for this time are suspect.
+    std::chrono::milliseconds downAfter{10000}; ///< Entries not refreshed for this time are down.
+    std::size_t zonePeers = 3; ///< Peers of the own zone contacted each period.
+    std::size_t otherPeers = 1; ///< Peers of other zones contacted each period.
+    std::size_t smallFleet = 7; ///< Up to this many hosts, all are contacted each period.
+    std::size_t digestEntries = 20; ///< Most entries in a digest.
+    std::size_t scaledFrom = 60; ///< In zones with more hosts, suspectAfter and downAfter grow with hosts / scaledFrom.
+};
+
+/// Knows the entry hosts from the platform's host list and from heartbeats. Used by one thread; view() values may be
+/// published to others.
+class membership
+{
+public:
+    /// @param settings The settings. @param random Choice of peers. @param now The time.
+    membership(membership_settings settings, random_source random, time_point now);
+
+    /// Takes a host list; one that is not newer is ignored. @param list The list. @param now The time.
+    membership_actions setHostList(const host_list &list, time_point now);
+    /// Sets what the digests say about the configuration. @param revision Its revision. @param hash Its hash.
+    void setConfig(revision_number revision, std::uint64_t hash);
+    /// Does what is due; to be called every 100 ms. @param now The time.
+    membership_actions tick(time_point now);
+    /// Takes a peer's digest. @param message The digest. @param now Time of receipt. @param actions Receives what has to be done.
+    /// @return The own digest, to send back.
+    digest receive(const digest &message, time_point now, membership_actions &actions);
+    /// Takes a peer's answer to an own digest. @param message The answer. @param now Time of receipt.
+    membership_actions receiveAnswer(const digest &message, time_point now);
+    /// Announces that this host leaves. @param now The time. @return Digests to send at once, and the new view.
+    membership_actions leave(time_point now);
+
+    /// @return The present view; a new object after each change.
+    [[nodiscard]] std::shared_ptr<const membership_view> view() const { return m_view; }
+    /// @return Peers whose digest or answer arrived within the last period and a half. @param now The time.
+    [[nodiscard]] std::size_t heardRecently(time_point now) const;
+
+private:
+    struct record {
+        member_entry entry;
+        time_point refreshed; ///< When a higher heartbeat was last seen.
+        time_point heard; ///< When the host itself was last heard from.
+        host_state state = host_state::suspect;
+        bool known = false; ///< A heartbeat has been seen.
+        bool listed = false; ///< The host list names the host.
+        bool listedLeaving = false;
+        bool kept = true; ///< False for hosts of other zones that are only in the list.
+        std::vector<incarnation_id> replaced; ///< Incarnations that a newer one has replaced.
+    };
+
+    void merge(const digest &message, time_point now, membership_actions &actions);
+    void mergeEntry(const member_entry &entry, bool direct, time_point now, membership_actions &actions);
+    bool updateState(record &host, time_point now, membership_actions &actions);
+    void rebuildView(membership_actions &actions);
+    void sendDigests(bool toAll, time_point now, membership_actions &actions);
+    digest makeDigest(time_point now);
+
+    membership_settings m_settings;
+    random_source m_random;
+    member_entry m_own;
+    std::unordered_map<entry_host_id, record> m_hosts;
+    host_list m_list;
+    std::shared_ptr<const membership_view> m_view;
+    revision_number m_configRevision = 0;
+    std::uint64_t m_configHash = 0;
+    time_point m_start;
+    time_point m_nextPeriod;
+    std::size_t m_zoneHosts = 1;
+};
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/membership/include/membership/membership_actions.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <wire/control_messages.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace orioledrum
+{
+
+/// Send the digest to the address and pass the digest in the answer to membership::receiveAnswer.
+struct send_digest {
+    std::string address;
+    digest message;
+};
+
+/// The view has changed; publish membership::view().
+struct view_changed {
+};
+
+/// The state of a host has changed.
+struct host_state_changed {
+    entry_host_id host;
+    host_state state = host_state::live;
+    bool restarted = false; ///< The host has a new incarnation.
+};
+
+/// A peer has a newer host list; pull it.
+struct host_list_behind {
+    std::string address;
+    revision_number revision = 0;
+};
+
+/// A peer has another configuration than this host; pull if its revision is newer.
+struct config_differs {
+    std::string address;
+    revision_number revision = 0;
+    std::uint64_t hash = 0;
+};
+
+using membership_action = std::variant<send_digest, view_changed, host_state_changed, host_list_behind, config_differs>;
+using membership_actions = std::vector<membership_action>;
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/ownership/include/ownership/cutoff_tracker.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <ownership/lease_timing.h>
+#include <ownership/roster.h>
+
+#include <unordered_map>
+
+namespace orioledrum
+{
+
+/// Judges from the hosts heard from whether a quorum can be reached and whether the zone is cut off from all others.
+class cutoff_tracker
+{
+public:
+    /// @param self This host. @param zone Its zone. @param timing Periods. @param start When the process started.
+    cutoff_tracker(entry_host_id self, zone_id zone, const lease_timing &timing, time_point start);
+
+    /// Notes a message from an entry host. @param host The host. @param now Time of receipt.
+    void heardFrom(const entry_host_id &host, time_point now);
+    /// Notes an answer of the platform. @param now Time of receipt.
+    void heardFromPlatform(time_point now);
+    /// Starts all waiting times again after a pause, in which silence is no evidence. @param now The time.
+    void restart(time_point now);
+    /// Takes the hosts of a new roster. @param hosts The roster. @param now The time.
+    void setRoster(const roster &hosts, time_point now);
+    /// Updates the time at which a quorum was last reachable. @param now The time.
+    void tick(time_point now);
+
+    /// @param now The time. @return Whether no host of another zone and not the platform was heard from for isolatedAfter.
+    [[nodiscard]] bool isolated(time_point now) const;
+    /// @param now The time. @return Whether the hosts reachable now, with this one, are a majority of the roster.
+    [[nodiscard]] bool reachesQuorum(time_point now) const;
+    /// @param now The time. @return Whether the conditions for fixed shares hold: all hosts vote, the unreachable ones are
+    /// fewer than a quorum, and none could be reached for sharesAfter.
+    [[nodiscard]] bool sharesAllowed(time_point now) const;
+    /// @param now The time. @return The hosts of the roster heard from within lease_timing::reachable, and this one.
+    [[nodiscard]] std::size_t reachableHosts(time_point now) const;
+
+private:
+    entry_host_id m_self;
+    zone_id m_zone;
+    lease_timing m_timing;
+    roster m_roster;
+    bool m_otherZones = false;
+    std::unordered_map<entry_host_id, time_point> m_heard;
+    time_point m_lastOutside;
+    time_point m_lastQuorum;
+};
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/ownership/include/ownership/lease_manager.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <ownership/backend_group.h>
+#include <ownership/cutoff_tracker.h>
+#include <ownership/lease_actions.h>
+#include <ownership/lease_holder.h>
+#include <ownership/lease_table.h>
+#include <ownership/lease_timing.h>
+#include <ownership/lease_voter.h>
+#include <ownership/roster_tracker.h>
+
+#include <base/rcu_cell.h>
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace orioledrum
+{
+
+/// Identity of a host in the lease protocol.
+struct lease_identity {
+    entry_host_id self;
+    zone_id zone;
+    incarnation_id incarnation; ///< New for each run of the process.
+};
+
+/// The lease protocol of one entry host: its voter, the leases it holds or asks for, and the fallbacks without a quorum.
+/// Used by the control thread only, apart from table(). Messages to this host itself never leave it.
+///
+/// Each event returns the actions to carry out, in order. The caller calls tick() every 100 ms, and routes by ownerOf().
+class lease_manager
+{
+public:
+    /// @param identity This host. @param timing Periods. @param start When the process started.
+    lease_manager(lease_identity identity, const lease_timing &timing, time_point start);
+
+    /// Adopts the entry hosts of the platform's list; an older revision is ignored. @param hosts The roster. @param now The time.
+    lease_actions setRoster(const roster &hosts, time_point now);
+    /// Takes the groups of the configuration, of all zones. @param groups The groups. @param now The time.
+    lease_actions setGroups(const std::vector<backend_group> &groups, time_point now);
+    /// Takes the state of another host from the membership; a host never reported counts as live during the first lease
+    /// time and as suspect after it. @param host The host. @param state Its state. @param now The time.
+    lease_actions setPeerState(const entry_host_id &host, host_state state, time_point now);
+    /// Notes any message from a peer other than lease messages, such as a digest. @param host The sender. @param now Time of receipt.
+    void heardFrom(const entry_host_id &host, time_point now);
+    /// Notes an answer of the platform's services. @param now Time of receipt.
+    void heardFromPlatform(time_point now);
+
+    /// Answers a peer's batch. @param from The sender. @param batch The batch. @param now Time of receipt.
+    /// @param actions Receives what else has to be done. @return The answer to send back.
+    lease_batch_answer receiveBatch(const entry_host_id &from, const lease_batch &batch, time_point now, lease_actions &actions);
+    /// Takes the answer of a peer to an earlier batch. @param from The sender. @param answers The answer. @param now Time of receipt.
+    lease_actions receiveAnswers(const entry_host_id &from, const lease_batch_answer &answers, time_point now);
+    /// Does what is due. @param now The time.
+    lease_actions tick(time_point now);
+
+    /// Gives up every lease in order and asks for none from now on. @param now The time.
+    lease_actions leave(time_point now);
+    /// Gives one lease to the next host in rank. @param group A group held. @param now The time.
+    lease_actions beginHandover(const group_id &group, time_point now);
+    /// Tells that no call of a group in handover is in flight any more. @param group The group. @param now The time.
+    lease_actions callsFinished(const group_id &group, time_point now);
+    /// Tells that no call sent under fixed shares is in flight any more. @param now The time.
+    lease_actions shareCallsFinished(time_point now);
+    /// Ends all leases at once without giving them back, because this host's beliefs are stale. @param now The time.
+    lease_actions revokeAll(time_point now);
+    /// Asks for leases only while enabled; off until the host is ready. Renewals stop as well. @param enabled Whether to ask. Starts as
+    /// true.
+    void setAsking(bool enabled) { m_asking = enabled; }
+
+    /// @param group The group. @param now The time.
+    /// @return The host believed to hold the lease: the holder that the own voter knows, else the one that a voter
+    /// named, else the first live host in rank; empty when the group or every host is unknown.
+    [[nodiscard]] entry_host_id ownerOf(const group_id &group, time_point now) const;
+    /// @return The groups for which this host holds the lease. @param now The time.
+    [[nodiscard]] std::vector<group_id> held(time_point now) const;
+    /// @return Whether every handover has ended and nothing is held; a leaving host may stop then.
+    [[nodiscard]] bool idle() const;
+    /// @return Whether the zone counts as cut off from all others. @param now The time.
+    [[nodiscard]] bool isolated(time_point now) const { return m_cutoff.isolated(now); }
+    /// @return The voters of the group; null for an unknown group.
+    [[nodiscard]] const voter_set *voters(const group_id &group) const;
+
+    /// @return The published table for request threads; it stays valid as long as this object. Thread-safe.
+    [[nodiscard]] const rcu_cell<lease_table> &table() const { return m_table; }
+
+private:
+    enum class shares_state : std::uint8_t { off, inUse, draining };
+
+    struct group_entry {
+        backend_group group;
+        voter_set voters;
+        std::shared_ptr<lease_slot> slot;
+        std::unique_ptr<lease_holder> holder; ///< Null unless this host is or was a voter.
+        std::size_t rank = 0; ///< Own rank; voters.voters.size() when this host is no voter.
+        entry_host_id hint;
+        time_point hintUntil;
+    };
+    struct peer {
+        host_state state = host_state::suspect;
+        time_point liveSince;
+    };
+    using outbox = std::unordered_map<entry_host_id, lease_batch>;
+
+    void noteTime(time_point now, lease_actions &actions);
+    void refreshVoters(group_entry &entry);
+    void publishTable();
+    [[nodiscard]] voter_conditions conditionsFor(const group_id &group, time_point now) const;
+    [[nodiscard]] bool absent(const entry_host_id &host, time_point now) const;
+    [[nodiscard]] bool shouldAsk(const group_entry &entry, time_point now) const;
+    void askIfDue(group_entry &entry, time_point now, outbox &out, lease_actions &actions);
+    void giveBack(group_entry &entry, time_point now, outbox &out);
+    void receiveAnswer(const lease_answer &answer, time_point now, outbox &out, lease_actions &actions);
+    void updateShares(time_point now, lease_actions &actions);
+    void handBack(time_point now, lease_actions &actions);
+    void flush(outbox &out, time_point now, lease_actions &actions);
+
+    lease_identity m_identity;
+    lease_timing m_timing;
+    time_point m_start;
+    time_point m_lastEvent;
+    roster_tracker m_roster;
+    lease_voter m_voter;
+    cutoff_tracker m_cutoff;
+    std::unordered_map<group_id, group_entry> m_groups;
+    std::unordered_map<entry_host_id, peer> m_peers;
+    std::shared_ptr<share_slot> m_shareSlot;
+    rcu_cell<lease_table> m_table;
+    std::uint64_t m_sequence = 0;
+    shares_state m_shares = shares_state::off;
+    time_point m_sharesEnd; ///< When the last call under shares has ended at the latest.
+    bool m_leaving = false;
+    bool m_asking = true;
+};
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/ownership/include/ownership/roster.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <wire/control_messages.h>
+
+#include <cstddef>
+#include <vector>
+
+namespace orioledrum
+{
+
+/// One possible voter.
+struct roster_member {
+    entry_host_id host;
+    zone_id zone;
+    auto operator<=>(const roster_member &other) const = default;
+};
+
+/// The entry hosts of the platform's host list at one revision, leaving ones included, ordered by id.
+struct roster {
+    revision_number revision = 0; ///< 0 when no host list is known yet.
+    std::vector<roster_member> members;
+
+    /// @return Whether the host is a member.
+    [[nodiscard]] bool contains(const entry_host_id &host) const;
+    /// @return The number of members in the zone.
+    [[nodiscard]] std::size_t hostsInZone(const zone_id &zone) const;
+};
+
+/// @param list The platform's list.
+/// @return Its entry hosts.
+roster makeRoster(const host_list &list);
+
+} // namespace orioledrum
