--- /dev/null
+++ b/libs/orders/include/orders/ticket.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <base/error.h>
+#include <base/ids.h>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace orioledrum
+{
+
+/// Permission to run one order once, given by one incarnation of an entry host. The text form is
+/// "HOST.INCARNATION.SEQUENCE": the host's id (letters, digits, '.', '-', '_'), 32 lower-case hexadecimal digits,
+/// and a decimal number without leading zeros. It needs no escaping in a URL.
+struct ticket {
+    static constexpr std::size_t maxTextLength = 256;
+
+    entry_host_id host;
+    incarnation_id incarnation;
+    std::uint64_t sequence = 0; ///< From 1.
+
+    auto operator<=>(const ticket &other) const = default;
+
+    /// @return The text form.
+    [[nodiscard]] std::string text() const;
+
+    /// @param text A text form.
+    /// @return The ticket, or malformed with the part that is wrong.
+    static expected<ticket> parse(std::string_view text);
+};
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/search/include/search/search_topology.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <base/error.h>
+#include <base/ids.h>
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace orioledrum
+{
+
+/// One backend server that serves a shard.
+struct search_replica {
+    backend_id backend;
+    zone_id zone;
+    group_id group;
+    bool excluded = false; ///< Its availability zone is out or the host list says that it is leaving: no new work.
+};
+
+/// A shard with its replicas.
+struct search_shard {
+    shard_id shard;
+    std::vector<search_replica> replicas;
+};
+
+/// A layout of a service's index: the list of shards that together hold the whole index.
+struct search_layout {
+    std::uint32_t layout = 0;
+    std::vector<search_shard> shards;
+};
+
+/// The layouts of a service with dense numbers for its backend servers. Immutable and shared by all threads; a new
+/// one is built whenever the configuration or the host list changes.
+class search_topology
+{
+public:
+    /// @param service Name of the service.
+    /// @param layouts One or more layouts with distinct numbers, each with at least one shard.
+    /// @return The topology, or invalidArgument.
+    static expected<search_topology> create(service_id service, std::vector<search_layout> layouts);
+
+    [[nodiscard]] const service_id &service() const { return m_service; }
+    [[nodiscard]] const std::vector<search_layout> &layouts() const { return m_layouts; }
+
+    /// @return Number of distinct backend servers.
+    [[nodiscard]] std::size_t backendCount() const { return m_backends.size(); }
+
+    /// @return The backend servers in the order of their numbers.
+    [[nodiscard]] const std::vector<backend_id> &backends() const { return m_backends; }
+
+    /// @return The number of a backend server, or backendCount() when it is not part of the service.
+    [[nodiscard]] std::size_t find(const backend_id &backend) const;
+
+    /// @return The number of the backend server behind layouts()[layout].shards[shard].replicas[replica].
+    [[nodiscard]] std::uint32_t backendNumber(std::size_t layout, std::size_t shard, std::size_t replica) const
+    {
+        return m_numbers[layout][shard][replica];
+    }
+
+    /// @return True when the backend server with this number is excluded.
+    [[nodiscard]] bool excluded(std::size_t number) const { return m_excluded[number]; }
+
+private:
+    search_topology() = default;
+
+    service_id m_service;
+    std::vector<search_layout> m_layouts;
+    std::vector<backend_id> m_backends;
+    std::vector<bool> m_excluded;
+    std::unordered_map<backend_id, std::uint32_t> m_index;
+    std::vector<std::vector<std::vector<std::uint32_t>>> m_numbers;
+};
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/search/include/search/service_stats.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <base/ids.h>
+#include <base/monotonic_clock.h>
+#include <search/latency_histogram.h>
+#include <search/search_topology.h>
+#include <search/token_bucket.h>
+#include <wire/search_messages.h>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace orioledrum
+{
+
+/// What the root knows about one backend server.
+struct backend_record {
+    backend_state state = backend_state::warm;
+    bool excluded = false; ///< By the newest topology.
+    std::uint32_t slots = 1;
+    std::uint32_t slotsInUse = 0;
+    std::uint32_t outstanding = 0; ///< Attempts of this thread without an answer.
+    std::vector<snapshot_ref> held; ///< Sorted.
+    bool heldKnown = false;
+    float refusals = 0; ///< Decaying share of refused attempts.
+    float queueMicros = 0; ///< Decaying mean of the wait at the owner.
+    std::uint32_t consecutiveFailures = 0;
+    std::uint32_t ejections = 0; ///< In a row, for the back-off.
+    time_point ejectedUntil;
+    time_point drainingUntil; ///< No attempts before this time.
+    time_point updated;
+};
+
+/// The records of the backend servers of one topology.
+struct backend_table {
+    std::shared_ptr<const search_topology> topology;
+    std::vector<backend_record> records; ///< By backend number.
+    std::uint64_t version = 1; ///< Changes whenever held snapshots or availability change.
+};
+
+/// Shared by the runs of one service on one worker thread. Not thread-safe.
+class service_stats
+{
+public:
+    /// Budget of hedges as a share of first attempts.
+    static constexpr double hedgeShare = 0.04;
+    /// Service-wide budget of retries as a share of first attempts, on top of the bound per query.
+    static constexpr double retryShare = 0.10;
+
+    /// @param topology Topology of the service.
+    /// @param ownZone Zone of this entry host.
+    /// @param now Current time.
+    service_stats(std::shared_ptr<const search_topology> topology, zone_id ownZone, time_point now);
+
+    /// Replaces the topology. Records of backend servers in both are kept; running queries keep their layouts, but
+    /// send nothing more to backend servers that the new topology excludes or no longer has.
+    void setTopology(std::shared_ptr<const search_topology> topology, time_point now);
+
+    /// Takes in what a backend server said about itself, also from late answers.
+    void observe(const backend_id &backend, const backend_report &report, time_point now);
+
+    /// @return The topology that new queries use.
+    [[nodiscard]] const std::shared_ptr<const search_topology> &topology() const { return m_table->topology; }
+    [[nodiscard]] const zone_id &ownZone() const { return m_ownZone; }
+
+    /// @return Latency below which this share of attempts was answered, or nothing before enough samples.
+    [[nodiscard]] std::optional<std::chrono::microseconds> latencyQuantile(double quantile) const;
+
+    /// @return Time after which an unanswered attempt is hedged. It grows from the 95th percentile as the budget is
+    /// used up, so that the budget is left to the slowest attempts.
+    [[nodiscard]] std::chrono::microseconds hedgeDelay(std::chrono::microseconds minimum) const;
+
+    /// @return The (snapshot, layout) pair to pin, or nothing while no snapshot is known.
+    /// @param minCoverage The newest pair held by this share of shards is taken, else the one held by most shards.
+    /// @param newerThan Only pairs with a greater snapshot number, for a restart.
+    std::optional<snapshot_ref> choosePin(double minCoverage, std::optional<snapshot_ref> newerThan, time_point now);
+
+    /// @return The record of a backend server, or null when the service has none of that name.
+    [[nodiscard]] const backend_record *record(const backend_id &backend) const;
+
+    /// Totals since the start, for metrics.
+    struct totals {
+        std::uint64_t firstAttempts = 0;
+        std::uint64_t hedges = 0;
+        std::uint64_t retries = 0;
+        std::uint64_t ejections = 0;
+        std::uint64_t droppedAnswers = 0; ///< Answers that matched no attempt.
+    };
+    [[nodiscard]] const totals &counts() const { return m_counts; }
+
+private:
+    friend class search_run;
+
+    // Pin chosen for one coverage at one version of the table.
+    struct pin_cache {
+        std::uint64_t version = 0;
+        double minCoverage = 0;
+        time_point until;
+        std::optional<snapshot_ref> pin;
+    };
+
+    void applyReport(backend_table &table, backend_record &record, const backend_report &report, time_point now);
+    void noteOutcome(backend_table &table, backend_record &record, const shard_answer &answer, time_point now);
+    void noteFailure(backend_table &table, backend_record &record, time_point now);
+    void noteFirstAttempts(std::uint32_t count);
+    bool takeHedgeToken();
+    bool takeRetryToken();
+
+    std::shared_ptr<backend_table> m_table;
+    std::vector<std::weak_ptr<backend_table>> m_oldTables;
+    zone_id m_ownZone;
+    latency_histogram m_latency;
+    token_bucket m_hedgeTokens;
+    token_bucket m_retryTokens;
+    pin_cache m_pinCache;
+    totals m_counts;
+};
+
+} // namespace orioledrum
