--- a/libs/transport/include/transport/http_call.h
+++ b/libs/transport/include/transport/http_call.h
@@ -14,7 +14,7 @@
     std::string method = "GET";
     std::string url; ///< "http://address:port/path".
     http_headers headers;
-    std::string body;
+    std::string body; ///< Sent as application/json unless `headers` has a Content-Type.
     std::chrono::milliseconds timeout{1000}; ///< From send() to the complete reply, including connecting.
 
     /// Uses a new connection that no other call uses. Set it for requests that must not run twice: libcurl resends
--- /dev/null
+++ b/libs/transport/src/client_stream.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <frame_parser.h>
+#include <transport/peer_client.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace orioledrum
+{
+
+class client_connection;
+
+/// One request of a peer_client and the state of its reply.
+struct client_stream {
+    explicit client_stream(std::size_t maxFrameBytes)
+        : frames(maxFrameBytes)
+    {
+    }
+
+    std::uint64_t handle = 0;
+    std::string address;
+    std::string path;
+    std::string body;
+    std::size_t bodySent = 0;
+    std::chrono::steady_clock::time_point deadline;
+    peer_client::on_frame onFrame;
+    peer_client::on_end onEnd;
+    frame_parser frames;
+    std::map<std::string, std::string, std::less<>> trailers;
+    std::weak_ptr<client_connection> connection; ///< Empty while waiting for a connection.
+    std::int32_t id = 0; ///< Stream id in that connection.
+    bool serialized = false; ///< The request may have been handed to the socket.
+    bool counted = false; ///< Counts as an open stream of its address.
+    bool ended = false;
+};
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/transport/src/deadline_queue.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <utility>
+
+namespace asio
+{
+class io_context;
+}
+
+namespace orioledrum
+{
+
+/// Deadlines of many calls on one timer, so that starting and ending a call usually does not touch the timer.
+class deadline_queue
+{
+public:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    /// @param context Runs the timer.
+    /// @param onDue Called with the key of each deadline that has passed, after it was removed. Not called after the
+    /// queue is destroyed; it may destroy the queue.
+    deadline_queue(asio::io_context &context, std::function<void(std::uint64_t key)> onDue);
+    ~deadline_queue();
+    deadline_queue(const deadline_queue &) = delete;
+    deadline_queue &operator=(const deadline_queue &) = delete;
+
+    void add(std::uint64_t key, time_point deadline);
+    void remove(std::uint64_t key, time_point deadline);
+
+private:
+    void arm();
+    void fire();
+
+    asio::steady_timer m_timer;
+    std::function<void(std::uint64_t)> m_onDue;
+    std::set<std::pair<time_point, std::uint64_t>> m_entries;
+    time_point m_armedFor = time_point::max();
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/transport/src/http_client.cpp
@@ -0,0 +1,813 @@
+#include <transport/http_client.h>
+
+#include <curl_socket.h>
+#include <deadline_queue.h>
+
+#include <arpa/inet.h>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <unordered_map>
+#include <vector>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+constexpr std::size_t maxReplyHeaderBytes = 64 * 1024;
+constexpr std::size_t maxPooledHandles = 1024;
+
+/// One call, from send() to its result, and on to the end of its transfer when it was cancelled without closing.
+struct transfer {
+    std::uint64_t id = 0;
+    CURL *easy = nullptr;
+    http_call call;
+    http_client::callback done; ///< Empty once the result was reported.
+    http_reply reply;
+    std::string server; ///< "address:port" from the URL.
+    std::chrono::steady_clock::time_point deadline;
+    curl_slist *headers = nullptr;
+    std::size_t headerBytes = 0;
+    std::size_t maxReplyBytes = 0;
+    bool handedOver = false; ///< libcurl was allowed to write the request.
+    bool stopped = false; ///< beforeSend returned false.
+    bool tooLarge = false;
+    std::array<char, CURL_ERROR_SIZE> message{};
+
+    transfer() = default;
+    transfer(const transfer &) = delete;
+    transfer &operator=(const transfer &) = delete;
+    ~transfer() { curl_slist_free_all(headers); }
+};
+
+std::string describeAddress(const sockaddr &address)
+{
+    std::array<char, INET6_ADDRSTRLEN> text{};
+    if (address.sa_family == AF_INET) {
+        const auto &v4 = reinterpret_cast<const sockaddr_in &>(address);
+        inet_ntop(AF_INET, &v4.sin_addr, text.data(), text.size());
+        return std::string(text.data()) + ":" + std::to_string(ntohs(v4.sin_port));
+    }
+    if (address.sa_family == AF_INET6) {
+        const auto &v6 = reinterpret_cast<const sockaddr_in6 &>(address);
+        inet_ntop(AF_INET6, &v6.sin6_addr, text.data(), text.size());
+        return "[" + std::string(text.data()) + "]:" + std::to_string(ntohs(v6.sin6_port));
+    }
+    return {};
+}
+
+/// @return "address:port" of an http URL, or empty when the URL has another form.
+std::string serverOf(std::string_view url)
+{
+    constexpr std::string_view scheme = "http://";
+    if (!url.starts_with(scheme) || std::any_of(url.begin(), url.end(), [](unsigned char c) { return c <= ' ' || c == 0x7f; })) {
+        return {};
+    }
+    url.remove_prefix(scheme.size());
+    return std::string(url.substr(0, url.find_first_of("/?#")));
+}
+
+bool isToken(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
+            || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+    });
+}
+
+/// @return What is wrong with a call, or empty.
+std::string_view findFault(const http_call &call)
+{
+    if (serverOf(call.url).empty()) {
+        return "the URL is not of the form http://address:port/path";
+    }
+    if (!isToken(call.method)) {
+        return "the method is not valid";
+    }
+    for (const auto &header : call.headers) {
+        if (!isToken(header.name) || header.value.find_first_of(std::string_view("\r\n\0", 3)) != std::string::npos) {
+            return "a header field is not valid";
+        }
+    }
+    return {};
+}
+
+http_failure makeFailure(error_code code, std::string message, std::string server, bool mayHaveBeenSent)
+{
+    return {{code, std::move(message), "call server", std::move(server)}, mayHaveBeenSent};
+}
+
+http_failure describeFailure(const transfer &ended, CURLcode code)
+{
+    const std::string message = ended.message[0] != '\0' ? ended.message.data() : curl_easy_strerror(code);
+    error_code kind = error_code::unreachable;
+    if (ended.stopped) {
+        return makeFailure(error_code::cancelled, "the call was stopped before it was sent", ended.server, ended.handedOver);
+    }
+    if (ended.tooLarge) {
+        return makeFailure(error_code::tooLarge, "the reply is too large", ended.server, ended.handedOver);
+    }
+    switch (code) {
+    case CURLE_URL_MALFORMAT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+        kind = error_code::invalidArgument;
+        break;
+    case CURLE_UNSUPPORTED_PROTOCOL: // Also a reply that is not HTTP/1.x.
+        kind = ended.handedOver ? error_code::protocolError : error_code::invalidArgument;
+        break;
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_BAD_CONTENT_ENCODING:
+    case CURLE_WRITE_ERROR:
+        kind = error_code::protocolError;
+        break;
+    case CURLE_OUT_OF_MEMORY:
+    case CURLE_FAILED_INIT:
+        kind = error_code::internal;
+        break;
+    default:
+        break;
+    }
+    return makeFailure(kind, message, ended.server, ended.handedOver);
+}
+
+std::size_t onBody(char *data, std::size_t size, std::size_t count, void *user);
+std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user);
+
+int onBeforeSend(void *user, char *, char *, int, int)
+{
+    auto &running = *static_cast<transfer *>(user);
+    if (running.call.beforeSend && !running.call.beforeSend()) {
+        running.stopped = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    running.handedOver = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+} // namespace
+
+class http_client::impl : public std::enable_shared_from_this<http_client::impl>
+{
+public:
+    impl(asio::io_context &context, const settings &settings)
+        : m_context(context)
+        , m_settings(settings)
+        , m_timer(context)
+        , m_deadlines(context, [this](std::uint64_t id) { onDeadline(id); })
+    {
+    }
+
+    impl(const impl &) = delete;
+    impl &operator=(const impl &) = delete;
+    ~impl() { close(); }
+
+    expected<void> start()
+    {
+        static const CURLcode global = curl_global_init(CURL_GLOBAL_ALL);
+        m_multi = global == CURLE_OK ? curl_multi_init() : nullptr;
+        if (m_multi == nullptr) {
+            return makeError(error_code::internal, "start HTTP client", "libcurl could not be initialised");
+        }
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &impl::onSocket);
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &impl::onTimer);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_PIPELINING, static_cast<long>(CURLPIPE_NOTHING));
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, static_cast<long>(m_settings.maxIdleConnections));
+        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, static_cast<long>(m_settings.maxConnectionsPerAddress));
+        return {};
+    }
+
+    void close()
+    {
+        if (m_closed) {
+            return;
+        }
+        m_closed = true;
+        for (auto &[id, running] : m_transfers) {
+            curl_multi_remove_handle(m_multi, running->easy);
+            curl_easy_cleanup(running->easy);
+        }
+        m_transfers.clear();
+        for (CURL *easy : m_pool) {
+            curl_easy_cleanup(easy);
+        }
+        m_pool.clear();
+        if (m_multi != nullptr) {
+            curl_multi_cleanup(m_multi);
+        }
+        for (auto &[descriptor, socket] : m_sockets) {
+            forgetSocket(*socket);
+        }
+        m_sockets.clear();
+        m_timer.cancel();
+    }
+
+    http_call_handle send(http_call call, callback done)
+    {
+        const auto id = ++m_lastId;
+        if (const auto fault = findFault(call); !fault.empty()) {
+            report(std::move(done),
+                   tl::unexpected(makeFailure(error_code::invalidArgument, std::string(fault), serverOf(call.url), false)));
+            return http_call_handle{id};
+        }
+        auto started = std::make_unique<transfer>();
+        started->id = id;
+        started->call = std::move(call);
+        started->done = std::move(done);
+        started->server = serverOf(started->call.url);
+        started->deadline = std::chrono::steady_clock::now() + started->call.timeout;
+        started->maxReplyBytes = m_settings.maxReplyBytes;
+        started->easy = takeHandle();
+        if (started->easy == nullptr) {
+            report(std::move(started->done), tl::unexpected(makeFailure(error_code::internal, "out of memory", started->server, false)));
+            return http_call_handle{id};
+        }
+        configure(*started);
+        m_deadlines.add(id, started->deadline);
+        auto *easy = started->easy;
+        m_transfers.emplace(id, std::move(started));
+        // Inside a callback of libcurl the handle cannot be added yet.
+        if (m_depth > 0) {
+            asio::post(m_context, [weak = weak_from_this(), id] {
+                if (const auto self = weak.lock(); self && !self->m_closed) {
+                    if (const auto found = self->m_transfers.find(id); found != self->m_transfers.end()) {
+                        curl_multi_add_handle(self->m_multi, found->second->easy);
+                    }
+                }
+            });
+        } else {
+            curl_multi_add_handle(m_multi, easy);
+        }
+        return http_call_handle{id};
+    }
+
+    void cancel(std::uint64_t id)
+    {
+        const auto found = m_transfers.find(id);
+        if (found == m_transfers.end() || !found->second->done) {
+            return;
+        }
+        auto &running = *found->second;
+        report(std::exchange(running.done, nullptr),
+               tl::unexpected(makeFailure(error_code::cancelled, "the call was cancelled", running.server, running.handedOver)));
+        // A request that has not been written is not sent any more.
+        if (running.call.closeOnCancel || !running.handedOver) {
+            abandon(id);
+        }
+    }
+
+    [[nodiscard]] std::size_t openCalls() const { return m_transfers.size(); }
+
+    [[nodiscard]] std::size_t connections() const
+    {
+        std::size_t sum = 0;
+        for (const auto &[address, count] : m_connections) {
+            sum += count;
+        }
+        return sum;
+    }
+
+    [[nodiscard]] std::size_t connections(std::string_view address) const
+    {
+        const auto found = m_connections.find(std::string(address));
+        return found == m_connections.end() ? 0 : found->second;
+    }
+
+    void closeIdleConnections(std::string_view address)
+    {
+        for (auto &[descriptor, socket] : m_sockets) {
+            if (socket->owned && socket->address == address && !socket->wantRead && !socket->wantWrite && !socket->retired) {
+                retire(*socket);
+            }
+        }
+    }
+
+private:
+    /// Marks the time in which libcurl may call back, when its functions must not be called.
+    class curl_scope
+    {
+    public:
+        explicit curl_scope(impl &owner)
+            : m_owner(owner)
+        {
+            ++m_owner.m_depth;
+        }
+        curl_scope(const curl_scope &) = delete;
+        curl_scope &operator=(const curl_scope &) = delete;
+        ~curl_scope() { --m_owner.m_depth; }
+
+    private:
+        impl &m_owner;
+    };
+
+    CURL *takeHandle()
+    {
+        if (m_pool.empty()) {
+            return curl_easy_init();
+        }
+        CURL *easy = m_pool.back();
+        m_pool.pop_back();
+        return easy;
+    }
+
+    void giveBack(CURL *easy)
+    {
+        if (m_pool.size() >= maxPooledHandles) {
+            curl_easy_cleanup(easy);
+            return;
+        }
+        curl_easy_reset(easy);
+        m_pool.push_back(easy);
+    }
+
+    void configure(transfer &started)
+    {
+        CURL *easy = started.easy;
+        const auto &call = started.call;
+        curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+        curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+        curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::max(1L, static_cast<long>(m_settings.connectTimeout.count())));
+        curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, started.message.data());
+        curl_easy_setopt(easy, CURLOPT_PRIVATE, &started);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &impl::onOpenSocket);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &impl::onCloseSocket);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &started);
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &started);
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onBeforeSend);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &started);
+        curl_easy_setopt(easy, CURLOPT_MAXFILESIZE_LARGE, static_cast<curl_off_t>(m_settings.maxReplyBytes));
+        if (call.freshConnection) {
+            curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+            curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+        }
+        const bool hasBody = !call.body.empty() || call.method == "POST" || call.method == "PUT" || call.method == "PATCH";
+        if (hasBody) {
+            curl_easy_setopt(easy, CURLOPT_POST, 1L);
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
+        } else if (call.method == "HEAD") {
+            curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        }
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+        if (hasBody) {
+            addHeader(started, "Expect:"); // libcurl would wait up to 1 s for "100 Continue" before a large body.
+            if (headerValue(call.headers, "Content-Type").empty()) {
+                addHeader(started, "Content-Type: application/json");
+            }
+        }
+        for (const auto &header : call.headers) {
+            // "Name;" is libcurl's form of a field without a value.
+            addHeader(started, header.value.empty() ? header.name + ";" : header.name + ": " + header.value);
+        }
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, started.headers);
+    }
+
+    static void addHeader(transfer &started, const std::string &line)
+    {
+        if (curl_slist *extended = curl_slist_append(started.headers, line.c_str())) {
+            started.headers = extended;
+        }
+    }
+
+    /// Calls back from the io_context.
+    void report(callback done, result outcome)
+    {
+        asio::post(m_context, [weak = weak_from_this(), done = std::move(done), outcome = std::move(outcome)]() mutable {
+            if (const auto self = weak.lock(); self && !self->m_closed) {
+                done(std::move(outcome));
+            }
+        });
+    }
+
+    /// Ends a transfer without a result; its connection is closed.
+    void abandon(std::uint64_t id)
+    {
+        if (m_depth > 0) {
+            asio::post(m_context, [weak = weak_from_this(), id] {
+                if (const auto self = weak.lock(); self && !self->m_closed) {
+                    self->abandon(id);
+                }
+            });
+            return;
+        }
+        const auto found = m_transfers.find(id);
+        if (found == m_transfers.end()) {
+            return;
+        }
+        const auto ended = std::move(found->second);
+        m_transfers.erase(found);
+        m_deadlines.remove(id, ended->deadline);
+        {
+            const curl_scope scope(*this);
+            curl_multi_remove_handle(m_multi, ended->easy);
+        }
+        giveBack(ended->easy);
+    }
+
+    void onDeadline(std::uint64_t id)
+    {
+        const auto self = shared_from_this();
+        const auto found = m_transfers.find(id);
+        if (found == m_transfers.end()) {
+            return;
+        }
+        auto &running = *found->second;
+        auto done = std::exchange(running.done, nullptr);
+        auto failure =
+            makeFailure(error_code::deadlineExceeded, "no complete reply within the timeout", running.server, running.handedOver);
+        abandon(id);
+        if (done) {
+            done(tl::unexpected(std::move(failure)));
+        }
+    }
+
+    /// Lets libcurl work, then reports the transfers that have ended.
+    void drive(curl_socket_t descriptor, int events)
+    {
+        if (m_closed) {
+            return;
+        }
+        const auto self = shared_from_this();
+        {
+            const curl_scope scope(*this);
+            int running = 0;
+            curl_multi_socket_action(m_multi, descriptor, events, &running);
+        }
+        int left = 0;
+        while (!m_closed) {
+            const CURLMsg *message = curl_multi_info_read(m_multi, &left);
+            if (message == nullptr) {
+                return;
+            }
+            if (message->msg == CURLMSG_DONE) {
+                finish(message->easy_handle, message->data.result);
+            }
+        }
+    }
+
+    void finish(CURL *easy, CURLcode code)
+    {
+        char *pointer = nullptr;
+        curl_easy_getinfo(easy, CURLINFO_PRIVATE, &pointer);
+        const auto found = m_transfers.find(reinterpret_cast<transfer *>(pointer)->id);
+        const auto ended = std::move(found->second);
+        m_transfers.erase(found);
+        m_deadlines.remove(ended->id, ended->deadline);
+        {
+            const curl_scope scope(*this);
+            curl_multi_remove_handle(m_multi, easy);
+        }
+        giveBack(easy);
+        if (!ended->done) {
+            return;
+        }
+        if (code == CURLE_OK) {
+            ended->done(std::move(ended->reply));
+        } else {
+            ended->tooLarge = ended->tooLarge || code == CURLE_FILESIZE_EXCEEDED;
+            ended->done(tl::unexpected(describeFailure(*ended, code)));
+        }
+    }
+
+    static int onTimer(CURLM *, long timeoutMs, void *user)
+    {
+        auto &self = *static_cast<impl *>(user);
+        if (!self.m_closed) {
+            self.setTimer(timeoutMs);
+        }
+        return 0;
+    }
+
+    void setTimer(long timeoutMs)
+    {
+        using clock = std::chrono::steady_clock;
+        if (timeoutMs < 0) {
+            m_wanted = clock::time_point::max();
+            return;
+        }
+        if (timeoutMs == 0) {
+            m_wanted = clock::time_point::max();
+            if (!m_drivePosted) {
+                m_drivePosted = true;
+                asio::post(m_context, [weak = weak_from_this()] {
+                    if (const auto self = weak.lock()) {
+                        self->m_drivePosted = false;
+                        self->drive(CURL_SOCKET_TIMEOUT, 0);
+                    }
+                });
+            }
+            return;
+        }
+        m_wanted = clock::now() + std::chrono::milliseconds(timeoutMs);
+        armTimer();
+    }
+
+    void armTimer()
+    {
+        using clock = std::chrono::steady_clock;
+        // A timer that is armed for an earlier time stays; it arms itself again when it fires.
+        if (m_wanted == clock::time_point::max() || m_armed <= m_wanted) {
+            return;
+        }
+        m_armed = m_wanted;
+        m_timer.expires_at(m_armed);
+        m_timer.async_wait([weak = weak_from_this()](const asio::error_code &code) {
+            const auto self = weak.lock();
+            if (code || !self || self->m_closed) {
+                return;
+            }
+            self->m_armed = clock::time_point::max();
+            if (self->m_wanted <= clock::now()) {
+                self->m_wanted = clock::time_point::max();
+                self->drive(CURL_SOCKET_TIMEOUT, 0);
+            }
+            self->armTimer();
+        });
+    }
+
+    static curl_socket_t onOpenSocket(void *user, curlsocktype, curl_sockaddr *address)
+    {
+        auto &self = *static_cast<impl *>(user);
+        const int descriptor = ::socket(address->family, address->socktype | SOCK_CLOEXEC | SOCK_NONBLOCK, address->protocol);
+        if (descriptor < 0) {
+            return CURL_SOCKET_BAD;
+        }
+        auto socket = std::make_shared<curl_socket>(self.m_context);
+        asio::error_code code;
+        socket->descriptor.assign(descriptor, code);
+        if (code) {
+            ::close(descriptor);
+            return CURL_SOCKET_BAD;
+        }
+        socket->address = describeAddress(address->addr);
+        ++self.m_connections[socket->address];
+        self.m_sockets[descriptor] = std::move(socket);
+        return descriptor;
+    }
+
+    static int onCloseSocket(void *user, curl_socket_t descriptor)
+    {
+        auto &self = *static_cast<impl *>(user);
+        const auto found = self.m_sockets.find(descriptor);
+        if (found == self.m_sockets.end()) {
+            return ::close(descriptor);
+        }
+        const auto socket = std::move(found->second);
+        self.m_sockets.erase(found);
+        self.forgetSocket(*socket);
+        return 0;
+    }
+
+    void forgetSocket(curl_socket &socket)
+    {
+        socket.closed = true;
+        if (!socket.owned) {
+            socket.descriptor.release();
+            return;
+        }
+        if (!socket.retired) {
+            countDown(socket.address);
+        }
+        asio::error_code ignored;
+        socket.descriptor.close(ignored);
+    }
+
+    void countDown(const std::string &address)
+    {
+        const auto found = m_connections.find(address);
+        if (found != m_connections.end() && --found->second == 0) {
+            m_connections.erase(found);
+        }
+    }
+
+    /// Ends an idle connection. libcurl sees that it is dead and closes it when it next looks for a connection.
+    void retire(curl_socket &socket)
+    {
+        socket.retired = true;
+        countDown(socket.address);
+        ::shutdown(socket.descriptor.native_handle(), SHUT_RDWR);
+    }
+
+    static int onSocket(CURL *, curl_socket_t descriptor, int what, void *user, void *)
+    {
+        auto &self = *static_cast<impl *>(user);
+        if (self.m_closed) {
+            return 0;
+        }
+        auto found = self.m_sockets.find(descriptor);
+        if (found == self.m_sockets.end()) {
+            if (what == CURL_POLL_REMOVE) {
+                return 0;
+            }
+            auto socket = std::make_shared<curl_socket>(self.m_context);
+            socket->owned = false;
+            socket->descriptor.assign(descriptor);
+            found = self.m_sockets.emplace(descriptor, std::move(socket)).first;
+        }
+        const auto socket = found->second;
+        socket->wantRead = what == CURL_POLL_IN || what == CURL_POLL_INOUT;
+        socket->wantWrite = what == CURL_POLL_OUT || what == CURL_POLL_INOUT;
+        if (what == CURL_POLL_REMOVE && !socket->owned) {
+            self.m_sockets.erase(found);
+            self.forgetSocket(*socket);
+            return 0;
+        }
+        self.wait(socket);
+        return 0;
+    }
+
+    void wait(const std::shared_ptr<curl_socket> &socket)
+    {
+        if (socket->wantRead && !socket->readPending) {
+            waitForRead(socket);
+        }
+        if (socket->wantWrite && !socket->writePending) {
+            socket->writePending = true;
+            socket->descriptor.async_wait(asio::posix::stream_descriptor::wait_write,
+                                          [weak = weak_from_this(), socket](const asio::error_code &code) {
+                                              socket->writePending = false;
+                                              const auto self = weak.lock();
+                                              if (code || !self || socket->closed || !socket->wantWrite) {
+                                                  return;
+                                              }
+                                              self->drive(socket->descriptor.native_handle(), CURL_CSELECT_OUT);
+                                              if (!self->m_closed && !socket->closed) {
+                                                  self->wait(socket);
+                                              }
+                                          });
+        }
+    }
+
+    /// The wait goes on while the connection is idle, so that a close by the server is noticed.
+    void waitForRead(const std::shared_ptr<curl_socket> &socket)
+    {
+        socket->readPending = true;
+        socket->descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+                                      [weak = weak_from_this(), socket](const asio::error_code &code) {
+                                          socket->readPending = false;
+                                          const auto self = weak.lock();
+                                          if (code || !self || self->m_closed || socket->closed || socket->retired) {
+                                              return;
+                                          }
+                                          if (!socket->wantRead) {
+                                              self->checkIdle(socket);
+                                              return;
+                                          }
+                                          self->drive(socket->descriptor.native_handle(), CURL_CSELECT_IN);
+                                          if (!self->m_closed && !socket->closed && !socket->readPending && !socket->retired) {
+                                              self->waitForRead(socket);
+                                          }
+                                      });
+    }
+
+    void checkIdle(const std::shared_ptr<curl_socket> &socket)
+    {
+        // While libcurl waits to write (connecting), an event of the reading side says nothing.
+        char byte = 0;
+        const auto size = ::recv(socket->descriptor.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (socket->wantWrite || (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))) {
+            waitForRead(socket);
+            return;
+        }
+        retire(*socket);
+    }
+
+    asio::io_context &m_context;
+    settings m_settings;
+    asio::steady_timer m_timer;
+    deadline_queue m_deadlines;
+    CURLM *m_multi = nullptr;
+    std::unordered_map<std::uint64_t, std::unique_ptr<transfer>> m_transfers;
+    std::unordered_map<curl_socket_t, std::shared_ptr<curl_socket>> m_sockets;
+    std::unordered_map<std::string, std::size_t> m_connections;
+    std::vector<CURL *> m_pool;
+    std::chrono::steady_clock::time_point m_wanted = std::chrono::steady_clock::time_point::max();
+    std::chrono::steady_clock::time_point m_armed = std::chrono::steady_clock::time_point::max();
+    std::uint64_t m_lastId = 0;
+    int m_depth = 0;
+    bool m_drivePosted = false;
+    bool m_closed = false;
+};
+
+namespace
+{
+
+std::size_t onBody(char *data, std::size_t size, std::size_t count, void *user)
+{
+    auto &running = *static_cast<transfer *>(user);
+    const std::size_t length = size * count;
+    if (length > running.maxReplyBytes - running.reply.body.size()) {
+        running.tooLarge = true;
+        return 0;
+    }
+    running.reply.body.append(data, length);
+    return length;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const auto begin = text.find_first_not_of(" \t\r\n");
+    if (begin == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(begin, text.find_last_not_of(" \t\r\n") - begin + 1);
+}
+
+std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user)
+{
+    auto &running = *static_cast<transfer *>(user);
+    const std::string_view line(data, size * count);
+    if (line.starts_with("HTTP/")) {
+        // A new status line follows "100 Continue" and the like.
+        running.reply = {};
+        const auto space = line.find(' ');
+        if (space != std::string_view::npos) {
+            const auto text = line.substr(space + 1);
+            std::from_chars(text.data(), text.data() + text.size(), running.reply.status);
+        }
+        return line.size();
+    }
+    running.headerBytes += line.size();
+    if (running.headerBytes > maxReplyHeaderBytes) {
+        running.tooLarge = true;
+        return 0;
+    }
+    if (const auto colon = line.find(':'); colon != std::string_view::npos) {
+        running.reply.headers.push_back({std::string(trimmed(line.substr(0, colon))), std::string(trimmed(line.substr(colon + 1)))});
+    }
+    return line.size();
+}
+
+} // namespace
+
+expected<std::unique_ptr<http_client>> http_client::create(asio::io_context &context, const settings &settings)
+{
+    auto implementation = std::make_shared<impl>(context, settings);
+    if (auto started = implementation->start(); !started) {
+        return tl::unexpected(started.error());
+    }
+    return std::unique_ptr<http_client>(new http_client(std::move(implementation)));
+}
+
+http_client::http_client(std::shared_ptr<impl> implementation)
+    : m_impl(std::move(implementation))
+{
+}
+
+http_client::~http_client()
+{
+    m_impl->close();
+}
+
+http_call_handle http_client::send(http_call call, callback done)
+{
+    return m_impl->send(std::move(call), std::move(done));
+}
+
+void http_client::cancel(http_call_handle handle)
+{
+    m_impl->cancel(static_cast<std::uint64_t>(handle));
+}
+
+std::size_t http_client::openCalls() const
+{
+    return m_impl->openCalls();
+}
+
+std::size_t http_client::connections() const
+{
+    return m_impl->connections();
+}
+
+std::size_t http_client::connections(std::string_view address) const
+{
+    return m_impl->connections(address);
+}
+
+void http_client::closeIdleConnections(std::string_view address)
+{
+    m_impl->closeIdleConnections(address);
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/transport/src/http_server.cpp
@@ -0,0 +1,413 @@
+#include <transport/http_server.h>
+
+#include <server_socket.h>
+#include <transport/http_exchange.h>
+#include <transport/http_handler.h>
+
+#include <restinio/all.hpp>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+/// Marks the parser settings below as the ones to use.
+struct limited_methods : restinio::default_http_methods_t {
+};
+
+} // namespace
+
+} // namespace orioledrum
+
+namespace restinio::impl
+{
+
+/// RESTinio closes the connection when a body is over the limit. Here such a body is read to its end without being kept;
+/// its stored size is then one more than the limit, so the handler can answer 413.
+template<>
+inline http_parser_settings create_parser_settings<orioledrum::limited_methods>() noexcept
+{
+    http_parser_settings settings = create_parser_settings<restinio::default_http_methods_t>();
+    settings.on_headers_complete = [](http_parser *parser) -> int {
+        auto *context = static_cast<http_parser_ctx_t *>(parser->data);
+        context->m_leading_headers_completed = true;
+        return 0;
+    };
+    settings.on_body = [](http_parser *parser, const char *at, std::size_t length) -> int {
+        auto *context = static_cast<http_parser_ctx_t *>(parser->data);
+        const auto limit = context->m_limits.max_body_size();
+        try {
+            const std::size_t room = limit + 1 - context->m_body.size();
+            context->m_body.append(at, std::min(length, room));
+        } catch (const std::exception &) {
+            return -1;
+        }
+        return 0;
+    };
+    return settings;
+}
+
+} // namespace restinio::impl
+
+namespace orioledrum
+{
+
+namespace
+{
+
+constexpr std::size_t maxTargetBytes = 16 * 1024;
+constexpr std::size_t maxHeaderNameBytes = 1024;
+constexpr std::size_t maxHeaderValueBytes = 16 * 1024;
+constexpr std::size_t maxHeaderCount = 200;
+
+struct server_traits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t> {
+    using http_methods_mapper_t = limited_methods;
+    using stream_socket_t = server_socket;
+    static constexpr bool use_connection_count_limiter = true; // NOLINT(readability-identifier-naming)
+};
+
+/// Number of requests without a written answer. Outlives the server in answers that are being written.
+using open_counter = std::atomic<std::size_t>;
+
+/// Holds one request open in the counter.
+std::shared_ptr<void> makeOpenToken(const std::shared_ptr<open_counter> &counter)
+{
+    ++*counter;
+    return {counter.get(), [counter](void *) { --*counter; }};
+}
+
+std::string_view reasonPhrase(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 201:
+        return "Created";
+    case 202:
+        return "Accepted";
+    case 204:
+        return "No Content";
+    case 304:
+        return "Not Modified";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 403:
+        return "Forbidden";
+    case 404:
+        return "Not Found";
+    case 405:
+        return "Method Not Allowed";
+    case 409:
+        return "Conflict";
+    case 413:
+        return "Payload Too Large";
+    case 422:
+        return "Unprocessable Entity";
+    case 429:
+        return "Too Many Requests";
+    case 500:
+        return "Internal Server Error";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+bool isValidField(const http_header &header)
+{
+    return !header.name.empty() && header.name.find_first_of("\r\n: ") == std::string::npos
+        && header.value.find_first_of("\r\n") == std::string::npos;
+}
+
+/// The parts of a server that an open exchange needs; shared, because an exchange may outlive the server.
+struct server_core {
+    explicit server_core(std::size_t threads)
+        : context(static_cast<int>(threads))
+    {
+    }
+
+    asio::io_context context;
+    std::unique_ptr<restinio::http_server_t<server_traits>> server;
+    std::shared_ptr<open_counter> open = std::make_shared<open_counter>(0);
+    std::atomic<bool> draining = false;
+};
+
+class restinio_exchange final : public http_exchange
+{
+public:
+    restinio_exchange(std::shared_ptr<server_core> core, restinio::request_handle_t request, bool close)
+        : m_core(std::move(core))
+        , m_request(std::move(request))
+        , m_token(makeOpenToken(m_core->open))
+        , m_close(close)
+    {
+    }
+
+    restinio_exchange(const restinio_exchange &) = delete;
+    restinio_exchange &operator=(const restinio_exchange &) = delete;
+
+    ~restinio_exchange() override
+    {
+        respond(errorResponse(500, {error_code::internal, "the request was dropped without an answer", "handle request", {}}));
+    }
+
+    bool respond(http_response response) override
+    {
+        if (m_answered.exchange(true)) {
+            return false;
+        }
+        const bool valid = response.status >= 200 && response.status <= 999 && isValidField({"Content-Type", response.contentType})
+            && std::all_of(response.headers.begin(), response.headers.end(), isValidField);
+        if (!valid) {
+            response = errorResponse(
+                500, {error_code::internal, "the answer has a header field or a status that is not valid", "answer request", {}});
+        }
+        write(std::move(response));
+        m_request.reset();
+        m_token.reset();
+        return true;
+    }
+
+private:
+    void write(http_response response)
+    {
+        const auto status = restinio::http_status_code_t(static_cast<std::uint16_t>(response.status));
+        auto message = m_request->create_response(restinio::http_status_line_t(status, std::string(reasonPhrase(response.status))));
+        if (m_close || m_core->draining || !m_request->header().should_keep_alive()) {
+            message.connection_close();
+        } else {
+            message.connection_keep_alive();
+        }
+        if (!response.contentType.empty()) {
+            message.append_header(restinio::http_field::content_type, std::move(response.contentType));
+        }
+        for (auto &header : response.headers) {
+            message.append_header(std::move(header.name), std::move(header.value));
+        }
+        if (m_request->header().method() != restinio::http_method_head()) {
+            message.set_body(std::move(response.body));
+        }
+        message.done([token = std::move(m_token)](const auto &) {});
+    }
+
+    std::shared_ptr<server_core> m_core; // Declared first: the request's connection uses the core's io_context.
+    restinio::request_handle_t m_request;
+    std::shared_ptr<void> m_token;
+    std::atomic<bool> m_answered = false;
+    bool m_close;
+};
+
+http_request toRequest(restinio::request_t &source)
+{
+    const auto &header = source.header();
+    http_request request;
+    request.method = header.method().c_str();
+    request.path = std::string(header.path());
+    request.query = std::string(header.query());
+    header.for_each_field([&](const auto &field) { request.headers.push_back({field.name(), field.value()}); });
+    request.body = std::move(source.body());
+    const auto &remote = source.remote_endpoint();
+    const auto address = remote.address().to_string();
+    request.remote = (remote.address().is_v6() ? "[" + address + "]" : address) + ":" + std::to_string(remote.port());
+    return request;
+}
+
+} // namespace
+
+class http_server::impl
+{
+public:
+    impl(const settings &settings, http_handler &handler)
+        : m_settings(settings)
+        , m_handler(handler)
+        , m_core(std::make_shared<server_core>(settings.threads))
+        , m_work(asio::make_work_guard(m_core->context))
+    {
+    }
+
+    impl(const impl &) = delete;
+    impl &operator=(const impl &) = delete;
+
+    ~impl()
+    {
+        if (!m_stopped) {
+            finish();
+        }
+        // Connections that are still open are destroyed with the io_context, unless an exchange holds the core.
+        m_core->server.reset();
+    }
+
+    expected<void> start()
+    {
+        const std::string peer = m_settings.address + ":" + std::to_string(m_settings.port);
+        asio::error_code code;
+        const auto address = asio::ip::make_address(m_settings.address, code);
+        if (code) {
+            return makeError(error_code::invalidArgument, "listen", "the address is not an IP address", peer);
+        }
+        if (m_settings.threads == 0) {
+            return makeError(error_code::invalidArgument, "listen", "at least one thread is needed", peer);
+        }
+        try {
+            m_core->server = std::make_unique<restinio::http_server_t<server_traits>>(
+                restinio::external_io_context(m_core->context),
+                [&](restinio::server_settings_t<server_traits> &options) { configure(options, address); });
+            m_core->server->open_sync();
+        } catch (const std::system_error &failure) {
+            if (failure.code() == std::errc::address_in_use) {
+                return makeError(error_code::conflict, "listen", "the port is in use", peer);
+            }
+            return makeError(error_code::unreachable, "listen", failure.code().message(), peer);
+        } catch (const std::exception &failure) {
+            return makeError(error_code::internal, "listen", failure.what(), peer);
+        }
+        for (std::size_t i = 0; i < m_settings.threads; ++i) {
+            m_threads.emplace_back([core = m_core] { core->context.run(); });
+        }
+        return {};
+    }
+
+    [[nodiscard]] std::uint16_t port() const { return m_port; }
+    [[nodiscard]] std::size_t openRequests() const { return *m_core->open; }
+    void startDraining() { m_core->draining = true; }
+
+    bool stop(std::chrono::milliseconds atMost)
+    {
+        if (m_stopped) {
+            return *m_core->open == 0;
+        }
+        const auto begin = std::chrono::steady_clock::now();
+        m_core->draining = true;
+        closeAcceptor();
+        auto &registry = asio::use_service<socket_registry>(m_core->context);
+        const auto finished = [&] { return *m_core->open == 0 && registry.open() == 0; };
+        // Two milliseconds: short against the time of a request, long against the cost of a check.
+        constexpr auto pollInterval = std::chrono::milliseconds(2);
+        do {
+            std::this_thread::sleep_for(pollInterval);
+            if (std::chrono::steady_clock::now() - begin >= m_settings.drainIdle) {
+                registry.shutdownIdle(m_settings.drainIdle);
+            }
+        } while (!finished() && std::chrono::steady_clock::now() - begin < atMost);
+        const bool complete = finished();
+        finish();
+        return complete;
+    }
+
+private:
+    void configure(restinio::server_settings_t<server_traits> &options, const asio::ip::address &address)
+    {
+        options.address(address)
+            .protocol(address.is_v6() ? asio::ip::tcp::v6() : asio::ip::tcp::v4())
+            .port(m_settings.port)
+            .max_parallel_connections(m_settings.maxConnections)
+            .read_next_http_message_timelimit(m_settings.idleTimeout)
+            .handle_request_timeout(m_settings.handleTimeout)
+            .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                          .max_url_size(maxTargetBytes)
+                                          .max_field_name_size(maxHeaderNameBytes)
+                                          .max_field_value_size(maxHeaderValueBytes)
+                                          .max_field_count(maxHeaderCount)
+                                          .max_body_size(m_settings.maxBodyBytes))
+            .socket_options_setter([](restinio::socket_options_t &socket) { socket.set_option(asio::ip::tcp::no_delay(true)); })
+            .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) { m_port = acceptor.local_endpoint().port(); })
+            .request_handler([this](const restinio::request_handle_t &request) { return handle(request); });
+    }
+
+    restinio::request_handling_status_t handle(const restinio::request_handle_t &request)
+    {
+        const bool tooLarge = request->body().size() > m_settings.maxBodyBytes;
+        auto exchange = std::make_shared<restinio_exchange>(m_core, request, tooLarge);
+        auto received = toRequest(*request);
+        if (tooLarge) {
+            const std::string message = "the body exceeds " + std::to_string(m_settings.maxBodyBytes) + " bytes";
+            exchange->respond(errorResponse(413, {error_code::tooLarge, message, "read request", received.remote}));
+            return restinio::request_accepted();
+        }
+        try {
+            m_handler.handle(std::move(received), exchange);
+        } catch (const std::exception &failure) {
+            exchange->respond(errorResponse(500, {error_code::internal, failure.what(), "handle request", {}}));
+        }
+        return restinio::request_accepted();
+    }
+
+    void closeAcceptor()
+    {
+        std::promise<void> closed;
+        asio::post(m_core->context, [&] {
+            m_core->server->close_sync();
+            closed.set_value();
+        });
+        closed.get_future().wait();
+    }
+
+    void finish()
+    {
+        m_stopped = true;
+        m_work.reset();
+        m_core->context.stop();
+        for (auto &thread : m_threads) {
+            thread.join();
+        }
+        m_threads.clear();
+    }
+
+    settings m_settings;
+    http_handler &m_handler;
+    std::shared_ptr<server_core> m_core;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    std::vector<std::thread> m_threads;
+    std::uint16_t m_port = 0;
+    bool m_stopped = false;
+};
+
+expected<std::unique_ptr<http_server>> http_server::create(const settings &settings, http_handler &handler)
+{
+    auto implementation = std::make_unique<impl>(settings, handler);
+    if (auto started = implementation->start(); !started) {
+        return tl::unexpected(started.error());
+    }
+    return std::unique_ptr<http_server>(new http_server(std::move(implementation)));
+}
+
+http_server::http_server(std::unique_ptr<impl> implementation)
+    : m_impl(std::move(implementation))
+{
+}
+
+http_server::~http_server() = default;
+
+std::uint16_t http_server::port() const
+{
+    return m_impl->port();
+}
+
+std::size_t http_server::openRequests() const
+{
+    return m_impl->openRequests();
+}
+
+void http_server::startDraining()
+{
+    m_impl->startDraining();
+}
+
+bool http_server::stop(std::chrono::milliseconds atMost)
+{
+    return m_impl->stop(atMost);
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/transport/src/server_socket.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <socket_registry.h>
+
+#include <asio/bind_executor.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <utility>
+
+namespace orioledrum
+{
+
+/// TCP socket of an accepted HTTP connection. It answers 400 when RESTinio gives up on the input, which RESTinio itself
+/// answers by closing, and reports to the socket_registry whether it waits for a request.
+/// RESTinio uses it as the stream socket of its traits, so the names of its functions are those of Asio.
+class server_socket : public asio::ip::tcp::socket
+{
+public:
+    using base = asio::ip::tcp::socket;
+
+    explicit server_socket(asio::io_context &context)
+        : base(context)
+        , m_registry(&asio::use_service<socket_registry>(context))
+    {
+    }
+
+    server_socket(server_socket &&other) noexcept
+        : base(std::move(other))
+        , m_registry(other.m_registry)
+        , m_counted(std::exchange(other.m_counted, false))
+        , m_partialRequest(other.m_partialRequest)
+    {
+    }
+
+    server_socket &operator=(server_socket &&other) = delete;
+    server_socket(const server_socket &) = delete;
+    server_socket &operator=(const server_socket &) = delete;
+    ~server_socket() { forget(); }
+
+    template<typename Buffers, typename Handler>
+    void async_read_some(const Buffers &buffers, Handler &&handler) // NOLINT(readability-identifier-naming)
+    {
+        if (!m_counted) {
+            m_counted = true;
+            m_registry->opened();
+        }
+        if (!m_partialRequest) {
+            m_registry->addIdle(native_handle());
+        }
+        auto executor = asio::get_associated_executor(handler, get_executor());
+        base::async_read_some(
+            buffers,
+            asio::bind_executor(executor,
+                                [this, next = std::forward<Handler>(handler)](const asio::error_code &code, std::size_t size) mutable {
+                                    if (is_open()) {
+                                        m_registry->removeIdle(native_handle());
+                                    }
+                                    m_parsing = !code && size > 0;
+                                    m_partialRequest = m_partialRequest || m_parsing;
+                                    next(code, size);
+                                    m_parsing = false;
+                                }));
+    }
+
+    template<typename Buffers, typename Handler>
+    auto async_write_some(const Buffers &buffers, Handler &&handler) // NOLINT(readability-identifier-naming)
+    {
+        m_partialRequest = false;
+        return base::async_write_some(buffers, std::forward<Handler>(handler));
+    }
+
+    /// RESTinio calls this before close(). It closes from inside a successful read only when the input is not valid.
+    void shutdown(shutdown_type what, asio::error_code &code)
+    {
+        if (m_parsing) {
+            sendBadRequest();
+        }
+        base::shutdown(what, code);
+    }
+
+    void close()
+    {
+        forget();
+        asio::error_code ignored;
+        base::close(ignored);
+    }
+
+private:
+    void sendBadRequest();
+    void forget();
+
+    socket_registry *m_registry;
+    bool m_counted = false;
+    bool m_parsing = false;
+    bool m_partialRequest = false;
+};
+
+} // namespace orioledrum
