--- a/libs/config/include/config/configuration.h
+++ b/libs/config/include/config/configuration.h
@@ -71,6 +71,7 @@
 private:
     friend class configuration_builder;
     configuration() = default;
+    static constexpr std::uint32_t noService = UINT32_MAX;
 
     revision_number m_revision = 0;
     std::uint64_t m_hash = 0;
@@ -98,8 +99,8 @@
     std::string file; ///< File whose value is in force.
 };
 
-/// Merges files without checking references and ranges. It is computed on demand, because the key paths of 24,000
-/// backend servers would take more memory than a host may use.
+/// Merges files and checks each value by itself, but no references between values. It is computed on demand, because the key paths of
+/// 24,000 backend servers would take more memory than a host may use.
 /// @return All values in the order of their key paths, or the problems that prevent the merge.
 tl::expected<std::vector<merged_value>, std::vector<config_problem>> mergedValues(const config_files &files);
 
