--- a/libs/config/src/configuration_builder.cpp
+++ b/libs/config/src/configuration_builder.cpp
@@ -23,7 +23,7 @@
     return std::chrono::milliseconds(valueOr<std::int64_t>(node, key, fallback.count()));
 }
 
-std::string quoted(const std::string &text)
+std::string inQuotes(const std::string &text)
 {
     return '"' + text + '"';
 }
@@ -242,7 +242,7 @@
             if (!user.empty() && user != service.id.str()) {
                 report(replicas.file,
                        shardPath,
-                       "the backend server " + quoted(id) + ", which the service " + quoted(user) + " uses as well",
+                       "the backend server " + inQuotes(id) + ", which the service " + inQuotes(user) + " uses as well",
                        "backend servers of this service only");
                 continue;
             }
