--- a/libs/membership/include/membership/freshness.h
+++ b/libs/membership/include/membership/freshness.h
@@ -32,8 +32,9 @@
     /// Marks the beliefs stale at once, for example after a pause. Any thread.
     void markStale();
 
-    /// Notes that a peer or the service confirmed the configuration. @param askedAt When the question was sent, so that an
-    /// answer to a question from before a pause confirms nothing. @param now Time of receipt.
+    /// Notes that a peer or the service confirmed the configuration in an answer to this host. A message that a peer sends of
+    /// its own accord confirms nothing, because it may have waited in a buffer during a pause. @param askedAt When the question
+    /// was sent; the validity counts from then. @param now Time of receipt.
     /// @return Whether the state became fresh from stale or isolated.
     bool confirm(time_point askedAt, time_point now);
     /// Looks for a change. @param now The time.
@@ -55,9 +56,10 @@
     std::chrono::milliseconds m_answerWait;
     std::atomic<monotonic_clock::rep> m_freshUntil{0};
     std::atomic<freshness_state> m_state{freshness_state::stale};
-    std::atomic<bool> m_reported{false};
+    std::atomic<bool> m_marked{false}; ///< markStale was called since becameStale last reported.
     time_point m_staleSince;
     time_point m_askedAt;
+    bool m_reported = false; ///< becameStale has reported the present staleness.
     bool m_asked = false;
 };
 
--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -34,6 +34,11 @@
 
 /// Knows the entry hosts from the platform's host list and from heartbeats. Used by one thread; view() values may be
 /// published to others.
+///
+/// Heartbeats order what is known about a host. A restarted host learns the heartbeat of its earlier run from its peers and
+/// continues above it, so that its new incarnation wins and late news of the earlier one is ignored.
+///
+/// In fleets of more than membership_settings::scaledFrom hosts, hosts of other zones count as live while they are listed.
 class membership
 {
 public:
@@ -62,22 +67,23 @@
 private:
     struct record {
         member_entry entry;
-        time_point refreshed; ///< When a higher heartbeat was last seen.
+        time_point refreshed; ///< When a higher heartbeat was last seen, or the host was first listed.
         time_point heard; ///< When the host itself was last heard from.
-        host_state state = host_state::suspect;
+        host_state state = host_state::down; ///< As last reported.
+        bool reported = false; ///< The state has been reported.
         bool known = false; ///< A heartbeat has been seen.
         bool listed = false; ///< The host list names the host.
         bool listedLeaving = false;
-        bool kept = true; ///< False for hosts of other zones that are only in the list.
-        std::vector<incarnation_id> replaced; ///< Incarnations that a newer one has replaced.
     };
 
     void merge(const digest &message, time_point now, membership_actions &actions);
-    void mergeEntry(const member_entry &entry, bool direct, time_point now, membership_actions &actions);
-    bool updateState(record &host, time_point now, membership_actions &actions);
-    void rebuildView(membership_actions &actions);
-    void sendDigests(bool toAll, time_point now, membership_actions &actions);
-    digest makeDigest(time_point now);
+    bool mergeEntry(const member_entry &entry, time_point now, membership_actions &actions);
+    [[nodiscard]] host_state stateOf(const record &host, time_point now) const;
+    void updateStates(time_point now, membership_actions &actions);
+    void rebuildViewIfChanged(membership_actions &actions);
+    [[nodiscard]] std::vector<std::string> choosePeers(time_point now);
+    [[nodiscard]] digest makeDigest(const entry_host_id &recipient, time_point now) const;
+    void countZones();
 
     membership_settings m_settings;
     random_source m_random;
@@ -87,9 +93,9 @@
     std::shared_ptr<const membership_view> m_view;
     revision_number m_configRevision = 0;
     std::uint64_t m_configHash = 0;
-    time_point m_start;
     time_point m_nextPeriod;
-    std::size_t m_zoneHosts = 1;
+    std::unordered_map<zone_id, std::size_t> m_zoneSizes; ///< Hosts of each zone, this one included.
+    bool m_changed = true; ///< The view is out of date.
 };
 
 } // namespace orioledrum
--- /dev/null
+++ b/libs/membership/src/pause_detector.cpp
@@ -0,0 +1,25 @@
+#include <membership/pause_detector.h>
+
+namespace orioledrum
+{
+
+pause_detector::pause_detector(std::chrono::milliseconds period, std::chrono::milliseconds tolerance)
+    : m_period(period)
+    , m_tolerance(tolerance)
+{
+}
+
+std::optional<monotonic_clock::duration> pause_detector::tick(time_point now)
+{
+    std::optional<monotonic_clock::duration> result;
+    if (m_last) {
+        const monotonic_clock::duration late = now - *m_last - m_period;
+        if (late > m_tolerance) {
+            result = late;
+        }
+    }
+    m_last = now;
+    return result;
+}
+
+} // namespace orioledrum
--- a/libs/ownership/include/ownership/lease_actions.h
+++ b/libs/ownership/include/ownership/lease_actions.h
@@ -2,6 +2,8 @@
 
 #include <wire/control_messages.h>
 
+#include <cstdint>
+#include <string_view>
 #include <variant>
 #include <vector>
 
--- a/libs/ownership/include/ownership/lease_holder.h
+++ b/libs/ownership/include/ownership/lease_holder.h
@@ -19,16 +19,17 @@
 {
 public:
     /// @param self This host. @param incarnation This run. @param group The group. @param slot Where the lease is published.
-    /// @param timing Periods.
+    /// @param timing Periods. @param quietUntil When the last call of an earlier lease of this run has ended at the latest.
     lease_holder(entry_host_id self,
                  incarnation_id incarnation,
                  group_id group,
                  std::shared_ptr<lease_slot> slot,
-                 const lease_timing &timing);
+                 const lease_timing &timing,
+                 time_point quietUntil);
 
-    /// Begins a round of requests. @param voters The present voters. @param roster Revision of their roster.
-    /// @param sequence Number of the round, greater than all before. @param isolated Ask for a lease of a zone that is cut
-    /// off. @param now Time of sending. @return The request for each voter, or each host of the zone.
+    /// Begins a round of requests. @param sequence Number of the round, greater than all before. @param roster Revision of
+    /// the voters' roster. @param isolated Ask for a lease of a zone that is cut off. @param now Time of sending.
+    /// @return The request for each voter, or for each host of the zone.
     lease_request ask(std::uint64_t sequence, revision_number roster, bool isolated, time_point now);
 
     /// Takes a voter's answer. @param answer The answer. @param voters The present voters. @param now The time.
@@ -41,11 +42,13 @@
     /// Ends the lease at once without giving it back. @param reason Why. @param now The time. @param actions Receives lease_lost.
     void revoke(lease_loss reason, time_point now, lease_actions &actions);
 
-    /// Stops new calls in order to give the lease back. @param actions Receives handover_started when the lease is held.
+    /// Stops new calls in order to give the lease back. @param now The time. @param actions Receives handover_started when the lease is
+    /// held.
     void beginHandover(time_point now, lease_actions &actions);
 
-    /// Gives all grants back. The caller makes sure that no call is in flight. @return The message for each voter.
-    lease_release giveBack();
+    /// Gives all grants back. The caller makes sure that no call is in flight. @param now The time.
+    /// @return The message for each voter.
+    lease_release giveBack(time_point now);
 
     [[nodiscard]] bool held() const { return m_held; } ///< @return Whether the lease is held and calls are allowed.
     [[nodiscard]] bool heldIsolated() const { return m_held && m_isolated; } ///< @return Whether it is an isolated lease.
@@ -70,7 +73,7 @@
     };
 
     void evaluate(const voter_set &voters, time_point now, lease_actions &actions);
-    [[nodiscard]] time_point quorumTime(const voter_set &voters, std::size_t first, std::size_t needed, bool isolated) const;
+    [[nodiscard]] time_point quorumTime(const voter_set &voters, std::size_t among, std::size_t needed, bool isolated) const;
 
     entry_host_id m_self;
     incarnation_id m_incarnation;
--- a/libs/ownership/include/ownership/lease_manager.h
+++ b/libs/ownership/include/ownership/lease_manager.h
@@ -40,8 +40,9 @@
     lease_actions setRoster(const roster &hosts, time_point now);
     /// Takes the groups of the configuration, of all zones. @param groups The groups. @param now The time.
     lease_actions setGroups(const std::vector<backend_group> &groups, time_point now);
-    /// Takes the state of another host from the membership; a host never reported counts as live during the first lease
-    /// time and as suspect after it. @param host The host. @param state Its state. @param now The time.
+    /// Takes the state of another host from the membership; a host never reported counts as live
+    /// during the first seconds of this process and as suspect after them. @param host The host. @param state Its state. @param now The
+    /// time.
     lease_actions setPeerState(const entry_host_id &host, host_state state, time_point now);
     /// Notes any message from a peer other than lease messages, such as a digest. @param host The sender. @param now Time of receipt.
     void heardFrom(const entry_host_id &host, time_point now);
@@ -74,6 +75,9 @@
     /// @return The host believed to hold the lease: the holder that the own voter knows, else the one that a voter
     /// named, else the first live host in rank; empty when the group or every host is unknown.
     [[nodiscard]] entry_host_id ownerOf(const group_id &group, time_point now) const;
+    /// Takes the owner that another host named, for example with notOwner. @param group The group. @param owner The host.
+    /// @param now The time.
+    void noteOwner(const group_id &group, const entry_host_id &owner, time_point now);
     /// @return The groups for which this host holds the lease. @param now The time.
     [[nodiscard]] std::vector<group_id> held(time_point now) const;
     /// @return Whether every handover has ended and nothing is held; a leaving host may stop then.
@@ -95,27 +99,31 @@
         std::shared_ptr<lease_slot> slot;
         std::unique_ptr<lease_holder> holder; ///< Null unless this host is or was a voter.
         std::size_t rank = 0; ///< Own rank; voters.voters.size() when this host is no voter.
+        time_point settledAt; ///< Before this time the group is neither granted nor requested.
+        time_point fastUntil; ///< Up to this time requests follow each other quickly.
         entry_host_id hint;
         time_point hintUntil;
-    };
-    struct peer {
-        host_state state = host_state::suspect;
-        time_point liveSince;
+        time_point wantedSince; ///< Since when a host ranked before this one has been asking for the group held here.
+        time_point wantedAt; ///< When it asked last.
     };
     using outbox = std::unordered_map<entry_host_id, lease_batch>;
 
     void noteTime(time_point now, lease_actions &actions);
-    void refreshVoters(group_entry &entry);
+    void noteHeard(const entry_host_id &host, time_point now);
+    void refreshGroups(time_point now, lease_actions &actions);
     void publishTable();
     [[nodiscard]] voter_conditions conditionsFor(const group_id &group, time_point now) const;
     [[nodiscard]] bool absent(const entry_host_id &host, time_point now) const;
+    [[nodiscard]] bool usesIsolatedMode(const group_entry &entry, time_point now) const;
     [[nodiscard]] bool shouldAsk(const group_entry &entry, time_point now) const;
-    void askIfDue(group_entry &entry, time_point now, outbox &out, lease_actions &actions);
+    void askIfDue(group_entry &entry, time_point now, outbox &out);
     void giveBack(group_entry &entry, time_point now, outbox &out);
-    void receiveAnswer(const lease_answer &answer, time_point now, outbox &out, lease_actions &actions);
+    lease_batch_answer answerBatch(const lease_batch &batch, time_point now, lease_actions &actions);
+    void takeAnswers(const lease_batch_answer &answers, time_point now, outbox &out, lease_actions &actions);
     void updateShares(time_point now, lease_actions &actions);
     void handBack(time_point now, lease_actions &actions);
-    void flush(outbox &out, time_point now, lease_actions &actions);
+    void startHandover(group_entry &entry, time_point now, outbox &out, lease_actions &actions);
+    void flush(outbox out, time_point now, lease_actions &actions);
 
     lease_identity m_identity;
     lease_timing m_timing;
@@ -125,7 +133,9 @@
     lease_voter m_voter;
     cutoff_tracker m_cutoff;
     std::unordered_map<group_id, group_entry> m_groups;
-    std::unordered_map<entry_host_id, peer> m_peers;
+    std::unordered_map<entry_host_id, host_state> m_peers;
+    std::unordered_map<zone_id, std::vector<std::shared_ptr<lease_slot>>> m_foreignSlots; ///< By the zone of the group.
+    std::unordered_map<group_id, time_point> m_removed; ///< Removed groups and the end of their last calls.
     std::shared_ptr<share_slot> m_shareSlot;
     rcu_cell<lease_table> m_table;
     std::uint64_t m_sequence = 0;
@@ -133,6 +143,7 @@
     time_point m_sharesEnd; ///< When the last call under shares has ended at the latest.
     bool m_leaving = false;
     bool m_asking = true;
+    time_point m_lastHandBack;
 };
 
 } // namespace orioledrum
--- a/libs/ownership/include/ownership/lease_voter.h
+++ b/libs/ownership/include/ownership/lease_voter.h
@@ -42,6 +42,9 @@
     /// @return Since when the group has been without a grant of this voter; nothing while there is one.
     [[nodiscard]] std::optional<time_point> freeSince(const group_id &group, time_point now) const;
 
+    /// @param group The group. @return The host that had the last grant of this voter; null when none is remembered.
+    [[nodiscard]] const entry_host_id *lastHolder(const group_id &group) const;
+
     /// @param group The group. @param host A host. @param now The time.
     /// @return Whether the host had the last grant, let it expire or gave it back, and has not asked since.
     [[nodiscard]] bool gaveUp(const group_id &group, const entry_host_id &host, time_point now) const;
--- a/libs/ownership/include/ownership/rendezvous.h
+++ b/libs/ownership/include/ownership/rendezvous.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include <base/ids.h>
+
 #include <cstdint>
 #include <string_view>
 #include <vector>
 
-#include <base/ids.h>
-
 namespace orioledrum
 {
 
--- /dev/null
+++ b/libs/ownership/src/cutoff_tracker.cpp
@@ -0,0 +1,89 @@
+#include <ownership/cutoff_tracker.h>
+
+#include <ownership/voter_set.h>
+
+#include <algorithm>
+
+namespace orioledrum
+{
+
+cutoff_tracker::cutoff_tracker(entry_host_id self, zone_id zone, const lease_timing &timing, time_point start)
+    : m_self(std::move(self))
+    , m_zone(std::move(zone))
+    , m_timing(timing)
+    , m_lastOutside(start)
+    , m_lastQuorum(start)
+{
+}
+
+void cutoff_tracker::heardFrom(const entry_host_id &host, time_point now)
+{
+    m_heard[host] = now;
+    const auto found =
+        std::lower_bound(m_roster.members.begin(), m_roster.members.end(), host, [](const roster_member &member, const entry_host_id &id) {
+            return member.host < id;
+        });
+    // A host that the roster does not name is evidence of contact with the outside as well.
+    if (found == m_roster.members.end() || found->host != host || found->zone != m_zone) {
+        m_lastOutside = now;
+    }
+}
+
+void cutoff_tracker::heardFromPlatform(time_point now)
+{
+    m_lastOutside = now;
+}
+
+void cutoff_tracker::restart(time_point now)
+{
+    m_lastOutside = now;
+    m_lastQuorum = now;
+}
+
+void cutoff_tracker::setRoster(const roster &hosts, time_point now)
+{
+    m_roster = hosts;
+    m_otherZones = m_roster.hostsInZone(m_zone) < m_roster.members.size();
+    std::erase_if(m_heard, [&](const auto &entry) { return !m_roster.contains(entry.first); });
+    restart(now);
+}
+
+void cutoff_tracker::tick(time_point now)
+{
+    if (reachesQuorum(now)) {
+        m_lastQuorum = now;
+    }
+}
+
+bool cutoff_tracker::isolated(time_point now) const
+{
+    return m_otherZones && now - m_lastOutside >= m_timing.isolatedAfter;
+}
+
+std::size_t cutoff_tracker::reachableHosts(time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_roster.members.begin(), m_roster.members.end(), [&](const roster_member &member) {
+        if (member.host == m_self) {
+            return true;
+        }
+        const auto found = m_heard.find(member.host);
+        return found != m_heard.end() && now - found->second < m_timing.reachable;
+    }));
+}
+
+bool cutoff_tracker::reachesQuorum(time_point now) const
+{
+    return reachableHosts(now) >= m_roster.members.size() / 2 + 1;
+}
+
+bool cutoff_tracker::sharesAllowed(time_point now) const
+{
+    const std::size_t hosts = m_roster.members.size();
+    if (hosts < 2 || hosts > maxVoters || !m_roster.contains(m_self) || reachesQuorum(now)) {
+        return false;
+    }
+    const std::size_t unreachable = hosts - reachableHosts(now);
+    return unreachable < hosts / 2 + 1 && now - m_lastQuorum >= m_timing.sharesAfter;
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/ownership/src/lease_holder.cpp
@@ -0,0 +1,186 @@
+#include <ownership/lease_holder.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+/// Rounds whose answers are still matched to their time of sending. At the shortest interval they span 800 ms.
+constexpr std::size_t maxRounds = 16;
+
+} // namespace
+
+lease_holder::lease_holder(entry_host_id self,
+                           incarnation_id incarnation,
+                           group_id group,
+                           std::shared_ptr<lease_slot> slot,
+                           const lease_timing &timing,
+                           time_point quietUntil)
+    : m_self(std::move(self))
+    , m_incarnation(std::move(incarnation))
+    , m_group(std::move(group))
+    , m_slot(std::move(slot))
+    , m_timing(timing)
+    , m_promisedUntil(quietUntil)
+{
+}
+
+lease_request lease_holder::ask(std::uint64_t sequence, revision_number roster, bool isolated, time_point now)
+{
+    m_rounds.push_back({sequence, now, isolated});
+    if (m_rounds.size() > maxRounds) {
+        m_rounds.pop_front();
+    }
+    m_refusals.clear();
+    m_lastAsked = now;
+    lease_request request;
+    request.group = m_group;
+    request.holder = m_self;
+    request.incarnation = m_incarnation;
+    request.roster = roster;
+    request.sequence = sequence;
+    request.isolated = isolated;
+    return request;
+}
+
+void lease_holder::receive(const lease_answer &answer, const voter_set &voters, time_point now, lease_actions &actions)
+{
+    const auto found =
+        std::find_if(m_rounds.begin(), m_rounds.end(), [&](const round &entry) { return entry.sequence == answer.sequence; });
+    if (found == m_rounds.end() || answer.sequence <= m_releasedSequence || m_handingOver) {
+        return;
+    }
+    if (!answer.granted) {
+        m_hint = answer.holder;
+        if (found->isolated && !answer.isolated && voters.rankOf(answer.voter) < voters.zoneVoters) {
+            // A host of the zone hears from outside, so the zone is not cut off.
+            revoke(lease_loss::notIsolated, now, actions);
+            return;
+        }
+        if (answer.sequence == m_rounds.back().sequence) {
+            m_refusals.insert(answer.voter);
+        }
+        return;
+    }
+    vote &mine = m_votes[answer.voter];
+    if (mine.sent <= found->sent) {
+        mine = {found->sent, found->isolated};
+    }
+    evaluate(voters, now, actions);
+}
+
+time_point lease_holder::quorumTime(const voter_set &voters, std::size_t among, std::size_t needed, bool isolated) const
+{
+    std::vector<time_point> times;
+    for (std::size_t index = 0; index < among; ++index) {
+        const auto found = m_votes.find(voters.voters[index]);
+        if (found != m_votes.end() && found->second.isolated == isolated) {
+            times.push_back(found->second.sent);
+        }
+    }
+    if (needed == 0 || times.size() < needed) {
+        return {};
+    }
+    std::sort(times.begin(), times.end(), std::greater<>());
+    return times[needed - 1];
+}
+
+void lease_holder::evaluate(const voter_set &voters, time_point now, lease_actions &actions)
+{
+    const auto usable = [&](time_point sent, lease_timing::duration length) {
+        return sent == time_point{} ? sent : sent + length * m_timing.holderPercent / 100;
+    };
+    const time_point end = usable(quorumTime(voters, voters.voters.size(), voters.quorum, false), m_timing.lease);
+    const std::size_t isolatedNeeded = voters.isolatedQuorum();
+    const time_point isolatedEnd = usable(quorumTime(voters, voters.zoneVoters, isolatedNeeded, true), m_timing.isolatedLease);
+    // When this many hosts of the zone vote for this holder, the others are too few for an isolated holder there.
+    const std::size_t excluding = isolatedNeeded == 0 ? 0 : voters.zoneHosts - isolatedNeeded + 1;
+    const time_point zoneVotes = excluding == 0 ? end : usable(quorumTime(voters, voters.zoneVoters, excluding, false), m_timing.lease);
+    m_slot->setZoneVotesUntil(zoneVotes);
+
+    const time_point best = std::max(end, isolatedEnd);
+    if (best <= now) {
+        return;
+    }
+    if (best > m_slot->expiry()) {
+        m_promisedUntil = std::max(m_promisedUntil, best);
+        m_isolated = isolatedEnd > end;
+        m_slot->extend(best);
+    }
+    if (!m_held) {
+        m_held = true;
+        m_hint = entry_host_id();
+        actions.emplace_back(lease_gained{m_group, m_isolated});
+    }
+}
+
+void lease_holder::expire(time_point now, lease_actions &actions)
+{
+    std::erase_if(m_votes, [&](const auto &entry) { return now - entry.second.sent >= m_timing.lease; });
+    if (m_held && now >= m_slot->expiry()) {
+        m_held = false;
+        m_slot->revoke();
+        actions.emplace_back(lease_lost{m_group, lease_loss::expired});
+    }
+}
+
+void lease_holder::revoke(lease_loss reason, time_point, lease_actions &actions)
+{
+    m_slot->revoke();
+    m_slot->setZoneVotesUntil({});
+    m_votes.clear();
+    m_refusals.clear();
+    m_handingOver = false;
+    if (!m_rounds.empty()) {
+        m_releasedSequence = m_rounds.back().sequence;
+    }
+    if (m_held) {
+        m_held = false;
+        actions.emplace_back(lease_lost{m_group, reason});
+    }
+}
+
+void lease_holder::beginHandover(time_point, lease_actions &actions)
+{
+    if (!m_held) {
+        return;
+    }
+    m_slot->revoke();
+    m_held = false;
+    m_handingOver = true;
+    actions.emplace_back(handover_started{m_group});
+}
+
+lease_release lease_holder::giveBack(time_point)
+{
+    if (!m_rounds.empty()) {
+        m_releasedSequence = m_rounds.back().sequence;
+    }
+    m_votes.clear();
+    m_refusals.clear();
+    m_handingOver = false;
+    m_slot->setZoneVotesUntil({});
+    lease_release release;
+    release.group = m_group;
+    release.holder = m_self;
+    release.incarnation = m_incarnation;
+    release.sequence = m_releasedSequence;
+    return release;
+}
+
+bool lease_holder::failedRound(const voter_set &voters) const
+{
+    if (m_held || m_handingOver || m_votes.empty() || m_rounds.empty()) {
+        return false;
+    }
+    const bool isolated = m_rounds.back().isolated;
+    const std::size_t among = isolated ? voters.zoneVoters : voters.voters.size();
+    const std::size_t needed = isolated ? voters.isolatedQuorum() : voters.quorum;
+    return m_refusals.size() > among - std::min(among, needed);
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/ownership/src/lease_manager.cpp
@@ -0,0 +1,561 @@
+#include <ownership/lease_manager.h>
+
+#include <algorithm>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+/// A gap between two events of the control thread from which on silence is no evidence, because it may have been paused.
+constexpr std::chrono::seconds pauseGap{1};
+/// Requests follow each other quickly for this time after another host's grant has ended.
+constexpr std::chrono::milliseconds fastPhase{1500};
+/// A host that has not repeated its request within this time no longer wants the lease.
+constexpr std::chrono::milliseconds wantExpires{2500};
+/// Least time between two leases given to hosts ranked before this one, so that connections are not rebuilt all at once.
+constexpr std::chrono::seconds handBackInterval{1};
+/// Fixed shares end by themselves when the control thread has not renewed them for this time.
+constexpr std::chrono::seconds sharesValidity{1};
+/// Hosts never reported count as live for this time after the start.
+constexpr std::chrono::seconds unknownLive{5};
+
+} // namespace
+
+lease_manager::lease_manager(lease_identity identity, const lease_timing &timing, time_point start)
+    : m_identity(std::move(identity))
+    , m_timing(timing)
+    , m_start(start)
+    , m_lastEvent(start)
+    , m_roster(timing)
+    , m_voter(m_identity.self, timing, start)
+    , m_cutoff(m_identity.self, m_identity.zone, timing, start)
+    , m_shareSlot(std::make_shared<share_slot>())
+    , m_table(std::make_shared<const lease_table>(lease_table::slot_map{}, m_shareSlot, timing))
+{
+}
+
+void lease_manager::noteTime(time_point now, lease_actions &actions)
+{
+    if (now - m_lastEvent > pauseGap) {
+        m_cutoff.restart(now);
+        updateShares(now, actions);
+        for (auto &[id, entry] : m_groups) {
+            if (entry.holder) {
+                entry.holder->expire(now, actions);
+            }
+        }
+    }
+    m_lastEvent = std::max(m_lastEvent, now);
+}
+
+void lease_manager::noteHeard(const entry_host_id &host, time_point now)
+{
+    m_cutoff.heardFrom(host, now);
+    const auto &members = m_roster.current().members;
+    const auto found = std::lower_bound(
+        members.begin(), members.end(), host, [](const roster_member &member, const entry_host_id &id) { return member.host < id; });
+    if (found == members.end() || found->host != host) {
+        return;
+    }
+    const auto slots = m_foreignSlots.find(found->zone);
+    if (slots != m_foreignSlots.end()) {
+        for (const auto &slot : slots->second) {
+            slot->setZoneHeard(now);
+        }
+    }
+}
+
+lease_actions lease_manager::setRoster(const roster &hosts, time_point now)
+{
+    lease_actions actions;
+    noteTime(now, actions);
+    if (m_roster.adopt(hosts, now)) {
+        m_cutoff.setRoster(m_roster.current(), now);
+        refreshGroups(now, actions);
+        updateShares(now, actions);
+    }
+    return actions;
+}
+
+lease_actions lease_manager::setGroups(const std::vector<backend_group> &groups, time_point now)
+{
+    lease_actions actions;
+    noteTime(now, actions);
+    std::unordered_map<group_id, group_entry> next;
+    for (const backend_group &group : groups) {
+        const auto found = m_groups.find(group.id);
+        group_entry entry;
+        if (found != m_groups.end()) {
+            entry = std::move(found->second);
+            m_groups.erase(found);
+        }
+        entry.group = group;
+        next[group.id] = std::move(entry);
+    }
+    std::erase_if(m_removed, [&](const auto &removed) { return removed.second <= now; });
+    for (auto &[id, entry] : m_groups) {
+        if (entry.holder) {
+            entry.holder->revoke(lease_loss::groupRemoved, now, actions);
+            m_removed[id] = entry.holder->promisedUntil();
+        }
+    }
+    m_groups = std::move(next);
+    refreshGroups(now, actions);
+    return actions;
+}
+
+void lease_manager::refreshGroups(time_point now, lease_actions &actions)
+{
+    m_foreignSlots.clear();
+    for (auto &[id, entry] : m_groups) {
+        entry.voters = votersOf(m_roster.current(), id);
+        entry.settledAt = m_roster.settledAt(id, entry.voters, now);
+        entry.rank = entry.voters.rankOf(m_identity.self);
+        if (!entry.holder && entry.rank < entry.voters.voters.size()) {
+            const auto removed = m_removed.find(id);
+            entry.slot = std::make_shared<lease_slot>(entry.group.zone != m_identity.zone);
+            entry.slot->setZoneHeard(now);
+            entry.holder = std::make_unique<lease_holder>(m_identity.self,
+                                                          m_identity.incarnation,
+                                                          id,
+                                                          entry.slot,
+                                                          m_timing,
+                                                          removed == m_removed.end() ? time_point{} : removed->second);
+        }
+        if (entry.holder && entry.rank >= entry.voters.voters.size()) {
+            entry.holder->beginHandover(now, actions);
+        }
+        if (entry.slot && entry.slot->foreign()) {
+            m_foreignSlots[entry.group.zone].push_back(entry.slot);
+        }
+    }
+    publishTable();
+}
+
+void lease_manager::publishTable()
+{
+    lease_table::slot_map slots;
+    for (const auto &[id, entry] : m_groups) {
+        if (entry.slot) {
+            slots.emplace(id, entry.slot);
+        }
+    }
+    m_table.publish(std::make_shared<const lease_table>(std::move(slots), m_shareSlot, m_timing));
+}
+
+lease_actions lease_manager::setPeerState(const entry_host_id &host, host_state state, time_point now)
+{
+    lease_actions actions;
+    noteTime(now, actions);
+    m_peers[host] = state;
+    outbox out;
+    for (auto &[id, entry] : m_groups) {
+        askIfDue(entry, now, out);
+    }
+    flush(std::move(out), now, actions);
+    return actions;
+}
+
+void lease_manager::heardFrom(const entry_host_id &host, time_point now)
+{
+    noteHeard(host, now);
+}
+
+void lease_manager::heardFromPlatform(time_point now)
+{
+    m_cutoff.heardFromPlatform(now);
+}
+
+voter_conditions lease_manager::conditionsFor(const group_id &group, time_point now) const
+{
+    voter_conditions conditions;
+    conditions.granting = m_shares == shares_state::off;
+    conditions.isolated = m_cutoff.isolated(now) && zoneOfGroup(group) == m_identity.zone;
+    conditions.roster = m_roster.current().revision;
+    const auto found = m_groups.find(group);
+    if (found != m_groups.end()) {
+        conditions.settledAt = found->second.settledAt;
+    } else if (m_roster.changing(now)) {
+        conditions.settledAt = m_roster.settledAt(group, votersOf(m_roster.current(), group), now);
+    }
+    return conditions;
+}
+
+lease_batch_answer lease_manager::answerBatch(const lease_batch &batch, time_point now, lease_actions &actions)
+{
+    lease_batch_answer result;
+    revision_number newest = m_roster.current().revision;
+    for (const lease_release &release : batch.releases) {
+        m_voter.release(release, now);
+    }
+    for (const lease_request &request : batch.requests) {
+        result.answers.push_back(m_voter.answer(request, conditionsFor(request.group, now), now));
+        if (request.roster > newest) {
+            newest = request.roster;
+            actions.emplace_back(host_list_wanted{request.holder, newest});
+        }
+        const auto found = m_groups.find(request.group);
+        if (found != m_groups.end() && found->second.holder && found->second.holder->held()
+            && found->second.voters.rankOf(request.holder) < found->second.rank) {
+            group_entry &entry = found->second;
+            if (now - entry.wantedAt > wantExpires) {
+                entry.wantedSince = now;
+            }
+            entry.wantedAt = now;
+        }
+    }
+    return result;
+}
+
+lease_batch_answer lease_manager::receiveBatch(const entry_host_id &from, const lease_batch &batch, time_point now, lease_actions &actions)
+{
+    noteTime(now, actions);
+    noteHeard(from, now);
+    lease_batch_answer result = answerBatch(batch, now, actions);
+    outbox out;
+    for (const lease_release &release : batch.releases) {
+        const auto found = m_groups.find(release.group);
+        if (found != m_groups.end()) {
+            askIfDue(found->second, now, out);
+        }
+    }
+    flush(std::move(out), now, actions);
+    return result;
+}
+
+lease_actions lease_manager::receiveAnswers(const entry_host_id &from, const lease_batch_answer &answers, time_point now)
+{
+    lease_actions actions;
+    noteTime(now, actions);
+    noteHeard(from, now);
+    outbox out;
+    takeAnswers(answers, now, out, actions);
+    flush(std::move(out), now, actions);
+    return actions;
+}
+
+void lease_manager::takeAnswers(const lease_batch_answer &answers, time_point now, outbox &out, lease_actions &actions)
+{
+    revision_number newest = m_roster.current().revision;
+    for (const lease_answer &answer : answers.answers) {
+        if (answer.roster > newest) {
+            newest = answer.roster;
+            actions.emplace_back(host_list_wanted{answer.voter, newest});
+        }
+        const auto found = m_groups.find(answer.group);
+        if (found == m_groups.end() || !found->second.holder) {
+            continue;
+        }
+        group_entry &entry = found->second;
+        // Votes collected before a fallback began must not complete a lease during it.
+        if (m_shares != shares_state::off || m_leaving) {
+            continue;
+        }
+        entry.holder->receive(answer, entry.voters, now, actions);
+        if (!answer.granted && !answer.holder.empty()) {
+            entry.hint = answer.holder;
+            entry.hintUntil = now + m_timing.lease;
+        }
+        if (entry.holder->failedRound(entry.voters) && now >= entry.holder->promisedUntil()) {
+            giveBack(entry, now, out);
+        }
+    }
+}
+
+bool lease_manager::absent(const entry_host_id &host, time_point now) const
+{
+    if (host == m_identity.self) {
+        return m_leaving;
+    }
+    const auto found = m_peers.find(host);
+    if (found == m_peers.end()) {
+        return now - m_start >= unknownLive;
+    }
+    return found->second != host_state::live;
+}
+
+bool lease_manager::usesIsolatedMode(const group_entry &entry, time_point now) const
+{
+    return entry.group.zone == m_identity.zone && entry.voters.isolatedQuorum() > 0 && m_cutoff.isolated(now);
+}
+
+bool lease_manager::shouldAsk(const group_entry &entry, time_point now) const
+{
+    if (!entry.holder || entry.rank >= entry.voters.voters.size() || m_leaving || !m_asking || m_shares != shares_state::off
+        || now < entry.settledAt || entry.holder->handingOver()) {
+        return false;
+    }
+    const lease_holder &holder = *entry.holder;
+    const auto sinceAsked = now - holder.lastAsked();
+    const bool isolated = usesIsolatedMode(entry, now);
+    const auto period = isolated ? m_timing.isolatedRenewal : m_timing.renewal;
+    if (holder.held()) {
+        return sinceAsked >= period;
+    }
+    const group_id &id = entry.group.id;
+    const std::optional<entry_host_id> granted = m_voter.holderOf(id, now);
+    if (granted && *granted != m_identity.self) {
+        // The requests of a preferred host tell the holder that it is back.
+        return entry.voters.rankOf(*granted) > entry.rank && sinceAsked >= m_timing.renewal;
+    }
+    const auto preferred = std::count_if(entry.voters.voters.begin(),
+                                         entry.voters.voters.begin() + static_cast<std::ptrdiff_t>(entry.rank),
+                                         [&](const entry_host_id &host) { return !absent(host, now) && !m_voter.gaveUp(id, host, now); });
+    if (!granted && preferred > 0 && now < *m_voter.freeSince(id, now) + m_timing.takeoverStep * preferred) {
+        return false;
+    }
+    // Candidates of different rank that ask at the same time repeat their requests at different intervals.
+    const auto interval = now < entry.fastUntil ? m_timing.retry * static_cast<int>(entry.rank + 1) : period;
+    return sinceAsked >= std::min<lease_timing::duration>(interval, period);
+}
+
+void lease_manager::askIfDue(group_entry &entry, time_point now, outbox &out)
+{
+    if (!entry.holder) {
+        return;
+    }
+    const group_id &id = entry.group.id;
+    const std::optional<time_point> freeSince = m_voter.freeSince(id, now);
+    const entry_host_id *last = m_voter.lastHolder(id);
+    if (freeSince && last != nullptr && *last != m_identity.self) {
+        entry.fastUntil = *freeSince + fastPhase;
+    }
+    if (!shouldAsk(entry, now)) {
+        return;
+    }
+    const bool isolated = usesIsolatedMode(entry, now);
+    const lease_request request = entry.holder->ask(++m_sequence, m_roster.current().revision, isolated, now);
+    const std::size_t count = isolated ? entry.voters.zoneVoters : entry.voters.voters.size();
+    for (std::size_t index = 0; index < count; ++index) {
+        out[entry.voters.voters[index]].requests.push_back(request);
+    }
+}
+
+void lease_manager::giveBack(group_entry &entry, time_point now, outbox &out)
+{
+    const lease_release release = entry.holder->giveBack(now);
+    for (const entry_host_id &voter : entry.voters.voters) {
+        out[voter].releases.push_back(release);
+    }
+}
+
+void lease_manager::flush(outbox out, time_point now, lease_actions &actions)
+{
+    // The own voter's answer can complete a lease or make a round fail, which sends releases in turn.
+    auto own = out.extract(m_identity.self);
+    while (!own.empty()) {
+        const lease_batch_answer answers = answerBatch(own.mapped(), now, actions);
+        takeAnswers(answers, now, out, actions);
+        own = out.extract(m_identity.self);
+    }
+    for (auto &[host, batch] : out) {
+        actions.emplace_back(send_lease_batch{host, std::move(batch)});
+    }
+}
+
+lease_actions lease_manager::tick(time_point now)
+{
+    lease_actions actions;
+    noteTime(now, actions);
+    m_cutoff.tick(now);
+    m_voter.expire(now);
+    updateShares(now, actions);
+    outbox out;
+    for (auto &[id, entry] : m_groups) {
+        if (!entry.holder) {
+            continue;
+        }
+        entry.holder->expire(now, actions);
+        if (entry.holder->heldIsolated() && !m_cutoff.isolated(now)) {
+            entry.holder->revoke(lease_loss::notIsolated, now, actions);
+        }
+        if (entry.holder->handingOver() && now >= entry.holder->promisedUntil()) {
+            giveBack(entry, now, out);
+        }
+        askIfDue(entry, now, out);
+    }
+    handBack(now, actions);
+    flush(std::move(out), now, actions);
+    return actions;
+}
+
+void lease_manager::updateShares(time_point now, lease_actions &actions)
+{
+    const bool leasesEnded = std::all_of(m_groups.begin(), m_groups.end(), [&](const auto &entry) {
+        return !entry.second.holder || (!entry.second.holder->held() && now >= entry.second.holder->promisedUntil());
+    });
+    const bool allowed = m_cutoff.sharesAllowed(now) && !m_cutoff.isolated(now) && !m_leaving && m_asking && leasesEnded
+        && !m_voter.grantedToOthers(now) && !m_roster.changing(now);
+    if (allowed && m_shares != shares_state::draining) {
+        if (m_shares == shares_state::off) {
+            m_shares = shares_state::inUse;
+            actions.emplace_back(shares_changed{true});
+        }
+        m_shareSlot->allow(static_cast<std::uint32_t>(m_roster.current().members.size()), now + sharesValidity);
+        return;
+    }
+    if (m_shares == shares_state::inUse) {
+        m_shareSlot->revoke();
+        m_shares = shares_state::draining;
+        m_sharesEnd = now + m_timing.maxCall + m_timing.grace;
+        actions.emplace_back(shares_changed{false});
+    }
+    if (m_shares == shares_state::draining && now >= m_sharesEnd) {
+        m_shares = shares_state::off;
+    }
+}
+
+void lease_manager::handBack(time_point now, lease_actions &actions)
+{
+    if (m_leaving || now - m_lastHandBack < handBackInterval) {
+        return;
+    }
+    for (auto &[id, entry] : m_groups) {
+        if (entry.holder && entry.holder->held() && !entry.holder->heldIsolated() && now - entry.wantedAt <= wantExpires
+            && now - entry.wantedSince >= m_timing.handBackAfter) {
+            m_lastHandBack = now;
+            entry.wantedSince = now;
+            entry.holder->beginHandover(now, actions);
+            return;
+        }
+    }
+}
+
+lease_actions lease_manager::leave(time_point now)
+{
+    lease_actions actions;
+    noteTime(now, actions);
+    m_leaving = true;
+    outbox out;
+    for (auto &[id, entry] : m_groups) {
+        startHandover(entry, now, out, actions);
+    }
+    updateShares(now, actions);
+    flush(std::move(out), now, actions);
+    return actions;
+}
+
+void lease_manager::startHandover(group_entry &entry, time_point now, outbox &out, lease_actions &actions)
+{
+    if (!entry.holder) {
+        return;
+    }
+    if (entry.holder->held()) {
+        entry.holder->beginHandover(now, actions);
+    } else if (!entry.holder->handingOver() && now >= entry.holder->promisedUntil()) {
+        giveBack(entry, now, out);
+    }
+}
+
+lease_actions lease_manager::beginHandover(const group_id &group, time_point now)
+{
+    lease_actions actions;
+    noteTime(now, actions);
+    const auto found = m_groups.find(group);
+    if (found != m_groups.end() && found->second.holder) {
+        found->second.holder->beginHandover(now, actions);
+    }
+    return actions;
+}
+
+lease_actions lease_manager::callsFinished(const group_id &group, time_point now)
+{
+    lease_actions actions;
+    noteTime(now, actions);
+    const auto found = m_groups.find(group);
+    if (found != m_groups.end() && found->second.holder && found->second.holder->handingOver()) {
+        outbox out;
+        giveBack(found->second, now, out);
+        flush(std::move(out), now, actions);
+    }
+    return actions;
+}
+
+lease_actions lease_manager::shareCallsFinished(time_point now)
+{
+    lease_actions actions;
+    noteTime(now, actions);
+    if (m_shares == shares_state::draining) {
+        m_shares = shares_state::off;
+    }
+    return actions;
+}
+
+lease_actions lease_manager::revokeAll(time_point now)
+{
+    lease_actions actions;
+    noteTime(now, actions);
+    for (auto &[id, entry] : m_groups) {
+        if (entry.holder) {
+            entry.holder->revoke(lease_loss::revoked, now, actions);
+        }
+    }
+    if (m_shares == shares_state::inUse) {
+        m_shareSlot->revoke();
+        m_shares = shares_state::draining;
+        m_sharesEnd = now + m_timing.maxCall + m_timing.grace;
+        actions.emplace_back(shares_changed{false});
+    }
+    return actions;
+}
+
+entry_host_id lease_manager::ownerOf(const group_id &group, time_point now) const
+{
+    const auto found = m_groups.find(group);
+    if (found == m_groups.end()) {
+        return {};
+    }
+    const group_entry &entry = found->second;
+    if (entry.holder && entry.holder->held()) {
+        return m_identity.self;
+    }
+    const std::optional<entry_host_id> granted = m_voter.holderOf(group, now);
+    if (granted && *granted != m_identity.self) {
+        return *granted;
+    }
+    if (now < entry.hintUntil && entry.hint != m_identity.self) {
+        return entry.hint;
+    }
+    const auto first = std::find_if(entry.voters.voters.begin(), entry.voters.voters.end(), [&](const entry_host_id &host) {
+        return !absent(host, now) && !m_voter.gaveUp(group, host, now);
+    });
+    return first == entry.voters.voters.end() ? entry_host_id() : *first;
+}
+
+void lease_manager::noteOwner(const group_id &group, const entry_host_id &owner, time_point now)
+{
+    const auto found = m_groups.find(group);
+    if (found != m_groups.end()) {
+        found->second.hint = owner;
+        found->second.hintUntil = now + m_timing.lease;
+    }
+}
+
+std::vector<group_id> lease_manager::held(time_point now) const
+{
+    std::vector<group_id> result;
+    for (const auto &[id, entry] : m_groups) {
+        if (entry.holder && entry.holder->held() && now < entry.slot->expiry()) {
+            result.push_back(id);
+        }
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+bool lease_manager::idle() const
+{
+    return std::none_of(m_groups.begin(), m_groups.end(), [](const auto &entry) {
+        return entry.second.holder && (entry.second.holder->held() || entry.second.holder->handingOver());
+    });
+}
+
+const voter_set *lease_manager::voters(const group_id &group) const
+{
+    const auto found = m_groups.find(group);
+    return found == m_groups.end() ? nullptr : &found->second.voters;
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/ownership/src/lease_slot.cpp
@@ -0,0 +1,56 @@
+#include <ownership/lease_slot.h>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+time_point load(const std::atomic<monotonic_clock::rep> &value)
+{
+    return time_point(monotonic_clock::duration(value.load(std::memory_order_acquire)));
+}
+
+void store(std::atomic<monotonic_clock::rep> &value, time_point time)
+{
+    value.store(time.time_since_epoch().count(), std::memory_order_release);
+}
+
+} // namespace
+
+void lease_slot::extend(time_point end)
+{
+    store(m_expiry, end);
+}
+
+void lease_slot::setZoneVotesUntil(time_point end)
+{
+    store(m_zoneVotesUntil, end);
+}
+
+void lease_slot::setZoneHeard(time_point at)
+{
+    store(m_zoneHeard, at);
+}
+
+void lease_slot::revoke()
+{
+    m_expiry.store(0, std::memory_order_release);
+}
+
+time_point lease_slot::expiry() const
+{
+    return load(m_expiry);
+}
+
+time_point lease_slot::zoneVotesUntil() const
+{
+    return load(m_zoneVotesUntil);
+}
+
+time_point lease_slot::zoneHeard() const
+{
+    return load(m_zoneHeard);
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/ownership/src/lease_table.cpp
@@ -0,0 +1,71 @@
+#include <ownership/lease_table.h>
+
+#include <algorithm>
+
+namespace orioledrum
+{
+
+lease_table::lease_table(slot_map slots, std::shared_ptr<share_slot> shares, const lease_timing &timing)
+    : m_slots(std::move(slots))
+    , m_shares(std::move(shares))
+    , m_timing(timing)
+{
+}
+
+bool lease_table::waitedOut(const lease_slot &slot, time_point now, std::optional<time_point> reachableSince) const
+{
+    return !slot.foreign() || (reachableSince && now - std::max(*reachableSince, slot.zoneHeard()) >= m_timing.foreignWait);
+}
+
+bool lease_table::maySend(const group_id &group, time_point callEnd, time_point now, std::optional<time_point> reachableSince) const
+{
+    const std::optional<time_point> latest = latestCallEnd(group, now, reachableSince);
+    return latest && now < callEnd && callEnd <= *latest;
+}
+
+std::optional<time_point> lease_table::latestCallEnd(const group_id &group, time_point now, std::optional<time_point> reachableSince) const
+{
+    const auto found = m_slots.find(group);
+    if (found == m_slots.end()) {
+        return std::nullopt;
+    }
+    const lease_slot &slot = *found->second;
+    time_point end = slot.expiry();
+    if (!waitedOut(slot, now, reachableSince)) {
+        end = std::min(end, slot.zoneVotesUntil());
+    }
+    end = std::min(end - m_timing.grace, now + m_timing.maxCall);
+    return end > now ? std::optional(end) : std::nullopt;
+}
+
+std::uint32_t lease_table::shareDivisor(const group_id &group, time_point now, std::optional<time_point> reachableSince) const
+{
+    const std::uint32_t divisor = m_shares->divisor(now);
+    if (divisor == 0) {
+        return 0;
+    }
+    const auto found = m_slots.find(group);
+    return found != m_slots.end() && waitedOut(*found->second, now, reachableSince) ? divisor : 0;
+}
+
+bool lease_table::holds(const group_id &group, time_point now) const
+{
+    const auto found = m_slots.find(group);
+    return found != m_slots.end() && now < found->second->expiry();
+}
+
+std::shared_ptr<lease_slot> lease_table::slot(const group_id &group) const
+{
+    const auto found = m_slots.find(group);
+    return found == m_slots.end() ? nullptr : found->second;
+}
+
+void lease_table::revokeAll() const
+{
+    for (const auto &entry : m_slots) {
+        entry.second->revoke();
+    }
+    m_shares->revoke();
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/ownership/src/lease_voter.cpp
@@ -0,0 +1,119 @@
+#include <ownership/lease_voter.h>
+
+#include <algorithm>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+/// Ended grants are remembered for this time for the rule on successors.
+constexpr std::chrono::seconds rememberEnded{60};
+
+} // namespace
+
+lease_voter::lease_voter(entry_host_id self, const lease_timing &timing, time_point start)
+    : m_self(std::move(self))
+    , m_timing(timing)
+    , m_start(start)
+{
+}
+
+lease_answer lease_voter::answer(const lease_request &request, const voter_conditions &conditions, time_point now)
+{
+    lease_answer result;
+    result.group = request.group;
+    result.voter = m_self;
+    result.sequence = request.sequence;
+    result.roster = conditions.roster;
+    result.isolated = conditions.isolated;
+
+    const auto found = m_grants.find(request.group);
+    grant_record *record = found == m_grants.end() ? nullptr : &found->second;
+    const bool active = record != nullptr && now < record->until;
+    const bool sameHolder = record != nullptr && record->holder == request.holder && record->incarnation == request.incarnation;
+    if (active) {
+        result.holder = record->holder;
+    }
+    const bool givenBack = record != nullptr && record->releasedBy == request.holder && record->releasedIncarnation == request.incarnation
+        && request.sequence <= record->releasedSequence;
+    const bool allowed = conditions.granting && now - m_start >= m_timing.startSilence && conditions.settledAt <= now
+        && request.roster >= conditions.roster && (!request.isolated || conditions.isolated) && !givenBack && (!active || sameHolder);
+    if (!allowed) {
+        if (record != nullptr && !active && !givenBack && record->holder == request.holder) {
+            record->askedSince = true;
+        }
+        return result;
+    }
+    grant_record &grant = m_grants[request.group];
+    const time_point until = now + (request.isolated ? m_timing.isolatedLease : m_timing.lease);
+    grant.until = active ? std::max(grant.until, until) : until;
+    grant.sequence = sameHolder ? std::max(grant.sequence, request.sequence) : request.sequence;
+    grant.holder = request.holder;
+    grant.incarnation = request.incarnation;
+    grant.askedSince = false;
+    result.granted = true;
+    result.holder = request.holder;
+    return result;
+}
+
+bool lease_voter::release(const lease_release &release, time_point now)
+{
+    const auto [found, created] = m_grants.try_emplace(release.group);
+    grant_record &grant = found->second;
+    if (created) {
+        grant.until = now;
+    }
+    // Remembered even without a matching grant: the request that it gives back may arrive later.
+    const bool sameReleaser = grant.releasedBy == release.holder && grant.releasedIncarnation == release.incarnation;
+    grant.releasedSequence = sameReleaser ? std::max(grant.releasedSequence, release.sequence) : release.sequence;
+    grant.releasedBy = release.holder;
+    grant.releasedIncarnation = release.incarnation;
+    const bool matches = grant.holder == release.holder && grant.incarnation == release.incarnation && grant.sequence <= release.sequence;
+    if (!matches || now >= grant.until) {
+        return false;
+    }
+    grant.until = now;
+    return true;
+}
+
+std::optional<entry_host_id> lease_voter::holderOf(const group_id &group, time_point now) const
+{
+    const auto found = m_grants.find(group);
+    return found != m_grants.end() && now < found->second.until ? std::optional(found->second.holder) : std::nullopt;
+}
+
+std::optional<time_point> lease_voter::freeSince(const group_id &group, time_point now) const
+{
+    const auto found = m_grants.find(group);
+    if (found == m_grants.end()) {
+        return m_start + m_timing.startSilence;
+    }
+    return now < found->second.until ? std::nullopt : std::optional(found->second.until);
+}
+
+const entry_host_id *lease_voter::lastHolder(const group_id &group) const
+{
+    const auto found = m_grants.find(group);
+    return found == m_grants.end() ? nullptr : &found->second.holder;
+}
+
+bool lease_voter::gaveUp(const group_id &group, const entry_host_id &host, time_point now) const
+{
+    const auto found = m_grants.find(group);
+    return found != m_grants.end() && found->second.holder == host && now >= found->second.until && !found->second.askedSince;
+}
+
+bool lease_voter::grantedToOthers(time_point now) const
+{
+    return std::any_of(
+        m_grants.begin(), m_grants.end(), [&](const auto &entry) { return now < entry.second.until && entry.second.holder != m_self; });
+}
+
+void lease_voter::expire(time_point now)
+{
+    std::erase_if(m_grants, [&](const auto &entry) { return now - entry.second.until >= rememberEnded; });
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/ownership/src/roster_tracker.cpp
@@ -0,0 +1,42 @@
+#include <ownership/roster_tracker.h>
+
+#include <algorithm>
+
+namespace orioledrum
+{
+
+roster_tracker::roster_tracker(const lease_timing &timing)
+    : m_timing(timing)
+{
+}
+
+bool roster_tracker::adopt(roster next, time_point now)
+{
+    if (next.revision <= m_current.revision) {
+        return false;
+    }
+    std::erase_if(m_replaced, [&](const replaced_roster &earlier) { return earlier.until <= now; });
+    if (!m_current.members.empty()) {
+        m_replaced.push_back({std::move(m_current), now + m_timing.lease + m_timing.rosterLag});
+    }
+    m_current = std::move(next);
+    return true;
+}
+
+time_point roster_tracker::settledAt(const group_id &group, const voter_set &voters, time_point now) const
+{
+    time_point settled = now;
+    for (const replaced_roster &earlier : m_replaced) {
+        if (earlier.until > settled && !quorumsIntersect(votersOf(earlier.hosts, group), voters)) {
+            settled = earlier.until;
+        }
+    }
+    return settled;
+}
+
+bool roster_tracker::changing(time_point now) const
+{
+    return std::any_of(m_replaced.begin(), m_replaced.end(), [&](const replaced_roster &earlier) { return earlier.until > now; });
+}
+
+} // namespace orioledrum
