--- a/libs/ownership/include/ownership/lease_manager.h
+++ b/libs/ownership/include/ownership/lease_manager.h
@@ -63,7 +63,8 @@
     lease_actions beginHandover(const group_id &group, time_point now);
     /// Tells that no call of a group in handover is in flight any more. @param group The group. @param now The time.
     lease_actions callsFinished(const group_id &group, time_point now);
-    /// Tells that no call sent under fixed shares is in flight any more. @param now The time.
+    /// Tells that no call sent under fixed shares is in flight any more. With more than two hosts the voter stays silent for
+    /// the full time all the same, because others may still use their shares. @param now The time.
     lease_actions shareCallsFinished(time_point now);
     /// Ends all leases at once without giving them back, because this host's beliefs are stale. @param now The time.
     lease_actions revokeAll(time_point now);
--- a/libs/ownership/src/lease_manager.cpp
+++ b/libs/ownership/src/lease_manager.cpp
@@ -16,6 +16,9 @@
 constexpr std::chrono::milliseconds wantExpires{2500};
 /// Least time between two leases given to hosts ranked before this one, so that connections are not rebuilt all at once.
 constexpr std::chrono::seconds handBackInterval{1};
+/// With more than two hosts another host may leave its shares, and vote, this much earlier than this one hears of the end of
+/// the partition.
+constexpr std::chrono::seconds sharesHearing{1};
 /// Fixed shares end by themselves when the control thread has not renewed them for this time.
 constexpr std::chrono::seconds sharesValidity{1};
 /// Hosts never reported count as live for this time after the start.
@@ -40,6 +43,12 @@
 {
     if (now - m_lastEvent > pauseGap) {
         m_cutoff.restart(now);
+        // A cut that began and ended during the pause went unnoticed, so the waiting time of foreign holders starts again.
+        for (const auto &[zone, slots] : m_foreignSlots) {
+            for (const auto &slot : slots) {
+                slot->setZoneHeard(now);
+            }
+        }
         updateShares(now, actions);
         for (auto &[id, entry] : m_groups) {
             if (entry.holder) {
@@ -399,7 +408,7 @@
     if (m_shares == shares_state::inUse) {
         m_shareSlot->revoke();
         m_shares = shares_state::draining;
-        m_sharesEnd = now + m_timing.maxCall + m_timing.grace;
+        m_sharesEnd = now + m_timing.maxCall + m_timing.grace + sharesHearing;
         actions.emplace_back(shares_changed{false});
     }
     if (m_shares == shares_state::draining && now >= m_sharesEnd) {
@@ -477,7 +486,7 @@
 {
     lease_actions actions;
     noteTime(now, actions);
-    if (m_shares == shares_state::draining) {
+    if (m_shares == shares_state::draining && m_roster.current().members.size() <= 2) {
         m_shares = shares_state::off;
     }
     return actions;
@@ -495,7 +504,7 @@
     if (m_shares == shares_state::inUse) {
         m_shareSlot->revoke();
         m_shares = shares_state::draining;
-        m_sharesEnd = now + m_timing.maxCall + m_timing.grace;
+        m_sharesEnd = now + m_timing.maxCall + m_timing.grace + sharesHearing;
         actions.emplace_back(shares_changed{false});
     }
     return actions;
--- /dev/null
+++ b/libs/ownership/tests/fakes/call_history.cpp
@@ -0,0 +1,64 @@
+#include "tests/fakes/call_history.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace orioledrum
+{
+
+void call_history::add(const group_id &group, const std::string &process, duration begin, duration end, double share)
+{
+    m_calls[group].push_back({process, begin, end, share});
+}
+
+std::string call_history::firstOverlap() const
+{
+    struct use {
+        duration leaseEnd{};
+        duration shareEnd{};
+        double share = 0;
+    };
+    for (const auto &[group, recorded] : m_calls) {
+        std::vector<call> calls = recorded;
+        std::stable_sort(calls.begin(), calls.end(), [](const call &left, const call &right) { return left.begin < right.begin; });
+        std::map<std::string, use> uses;
+        for (const call &next : calls) {
+            double total = next.share;
+            std::ostringstream text;
+            for (const auto &[process, used] : uses) {
+                if (process == next.process) {
+                    continue;
+                }
+                const double share = next.begin < used.leaseEnd ? 1.0 : (next.begin < used.shareEnd ? used.share : 0.0);
+                if (share > 0) {
+                    total += share;
+                    text << process << " (" << share << ", until " << std::max(used.leaseEnd, used.shareEnd).count() / 1000000 << " ms) ";
+                }
+            }
+            if (total > 1.0001) {
+                text << "overlap a call of " << next.process << " (" << next.share << ") at " << next.begin.count() / 1000000 << " ms for "
+                     << group;
+                return text.str();
+            }
+            use &mine = uses[next.process];
+            if (next.share >= 1) {
+                mine.leaseEnd = std::max(mine.leaseEnd, next.end);
+            } else {
+                mine.share = next.begin < mine.shareEnd ? std::max(mine.share, next.share) : next.share;
+                mine.shareEnd = std::max(mine.shareEnd, next.end);
+            }
+        }
+    }
+    return {};
+}
+
+std::size_t call_history::size() const
+{
+    std::size_t count = 0;
+    for (const auto &[group, calls] : m_calls) {
+        count += calls.size();
+    }
+    return count;
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/ownership/tests/fakes/fake_fleet.cpp
@@ -0,0 +1,576 @@
+#include "tests/fakes/fake_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace orioledrum
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+entry_host_id hostName(std::size_t index)
+{
+    return entry_host_id("h" + std::to_string(index));
+}
+
+std::size_t hostIndex(const entry_host_id &host)
+{
+    return static_cast<std::size_t>(std::stoul(host.str().substr(1)));
+}
+
+zone_id zoneName(std::size_t index)
+{
+    return zone_id("z" + std::to_string(index));
+}
+
+} // namespace
+
+fake_fleet::fake_fleet(const fleet_options &options)
+    : m_options(options)
+    , m_random(options.seed)
+{
+    for (std::size_t zone = 0; zone < options.zones; ++zone) {
+        for (const std::string service : {"orders", "parts"}) {
+            for (backend_group &group : cutIntoGroups(service_id(service), zoneName(zone), {backend_id("b0"), backend_id("b1")})) {
+                m_groups.push_back(std::move(group));
+            }
+        }
+    }
+    m_hosts.resize(options.hosts);
+    m_roster.revision = 1;
+    for (std::size_t host = 0; host < options.hosts; ++host) {
+        m_roster.members.push_back({hostName(host), zoneName(zoneOf(host))});
+        m_hosts[host].ppm = options.clockDrift ? (m_random.below(2) == 0 ? 5000 : -5000) : 0;
+        m_hosts[host].offset = std::chrono::seconds(1000 * (host + 1));
+    }
+    std::sort(m_roster.members.begin(), m_roster.members.end());
+    for (std::size_t host = 0; host < options.hosts; ++host) {
+        at(std::chrono::milliseconds(m_random.below(200)), [this, host] { start(host); });
+    }
+}
+
+void fake_fleet::at(duration when, std::function<void()> run)
+{
+    m_events.push({when, m_order++, std::move(run)});
+}
+
+time_point fake_fleet::local(std::size_t host) const
+{
+    const host_process &process = m_hosts[host];
+    return time_point(process.offset + m_now + duration(m_now.count() / 1000000 * process.ppm));
+}
+
+fake_fleet::duration fake_fleet::trueTime(std::size_t host, time_point time) const
+{
+    const host_process &process = m_hosts[host];
+    const double passed = static_cast<double>((time.time_since_epoch() - process.offset).count());
+    return duration(static_cast<std::int64_t>(passed / (1.0 + static_cast<double>(process.ppm) * 1e-6)));
+}
+
+bool fake_fleet::zonesConnected(std::size_t left, std::size_t right) const
+{
+    return !m_cutZones.contains(std::minmax(left, right));
+}
+
+bool fake_fleet::connected(std::size_t left, std::size_t right) const
+{
+    return zonesConnected(zoneOf(left), zoneOf(right)) && !m_cutHosts.contains(std::minmax(left, right));
+}
+
+fake_fleet::duration fake_fleet::delay()
+{
+    const bool slow = m_now >= m_lossFreeUntil && m_random.below(100) < m_options.slowPercent;
+    const duration limit = slow ? duration(2s) : m_options.maxDelay;
+    return duration(100us) + duration(static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(limit.count()))));
+}
+
+std::string fake_fleet::processName(std::size_t host) const
+{
+    return hostName(host).str() + "#" + std::to_string(m_hosts[host].run);
+}
+
+void fake_fleet::onHost(std::size_t host, std::uint64_t run, const std::function<void()> &handle)
+{
+    host_process &process = m_hosts[host];
+    if (process.manager == nullptr || process.run != run) {
+        return;
+    }
+    if (process.paused) {
+        process.inbox.push_back([this, host, run, handle] { onHost(host, run, handle); });
+        return;
+    }
+    handle();
+}
+
+void fake_fleet::deliver(std::size_t from, std::size_t to, const std::function<void()> &handle)
+{
+    if (!connected(from, to)) {
+        return;
+    }
+    const bool lossFree = m_now < m_lossFreeUntil;
+    const std::size_t copies = m_random.below(100) < m_options.duplicatePercent ? 2 : 1;
+    for (std::size_t copy = 0; copy < copies; ++copy) {
+        if (!lossFree && m_random.below(100) < m_options.lossPercent) {
+            continue;
+        }
+        at(m_now + delay(), [this, from, to, handle] {
+            if (connected(from, to)) {
+                onHost(to, m_hosts[to].run, handle);
+            }
+        });
+    }
+}
+
+lease_batch_answer fake_fleet::answerBatch(std::size_t from, std::size_t to, lease_batch batch)
+{
+    const revision_number own = m_roster.revision;
+    for (lease_request &request : batch.requests) {
+        if (m_options.broken == broken_mechanism::oldRosterAccepted) {
+            request.roster = std::max(request.roster, own);
+        }
+    }
+    for (lease_release &release : batch.releases) {
+        if (m_options.broken == broken_mechanism::releaseWithoutSequence) {
+            release.sequence = ~std::uint64_t{0};
+        }
+    }
+    lease_actions actions;
+    lease_batch_answer answer = m_hosts[to].manager->receiveBatch(hostName(from), batch, local(to), actions);
+    for (std::size_t index = 0; index < answer.answers.size(); ++index) {
+        lease_answer &one = answer.answers[index];
+        const bool held = !one.holder.empty();
+        const bool twice = m_options.broken == broken_mechanism::grantsTwice && held;
+        const bool shares = m_options.broken == broken_mechanism::grantsDuringShares
+            && m_hosts[to].manager->table().read()->shareDivisor(one.group, local(to), time_point{}) > 0;
+        const bool isolated = m_options.broken == broken_mechanism::grantsIsolatedUnasked && batch.requests[index].isolated && !held;
+        one.granted = one.granted || twice || shares || isolated;
+        one.isolated = one.isolated || isolated;
+    }
+    perform(to, actions);
+    return answer;
+}
+
+void fake_fleet::sendBatch(std::size_t from, std::size_t to, lease_batch batch)
+{
+    const std::uint64_t sender = m_hosts[from].run;
+    deliver(from, to, [this, from, to, sender, batch = std::move(batch)] {
+        lease_batch_answer answer = answerBatch(from, to, batch);
+        hear(to, from);
+        attemptCalls(to);
+        deliver(to, from, [this, from, to, sender, answer = std::move(answer)] {
+            if (m_hosts[from].run != sender) {
+                return;
+            }
+            perform(from, m_hosts[from].manager->receiveAnswers(hostName(to), answer, local(from)));
+            hear(from, to);
+            if (m_options.broken == broken_mechanism::countFromReceipt) {
+                const auto table = m_hosts[from].manager->table().read();
+                for (const lease_answer &one : answer.answers) {
+                    if (one.granted && table->holds(one.group, local(from))) {
+                        table->slot(one.group)->extend(local(from) + m_options.timing.lease * m_options.timing.holderPercent / 100);
+                    }
+                }
+            }
+            attemptCalls(from);
+        });
+    });
+}
+
+void fake_fleet::perform(std::size_t host, const lease_actions &actions)
+{
+    for (const lease_action &action : actions) {
+        if (const auto *batch = std::get_if<send_lease_batch>(&action)) {
+            if (!batch->batch.releases.empty()) {
+                m_lastRelease = m_now;
+            }
+            sendBatch(host, hostIndex(batch->to), batch->batch);
+        } else if (const auto *handover = std::get_if<handover_started>(&action)) {
+            m_handovers[host].insert(handover->group);
+        } else if (const auto *gained = std::get_if<lease_gained>(&action)) {
+            m_isolatedGains += gained->isolated ? 1U : 0U;
+        } else if (std::get_if<host_list_wanted>(&action) != nullptr) {
+            const std::uint64_t run = m_hosts[host].run;
+            at(m_now + delay(), [this, host, run] { onHost(host, run, [this, host] { adoptRoster(host); }); });
+        }
+    }
+    if (!actions.empty()) {
+        finishHandovers(host);
+    }
+}
+
+void fake_fleet::finishHandovers(std::size_t host)
+{
+    auto &waiting = m_handovers[host];
+    for (auto entry = waiting.begin(); entry != waiting.end();) {
+        const group_id group = *entry;
+        if (m_options.broken != broken_mechanism::releaseWithoutWaiting && m_hosts[host].callsEnd[group] > m_now) {
+            ++entry;
+            continue;
+        }
+        entry = waiting.erase(entry);
+        for (const lease_action &action : m_hosts[host].manager->callsFinished(group, local(host))) {
+            if (const auto *batch = std::get_if<send_lease_batch>(&action)) {
+                m_lastRelease = m_now;
+                sendBatch(host, hostIndex(batch->to), batch->batch);
+            }
+        }
+    }
+}
+
+void fake_fleet::hear(std::size_t host, std::size_t peer)
+{
+    m_hosts[host].heard[peer] = local(host);
+}
+
+void fake_fleet::tick(std::size_t host, std::uint64_t run)
+{
+    at(m_now + 100ms, [this, host, run] { onHost(host, run, [this, host, run] { tick(host, run); }); });
+    host_process &process = m_hosts[host];
+    const time_point now = local(host);
+    for (std::size_t zone = 0; zone < m_options.zones; ++zone) {
+        std::optional<time_point> &since = process.reachableSince[zone];
+        if (!zonesConnected(zoneOf(host), zone)) {
+            since.reset();
+        } else if (!since) {
+            since = now;
+        }
+    }
+    for (const auto &[peer, heard] : process.heard) {
+        const auto silent = now - heard;
+        const host_state state = silent >= 10s ? host_state::down : silent >= 5s ? host_state::suspect : host_state::live;
+        if (const auto known = process.states.find(peer); known == process.states.end() || known->second != state) {
+            process.states[peer] = state;
+            perform(host, process.manager->setPeerState(hostName(peer), state, now));
+        }
+    }
+    perform(host, process.manager->tick(now));
+    finishHandovers(host);
+    attemptCalls(host);
+}
+
+void fake_fleet::heartbeat(std::size_t host, std::uint64_t run)
+{
+    at(m_now + 1s, [this, host, run] { onHost(host, run, [this, host, run] { heartbeat(host, run); }); });
+    if (!m_platformCut.contains(zoneOf(host))) {
+        m_hosts[host].manager->heardFromPlatform(local(host));
+    }
+    for (std::size_t peer = 0; peer < m_hosts.size(); ++peer) {
+        if (peer == host) {
+            continue;
+        }
+        deliver(host, peer, [this, host, peer] {
+            m_hosts[peer].manager->heardFrom(hostName(host), local(peer));
+            hear(peer, host);
+            deliver(peer, host, [this, host, peer] {
+                m_hosts[host].manager->heardFrom(hostName(peer), local(host));
+                hear(host, peer);
+            });
+        });
+    }
+}
+
+void fake_fleet::attemptCalls(std::size_t host)
+{
+    const auto table = m_hosts[host].manager->table().read();
+    for (const backend_group &group : m_groups) {
+        attemptCall(host, group, *table);
+    }
+}
+
+void fake_fleet::attemptCall(std::size_t host, const backend_group &group, const lease_table &table)
+{
+    host_process &process = m_hosts[host];
+    const std::size_t zone = static_cast<std::size_t>(std::stoul(group.zone.str().substr(1)));
+    if (!zonesConnected(zoneOf(host), zone)) {
+        return;
+    }
+    const time_point now = local(host);
+    const std::optional<time_point> reachable = process.reachableSince[zone];
+    const std::optional<time_point> latest = table.latestCallEnd(group.id, now, reachable);
+    double share = 1;
+    time_point callEnd = latest.value_or(now);
+    bool allowed = latest && table.maySend(group.id, callEnd, now, reachable);
+    if (m_options.broken == broken_mechanism::callEndUnchecked && table.holds(group.id, now)) {
+        allowed = true;
+        callEnd = now + m_options.timing.maxCall;
+    }
+    if (m_options.broken == broken_mechanism::checkBeforePause && !allowed && process.checkedEnd.contains(group.id)) {
+        // The thread was paused between its check and its write.
+        allowed = process.inbox.empty() ? false : true;
+        callEnd = now + m_options.timing.maxCall;
+    }
+    if (allowed) {
+        process.checkedEnd[group.id] = callEnd;
+        m_foreignCalls += zone == zoneOf(host) ? 0U : 1U;
+    } else {
+        process.checkedEnd.erase(group.id);
+        const std::uint32_t divisor = table.shareDivisor(group.id, now, reachable);
+        if (divisor == 0 || !m_options.countShares) {
+            return;
+        }
+        share = 1.0 / divisor;
+        callEnd = now + m_options.timing.maxCall;
+        ++m_shareCalls;
+    }
+    // Most calls are answered at once; the others keep their slot up to the deadline and the grace.
+    const bool answered = m_random.below(4) != 0;
+    const duration end = answered ? m_now + duration(1ms) : trueTime(host, callEnd + 250ms);
+    process.callsEnd[group.id] = std::max(process.callsEnd[group.id], end);
+    m_calls.add(group.id, processName(host), m_now, end, share);
+}
+
+void fake_fleet::adoptRoster(std::size_t host)
+{
+    perform(host, m_hosts[host].manager->setRoster(m_roster, local(host)));
+}
+
+void fake_fleet::start(std::size_t host)
+{
+    host_process &process = m_hosts[host];
+    if (process.manager != nullptr) {
+        return;
+    }
+    ++process.run;
+    process.paused = false;
+    process.leaving = false;
+    process.inbox.clear();
+    process.heard.clear();
+    process.states.clear();
+    process.reachableSince.clear();
+    process.callsEnd.clear();
+    process.checkedEnd.clear();
+    m_handovers[host].clear();
+    const lease_identity identity{hostName(host), zoneName(zoneOf(host)), incarnation_id(processName(host))};
+    process.manager = std::make_unique<lease_manager>(identity, m_options.timing, local(host));
+    for (std::size_t peer = 0; peer < m_hosts.size(); ++peer) {
+        if (peer != host) {
+            process.heard[peer] = local(host);
+        }
+    }
+    perform(host, process.manager->setGroups(m_groups, local(host)));
+    adoptRoster(host);
+    const std::uint64_t run = process.run;
+    at(m_now + std::chrono::milliseconds(m_random.below(100)),
+       [this, host, run] { onHost(host, run, [this, host, run] { tick(host, run); }); });
+    at(m_now + std::chrono::milliseconds(m_random.below(1000)),
+       [this, host, run] { onHost(host, run, [this, host, run] { heartbeat(host, run); }); });
+}
+
+void fake_fleet::kill(std::size_t host)
+{
+    m_hosts[host].manager.reset();
+    m_hosts[host].inbox.clear();
+}
+
+void fake_fleet::leave(std::size_t host)
+{
+    host_process &process = m_hosts[host];
+    if (process.manager == nullptr || process.paused || process.leaving) {
+        return;
+    }
+    process.leaving = true;
+    perform(host, process.manager->leave(local(host)));
+    finishHandovers(host);
+}
+
+void fake_fleet::pause(std::size_t host, duration length)
+{
+    host_process &process = m_hosts[host];
+    if (process.manager == nullptr || process.paused) {
+        return;
+    }
+    process.paused = true;
+    const std::uint64_t run = process.run;
+    at(m_now + length, [this, host, run] {
+        if (m_hosts[host].manager != nullptr && m_hosts[host].run == run) {
+            wake(host);
+        }
+    });
+}
+
+void fake_fleet::wake(std::size_t host)
+{
+    host_process &process = m_hosts[host];
+    process.paused = false;
+    // A request thread runs before the control thread has noticed anything.
+    attemptCalls(host);
+    std::vector<std::function<void()>> inbox = std::move(process.inbox);
+    process.inbox.clear();
+    for (const auto &handle : inbox) {
+        handle();
+    }
+    if (process.manager != nullptr) {
+        // The entry host resynchronises before it asks for leases again.
+        adoptRoster(host);
+    }
+}
+
+void fake_fleet::cutZones(const std::set<std::size_t> &side, const std::set<std::size_t> &platform)
+{
+    for (std::size_t left = 0; left < m_options.zones; ++left) {
+        for (std::size_t right = left + 1; right < m_options.zones; ++right) {
+            if (side.contains(left) != side.contains(right)) {
+                m_cutZones.insert({left, right});
+            }
+        }
+        if (!platform.contains(left)) {
+            m_platformCut.insert(left);
+        }
+    }
+}
+
+void fake_fleet::cutHosts(std::size_t left, std::size_t right)
+{
+    m_cutHosts.insert(std::minmax(left, right));
+}
+
+void fake_fleet::heal()
+{
+    m_cutZones.clear();
+    m_cutHosts.clear();
+    m_platformCut.clear();
+    m_lossFreeUntil = m_now + 2s;
+}
+
+void fake_fleet::publishRoster(const std::set<std::size_t> &members)
+{
+    roster next;
+    next.revision = m_roster.revision + 1;
+    for (const std::size_t host : members) {
+        next.members.push_back({hostName(host), zoneName(zoneOf(host))});
+    }
+    std::sort(next.members.begin(), next.members.end());
+    m_roster = next;
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        const std::uint64_t run = m_hosts[host].run;
+        at(m_now + std::chrono::milliseconds(m_random.below(3000)), [this, host, run, next] {
+            onHost(host, run, [this, host, next] { perform(host, m_hosts[host].manager->setRoster(next, local(host))); });
+        });
+    }
+}
+
+std::optional<std::size_t> fake_fleet::sender(const group_id &group) const
+{
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        const host_process &process = m_hosts[host];
+        if (process.manager == nullptr || process.paused) {
+            continue;
+        }
+        const std::size_t zone = static_cast<std::size_t>(std::stoul(zoneOfGroup(group).str().substr(1)));
+        const auto reachable = process.reachableSince.find(zone);
+        const time_point now = local(host);
+        if (zonesConnected(zoneOf(host), zone)
+            && process.manager->table().read()->maySend(
+                group, now + 50ms, now, reachable == process.reachableSince.end() ? std::nullopt : reachable->second)) {
+            return host;
+        }
+    }
+    return std::nullopt;
+}
+
+void fake_fleet::runUntil(duration until)
+{
+    while (!m_events.empty() && m_events.top().at <= until) {
+        const scheduled event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.run();
+    }
+    m_now = until;
+}
+
+void fake_fleet::randomFault()
+{
+    const std::size_t host = m_random.below(m_hosts.size());
+    std::vector<std::function<void()>> faults;
+    if (m_options.pauses) {
+        faults.emplace_back([this, host] { pause(host, std::chrono::milliseconds(m_random.below(10000))); });
+    }
+    if (m_options.restarts && m_now >= m_rosterQuietUntil) {
+        faults.emplace_back([this, host] {
+            kill(host);
+            at(m_now + std::chrono::milliseconds(m_random.below(5000)), [this, host] { start(host); });
+        });
+    }
+    if (m_options.handovers) {
+        faults.emplace_back([this, host] {
+            if (m_hosts[host].manager != nullptr && !m_hosts[host].paused) {
+                const group_id group = m_groups[m_random.below(m_groups.size())].id;
+                perform(host, m_hosts[host].manager->beginHandover(group, local(host)));
+                finishHandovers(host);
+            }
+        });
+        faults.emplace_back([this, host] {
+            leave(host);
+            at(m_now + 4s + std::chrono::milliseconds(m_random.below(3000)), [this, host] {
+                if (m_now >= m_rosterQuietUntil) {
+                    kill(host);
+                    start(host);
+                }
+            });
+        });
+    }
+    if (m_options.zoneCuts && m_options.zones > 1) {
+        faults.emplace_back([this] {
+            std::set<std::size_t> platform;
+            for (std::size_t zone = 0; zone < m_options.zones; ++zone) {
+                if (m_random.below(2) == 0) {
+                    platform.insert(zone);
+                }
+            }
+            cutZones({m_random.below(m_options.zones)}, platform);
+            at(m_now + std::chrono::milliseconds(m_random.below(15000)), [this] { heal(); });
+        });
+    }
+    if (m_options.arbitraryCuts && m_hosts.size() > 1) {
+        faults.emplace_back([this] {
+            for (std::size_t left = 0; left < m_hosts.size(); ++left) {
+                for (std::size_t right = left + 1; right < m_hosts.size(); ++right) {
+                    if (m_random.below(2) == 0) {
+                        cutHosts(left, right);
+                    }
+                }
+            }
+            at(m_now + std::chrono::milliseconds(m_random.below(15000)), [this] { heal(); });
+        });
+    }
+    if (m_options.rosterChanges && m_now >= m_rosterQuietUntil) {
+        faults.emplace_back([this] {
+            std::set<std::size_t> members;
+            for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+                if (m_random.below(3) != 0) {
+                    members.insert(index);
+                }
+            }
+            if (members.empty()) {
+                members.insert(0);
+            }
+            publishRoster(members);
+            m_rosterQuietUntil = m_now + 6500ms;
+        });
+    }
+    if (!faults.empty()) {
+        faults[m_random.below(faults.size())]();
+    }
+}
+
+void fake_fleet::scheduleFaults()
+{
+    // Several faults may be present at the same time.
+    duration when = 5s;
+    while (when < m_options.length) {
+        at(when, [this] { randomFault(); });
+        when += std::chrono::milliseconds(300 + m_random.below(4000));
+    }
+}
+
+void fake_fleet::run()
+{
+    scheduleFaults();
+    runUntil(m_options.length);
+}
+
+} // namespace orioledrum
