--- a/libs/search/include/search/latency_histogram.h
+++ b/libs/search/include/search/latency_histogram.h
@@ -7,7 +7,7 @@
 namespace orioledrum
 {
 
-/// Histogram of latencies with logarithmic buckets (8 per power of two, error at most 9%) whose counts are halved
+/// Histogram of latencies with logarithmic buckets (8 per power of two, error at most 12.5%) whose counts are halved
 /// whenever their sum reaches a bound, so that old samples lose weight. Not thread-safe.
 class latency_histogram
 {
@@ -27,7 +27,7 @@
 
 private:
     static constexpr std::size_t subBuckets = 8;
-    static constexpr std::size_t bucketCount = 30 * subBuckets;
+    static constexpr std::size_t bucketCount = 30 * subBuckets; // Up to 2^32 microseconds.
 
     std::array<std::uint32_t, bucketCount> m_counts{};
     std::uint32_t m_total = 0;
--- a/libs/search/include/search/search_run.h
+++ b/libs/search/include/search/search_run.h
@@ -80,22 +80,30 @@
 
     void pin(snapshot_ref pin, time_point now);
     void discover(time_point now);
+    void askHeld(std::uint32_t layoutIndex, std::uint32_t shard, time_point now);
+    void checkDiscovery(time_point now);
+    void discoveryLost(const attempt_state &attempt, error_code code, time_point now);
+    [[nodiscard]] bool inService(std::uint32_t shard, time_point now) const;
     void sendFirst(std::uint32_t shard, time_point now);
-    bool send(std::uint32_t shard, std::uint32_t replica, attempt_kind kind, time_point now);
-    std::optional<std::uint32_t> chooseReplica(std::uint32_t shard, bool allowRepeat, time_point now);
-    void settleAnswer(std::uint32_t shard, attempt_state &attempt, shard_answer &&answer, time_point now);
+    void send(std::uint32_t shard, std::uint32_t replica, attempt_kind kind, time_point now);
+    [[nodiscard]] std::optional<std::uint32_t> chooseReplica(std::uint32_t shard, bool first, bool allowRepeat, time_point now);
+    void useAnswer(std::uint32_t shard, std::vector<hit> &&hits, time_point now);
     void attemptEnded(attempt_state &attempt);
-    void failedAttempt(std::uint32_t shard, attempt_state &attempt, missing_reason reason, error_code code, time_point now);
-    void scheduleRetry(std::uint32_t shard, error_code code, time_point now);
-    void giveUp(std::uint32_t shard);
-    void settled(time_point now);
+    void attemptLost(std::uint32_t shard, missing_reason reason, error_code code, time_point now);
+    void scheduleRetry(std::uint32_t shard, time_point now);
+    void sendRetries(time_point now);
+    void sendHedges(time_point now);
+    bool hedge(std::uint32_t attempt, time_point now);
+    void giveUp(std::uint32_t shard, missing_reason reason, error_code code);
     void mergeHits(std::vector<hit> &&hits);
-    void cancelOutstanding(attempt_state &attempt, time_point now);
+    void cancelAttempt(std::uint32_t attempt, time_point now);
     void cancelAll(time_point now);
     bool tryRestart(time_point now);
-    void afterEvent(time_point now);
-    void finish(bool early, time_point now);
-    [[nodiscard]] bool usable(std::uint32_t shard, std::uint32_t replica, time_point now) const;
+    void settle(time_point now);
+    void finish(time_point now);
+    [[nodiscard]] attempt_state *findAttempt(std::uint64_t attempt);
+    [[nodiscard]] const search_layout &layout() const;
+    [[nodiscard]] time_point finishAt() const;
 
     search_input m_input;
     service_stats &m_stats;
@@ -105,21 +113,28 @@
     snapshot_ref m_pin;
     bool m_discovering = false;
     bool m_finished = false;
-    bool m_restarted = false;
+    bool m_coverageMet = false;
     std::vector<shard_state> m_shards;
     std::vector<attempt_state> m_attempts;
-    std::uint64_t m_firstAttemptId = 1; ///< Attempt id of m_attempts[0]; ids continue after a restart.
+    std::uint64_t m_firstAttemptId = 1; // Id of m_attempts[0]; grows with a restart, so that old answers never match.
+    std::uint32_t m_required = 0; // Shards that meet the policy's coverage.
     std::uint32_t m_answered = 0;
     std::uint32_t m_givenUp = 0;
+    std::uint32_t m_outstanding = 0;
     std::uint32_t m_overloads = 0;
     std::uint32_t m_retriesLeft = 0;
-    time_point m_coverageReached;
-    bool m_coverageMet = false;
-    std::uint32_t m_hedgeCursor = 0; ///< Attempts before it have been considered for a hedge.
-    std::vector<std::uint32_t> m_pendingRetries;
-    std::vector<std::uint32_t> m_hedgeWaiting;
-    time_point m_lastTime;
-    std::vector<hit> m_best;
+    std::chrono::microseconds m_hedgeDelay{0};
+    std::uint32_t m_hedgeCursor = 0; // Attempts before it have been considered for a hedge.
+    std::vector<std::uint32_t> m_hedgeWaiting; // Attempts that wait for budget.
+    time_point m_nextHedgeCheck;
+    std::vector<std::uint32_t> m_retryWaiting; // Shards whose retry waits for its time.
+    time_point m_coverageTime; // When the policy's coverage was reached.
+    time_point m_nextRestartCheck;
+    time_point m_discoveryEnd;
+    std::vector<bool> m_asked; // While discovering, by backend number.
+    missing_reason m_discoveryReason = missing_reason::noReplica;
+    error_code m_discoveryCode = error_code::unreachable;
+    std::vector<hit> m_best; // Heap with the worst of the best hits in front.
     search_result m_result;
     std::vector<search_action> m_actions;
 };
--- a/libs/search/include/search/service_stats.h
+++ b/libs/search/include/search/service_stats.h
@@ -31,7 +31,10 @@
     std::uint32_t ejections = 0; ///< In a row, for the back-off.
     time_point ejectedUntil;
     time_point drainingUntil; ///< No attempts before this time.
-    time_point updated;
+    time_point updated; ///< Latest outcome.
+    time_point reported; ///< Latest news of the snapshots held.
+    time_point nextProbe; ///< Earliest next attempt while ejected, draining or believed not to hold the snapshot.
+    bool ownZone = false; ///< In the zone of this entry host.
 };
 
 /// The records of the backend servers of one topology.
@@ -94,17 +97,25 @@
 private:
     friend class search_run;
 
+    struct pin_choice {
+        snapshot_ref pin;
+        double share = 0; // Share of the layout's shards with a replica that holds it.
+    };
     // Pin chosen for one coverage at one version of the table.
     struct pin_cache {
         std::uint64_t version = 0;
         double minCoverage = 0;
         time_point until;
-        std::optional<snapshot_ref> pin;
+        std::optional<pin_choice> choice;
     };
 
-    void applyReport(backend_table &table, backend_record &record, const backend_report &report, time_point now);
+    static std::shared_ptr<backend_table> makeTable(std::shared_ptr<const search_topology> topology, const zone_id &ownZone);
+    std::optional<pin_choice>
+    choosePinIn(const backend_table &table, double minCoverage, std::optional<snapshot_ref> newerThan, time_point now);
+    static void applyReport(backend_table &table, backend_record &record, const backend_report &report, time_point now);
     void noteOutcome(backend_table &table, backend_record &record, const shard_answer &answer, time_point now);
-    void noteFailure(backend_table &table, backend_record &record, time_point now);
+    static void noteNotHeld(backend_table &table, backend_record &record, snapshot_ref snapshot, time_point now);
+    void noteFailure(backend_table &table, backend_record &record, std::uint32_t weight, time_point now);
     void noteFirstAttempts(std::uint32_t count);
     bool takeHedgeToken();
     bool takeRetryToken();
--- a/libs/search/include/search/token_bucket.h
+++ b/libs/search/include/search/token_bucket.h
@@ -10,11 +10,12 @@
 {
 public:
     /// @param share Tokens added by each ordinary call.
-    /// @param capacity Most tokens held; also the amount at the start.
-    token_bucket(double share, double capacity)
+    /// @param capacity Most tokens held.
+    /// @param initial Tokens at the start.
+    token_bucket(double share, double capacity, double initial)
         : m_share(share)
         , m_capacity(capacity)
-        , m_tokens(capacity)
+        , m_tokens(std::min(capacity, initial))
     {
     }
 
--- /dev/null
+++ b/libs/search/src/search_run.cpp
@@ -0,0 +1,826 @@
+#include <search/search_run.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t maxAttemptsPerShard = 8;
+constexpr double retryShareOfQuery = 0.10;
+constexpr auto retryJitter = 1000us;
+constexpr auto repeatBackoff = 10ms; // Before the same backend server is asked again; doubles.
+constexpr auto hedgeCheckInterval = 2ms; // Between checks for budget while hedges wait for it.
+constexpr auto restartCheckInterval = 1ms;
+constexpr auto discoveryTime = 50ms;
+constexpr auto probeInterval = 1s;
+constexpr auto heldStaleAfter = 2s; // A backend server that did not hold the snapshot may hold it after this time.
+constexpr auto outcomeStaleAfter = 1s; // Refusals and queue times older than this do not count.
+constexpr float refusalBound = 0.1F;
+constexpr float queueBoundMicros = 5000;
+constexpr double minServeChance = 0.05; // Keeps some calls on a loaded replica, so that its recovery is seen.
+constexpr double overloadShare = 0.05;
+
+double score(const hit &value)
+{
+    return std::isnan(value.score) ? -std::numeric_limits<double>::infinity() : value.score;
+}
+
+bool better(const hit &left, const hit &right)
+{
+    const double leftScore = score(left);
+    const double rightScore = score(right);
+    return leftScore != rightScore ? leftScore > rightScore : left.id < right.id;
+}
+
+double load(const backend_record &record)
+{
+    const double busy = static_cast<double>(record.slotsInUse) + record.outstanding + 1;
+    return busy / std::max(1U, record.slots) * (record.state == backend_state::cold ? 4 : 1);
+}
+
+missing_reason reasonOf(error_code code)
+{
+    switch (code) {
+    case error_code::snapshotNotHeld:
+        return missing_reason::snapshotNotHeld;
+    case error_code::overloaded:
+    case error_code::deadlineExceeded:
+        return missing_reason::overloaded;
+    case error_code::unreachable:
+        return missing_reason::failed;
+    default:
+        return missing_reason::refused;
+    }
+}
+
+// Codes after which the same backend server may be asked again: nothing ran, and the cause passes within the time of
+// a query, for example when a lease moves to another owner.
+bool mayRepeat(error_code code)
+{
+    return code == error_code::notOwner || code == error_code::notReady || code == error_code::unreachable;
+}
+
+} // namespace
+
+struct search_run::attempt_state {
+    std::uint32_t shard = 0;
+    std::uint32_t backend = 0; // Number in the topology.
+    std::uint32_t layout = 0; // Index in the topology.
+    std::uint8_t replica = 0;
+    attempt_kind kind = attempt_kind::first;
+    bool outstanding = true;
+    time_point sent;
+};
+
+struct search_run::shard_state {
+    bool answered = false;
+    bool givenUp = false;
+    bool retryWaiting = false;
+    bool hasPartial = false;
+    bool repeatAllowed = false;
+    std::uint8_t attempts = 0;
+    std::uint8_t outstanding = 0;
+    missing_reason reason = missing_reason::late;
+    error_code code = error_code::deadlineExceeded;
+    std::uint64_t tried = 0;
+    std::array<std::uint32_t, maxAttemptsPerShard> attemptIndex{};
+    time_point retryAt;
+    std::vector<hit> partialHits;
+};
+
+search_run::search_run(search_input input, service_stats &stats, random_source &random)
+    : m_input(std::move(input))
+    , m_stats(stats)
+    , m_random(random)
+    , m_table(stats.m_table)
+{
+    m_input.policy.maxAttempts = std::clamp<std::uint32_t>(m_input.policy.maxAttempts, 1, maxAttemptsPerShard);
+    m_input.policy.minCoverage = std::clamp(m_input.policy.minCoverage, 0.0, 1.0);
+}
+
+search_run::~search_run()
+{
+    for (auto &attempt : m_attempts) {
+        if (attempt.outstanding) {
+            attemptEnded(attempt);
+        }
+    }
+}
+
+const search_layout &search_run::layout() const
+{
+    return m_table->topology->layouts()[m_layoutIndex];
+}
+
+time_point search_run::finishAt() const
+{
+    return m_input.deadline - answerMargin;
+}
+
+void search_run::start(time_point now)
+{
+    const auto choice = m_stats.choosePinIn(*m_table, m_input.policy.minCoverage, std::nullopt, now);
+    if (choice) {
+        pin(choice->pin, now);
+    } else {
+        discover(now);
+    }
+    settle(now);
+}
+
+void search_run::pin(snapshot_ref pin, time_point now)
+{
+    const auto &layouts = m_table->topology->layouts();
+    const auto found =
+        std::find_if(layouts.begin(), layouts.end(), [&pin](const search_layout &entry) { return entry.layout == pin.layout; });
+    m_layoutIndex = static_cast<std::size_t>(found - layouts.begin());
+    m_pin = pin;
+    m_discovering = false;
+    m_firstAttemptId += m_attempts.size();
+    m_attempts.clear();
+    const auto total = static_cast<std::uint32_t>(layout().shards.size());
+    m_attempts.reserve(total + total / 8);
+    m_actions.reserve(m_actions.size() + total + 1);
+    m_shards.clear();
+    m_shards.resize(total);
+    m_required = static_cast<std::uint32_t>(std::ceil(m_input.policy.minCoverage * total - 1e-9));
+    m_answered = 0;
+    m_givenUp = 0;
+    m_overloads = 0;
+    m_coverageMet = false;
+    m_best.clear();
+    m_hedgeCursor = 0;
+    m_hedgeWaiting.clear();
+    m_retryWaiting.clear();
+    m_retriesLeft = std::max(1U, static_cast<std::uint32_t>(total * retryShareOfQuery));
+    m_hedgeDelay = m_stats.hedgeDelay(m_input.policy.minHedgeDelay);
+    m_nextRestartCheck = now + restartCheckInterval;
+    if (now >= finishAt()) {
+        return;
+    }
+    m_result.firstAttempts += total;
+    m_stats.noteFirstAttempts(total);
+    for (std::uint32_t shard = 0; shard < total; ++shard) {
+        sendFirst(shard, now);
+    }
+}
+
+// Asks one replica of each shard of each layout what it holds.
+void search_run::discover(time_point now)
+{
+    m_discovering = true;
+    m_layoutIndex = m_table->topology->layouts().size() - 1;
+    m_pin = {0, layout().layout};
+    m_discoveryEnd = std::min(now + discoveryTime, now + (finishAt() - now) / 4);
+    m_asked.assign(m_table->records.size(), false);
+    if (now >= finishAt()) {
+        return;
+    }
+    for (std::uint32_t index = 0; index < m_table->topology->layouts().size(); ++index) {
+        for (std::uint32_t shard = 0; shard < m_table->topology->layouts()[index].shards.size(); ++shard) {
+            askHeld(index, shard, now);
+        }
+    }
+}
+
+// Asks the next replica of a shard, own zone first.
+void search_run::askHeld(std::uint32_t layoutIndex, std::uint32_t shard, time_point now)
+{
+    const auto &definition = m_table->topology->layouts()[layoutIndex];
+    const auto &replicas = definition.shards[shard].replicas;
+    std::optional<std::uint32_t> chosen;
+    for (std::uint32_t replica = 0; replica < replicas.size(); ++replica) {
+        const auto backend = m_table->topology->backendNumber(layoutIndex, shard, replica);
+        const auto &record = m_table->records[backend];
+        if (record.excluded || now < record.drainingUntil || m_asked[backend]) {
+            continue;
+        }
+        if (!chosen || (record.ownZone && !m_table->records[m_table->topology->backendNumber(layoutIndex, shard, *chosen)].ownZone)) {
+            chosen = replica;
+        }
+    }
+    if (!chosen) {
+        return;
+    }
+    attempt_state attempt;
+    attempt.shard = shard;
+    attempt.backend = m_table->topology->backendNumber(layoutIndex, shard, *chosen);
+    attempt.layout = layoutIndex;
+    attempt.replica = static_cast<std::uint8_t>(*chosen);
+    attempt.kind = attempt_kind::discovery;
+    attempt.sent = now;
+    m_attempts.push_back(attempt);
+    m_asked[attempt.backend] = true;
+    ++m_table->records[attempt.backend].outstanding;
+    ++m_outstanding;
+    m_actions.emplace_back(send_attempt{m_firstAttemptId + m_attempts.size() - 1,
+                                        attempt_kind::discovery,
+                                        &replicas[*chosen],
+                                        &definition.shards[shard].shard,
+                                        {0, definition.layout}});
+}
+
+void search_run::checkDiscovery(time_point now)
+{
+    const bool timeIsUp = now >= m_discoveryEnd;
+    if (m_outstanding != 0 && !timeIsUp && now < m_nextRestartCheck) {
+        return;
+    }
+    m_nextRestartCheck = now + restartCheckInterval;
+    const auto choice = m_stats.choosePinIn(*m_table, m_input.policy.minCoverage, std::nullopt, now);
+    const bool suffices = choice && choice->share + 1e-9 >= m_input.policy.minCoverage;
+    if (suffices || (choice && (m_outstanding == 0 || timeIsUp))) {
+        cancelAll(now);
+        pin(choice->pin, now);
+        return;
+    }
+    if (timeIsUp) {
+        // The replicas asked so far are silent: ask others.
+        const auto count = m_attempts.size();
+        for (std::size_t index = 0; index < count; ++index) {
+            if (m_attempts[index].outstanding) {
+                askHeld(m_attempts[index].layout, m_attempts[index].shard, now);
+            }
+        }
+        m_discoveryEnd = now + discoveryTime;
+    }
+    if (m_outstanding == 0) {
+        // No backend server said that it holds a snapshot: there is nothing to search.
+        m_shards.resize(layout().shards.size());
+        for (std::uint32_t shard = 0; shard < m_shards.size(); ++shard) {
+            giveUp(shard,
+                   inService(shard, now) ? m_discoveryReason : missing_reason::noReplica,
+                   inService(shard, now) ? m_discoveryCode : error_code::unreachable);
+        }
+        finish(now);
+    }
+}
+
+bool search_run::inService(std::uint32_t shard, time_point now) const
+{
+    const auto &replicas = layout().shards[shard].replicas;
+    for (std::uint32_t replica = 0; replica < replicas.size(); ++replica) {
+        const auto &record = m_table->records[m_table->topology->backendNumber(m_layoutIndex, shard, replica)];
+        if (!record.excluded && now >= record.drainingUntil) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void search_run::sendFirst(std::uint32_t shard, time_point now)
+{
+    if (const auto replica = chooseReplica(shard, true, false, now)) {
+        send(shard, *replica, attempt_kind::first, now);
+        return;
+    }
+    const bool held = inService(shard, now);
+    giveUp(shard,
+           held ? missing_reason::snapshotNotHeld : missing_reason::noReplica,
+           held ? error_code::snapshotNotHeld : error_code::unreachable);
+}
+
+void search_run::send(std::uint32_t shard, std::uint32_t replica, attempt_kind kind, time_point now)
+{
+    auto &state = m_shards[shard];
+    const auto backend = m_table->topology->backendNumber(m_layoutIndex, shard, replica);
+    state.tried |= std::uint64_t{1} << replica;
+    state.attemptIndex[state.attempts] = static_cast<std::uint32_t>(m_attempts.size());
+    ++state.attempts;
+    ++state.outstanding;
+    ++m_outstanding;
+    ++m_table->records[backend].outstanding;
+    attempt_state attempt;
+    attempt.shard = shard;
+    attempt.backend = backend;
+    attempt.layout = static_cast<std::uint32_t>(m_layoutIndex);
+    attempt.replica = static_cast<std::uint8_t>(replica);
+    attempt.kind = kind;
+    attempt.sent = now;
+    m_attempts.push_back(attempt);
+    const auto &definition = layout().shards[shard];
+    m_actions.emplace_back(
+        send_attempt{m_firstAttemptId + m_attempts.size() - 1, kind, &definition.replicas[replica], &definition.shard, m_pin});
+}
+
+// Ranks the replicas of a shard, best first: own zone, other zones, loaded ones, ones whose snapshots are unknown, ones
+// that lately did not hold the snapshot, ejected ones. Within a rank, two at random are compared by load.
+std::optional<std::uint32_t> search_run::chooseReplica(std::uint32_t shard, bool first, bool allowRepeat, time_point now)
+{
+    enum rank : std::uint8_t { ownZone, otherZone, loaded, unknownHeld, staleHeld, ejected, unusable };
+    const auto &replicas = layout().shards[shard].replicas;
+    const auto &state = m_shards[shard];
+    std::array<std::uint8_t, 64> ranks; // NOLINT(cppcoreguidelines-pro-type-member-init): filled up to count.
+    const auto count = static_cast<std::uint32_t>(replicas.size());
+    std::uint32_t inService = 0;
+    std::uint32_t ejectedCount = 0;
+    std::uint8_t best = rank::unusable;
+    for (std::uint32_t index = 0; index < count; ++index) {
+        ranks[index] = rank::unusable;
+        auto &record = m_table->records[m_table->topology->backendNumber(m_layoutIndex, shard, index)];
+        if (record.excluded || now < record.drainingUntil) {
+            continue;
+        }
+        ++inService;
+        const bool isEjected = now < record.ejectedUntil;
+        ejectedCount += isEjected ? 1 : 0;
+        if (!allowRepeat && ((state.tried >> index) & 1U) != 0) {
+            continue;
+        }
+        const bool holds = std::binary_search(record.held.begin(), record.held.end(), m_pin);
+        if (!holds && record.heldKnown && now - record.reported < heldStaleAfter) {
+            continue;
+        }
+        if (isEjected) {
+            ranks[index] = rank::ejected;
+        } else if (record.state == backend_state::draining) {
+            ranks[index] = rank::staleHeld;
+        } else if (!holds) {
+            ranks[index] = record.heldKnown ? rank::staleHeld : rank::unknownHeld;
+        } else {
+            double chance = 1;
+            if (now - record.updated < outcomeStaleAfter) {
+                if (record.refusals > refusalBound) {
+                    chance = 1 - record.refusals;
+                }
+                if (record.queueMicros > queueBoundMicros) {
+                    chance = std::min<double>(chance, queueBoundMicros / record.queueMicros);
+                }
+            }
+            const bool canServe = chance >= 1 || m_random.unit() < std::max(chance, minServeChance);
+            ranks[index] = !canServe ? rank::loaded : (record.ownZone ? rank::ownZone : rank::otherZone);
+        }
+        best = std::min(best, ranks[index]);
+    }
+    // At most half of the replicas, rounded down, stay ejected; the ones whose ejection ends first come back.
+    const std::uint32_t floor = inService / 2;
+    while (ejectedCount > floor) {
+        std::uint32_t earliest = count;
+        time_point earliestEnd = time_point::max();
+        for (std::uint32_t index = 0; index < count; ++index) {
+            const auto &record = m_table->records[m_table->topology->backendNumber(m_layoutIndex, shard, index)];
+            if (ranks[index] == rank::ejected && record.ejectedUntil < earliestEnd) {
+                earliest = index;
+                earliestEnd = record.ejectedUntil;
+            }
+        }
+        --ejectedCount;
+        if (earliest == count) {
+            continue; // The ejected replica has been tried already.
+        }
+        ranks[earliest] = rank::otherZone;
+        best = std::min<std::uint8_t>(best, rank::otherZone);
+    }
+    if (best == rank::unusable) {
+        return std::nullopt;
+    }
+    if (first && best < rank::unknownHeld) {
+        // A replica that is not used gives no news about itself, so it gets one first attempt per interval.
+        for (std::uint32_t index = 0; index < count; ++index) {
+            if (ranks[index] < rank::unknownHeld || ranks[index] == rank::unusable) {
+                continue;
+            }
+            auto &record = m_table->records[m_table->topology->backendNumber(m_layoutIndex, shard, index)];
+            if (now >= record.nextProbe) {
+                record.nextProbe = now + probeInterval;
+                return index;
+            }
+        }
+    }
+    std::uint32_t candidates = 0;
+    for (std::uint32_t index = 0; index < count; ++index) {
+        candidates += ranks[index] == best ? 1 : 0;
+    }
+    const auto nth = [&ranks, best](std::uint64_t position) {
+        std::uint32_t index = 0;
+        while (ranks[index] != best || position-- != 0) {
+            ++index;
+        }
+        return index;
+    };
+    if (candidates == 1) {
+        return nth(0);
+    }
+    const auto one = m_random.below(candidates);
+    const auto other = (one + 1 + m_random.below(candidates - 1)) % candidates;
+    const auto left = nth(one);
+    const auto right = nth(other);
+    const double leftLoad = load(m_table->records[m_table->topology->backendNumber(m_layoutIndex, shard, left)]);
+    const double rightLoad = load(m_table->records[m_table->topology->backendNumber(m_layoutIndex, shard, right)]);
+    return rightLoad < leftLoad ? right : left;
+}
+
+search_run::attempt_state *search_run::findAttempt(std::uint64_t attempt)
+{
+    if (attempt < m_firstAttemptId || attempt - m_firstAttemptId >= m_attempts.size()) {
+        return nullptr;
+    }
+    auto &found = m_attempts[attempt - m_firstAttemptId];
+    return found.outstanding ? &found : nullptr;
+}
+
+void search_run::answered(const request_id &request, shard_answer &&answer, time_point now)
+{
+    if (request != m_input.request) {
+        ++m_stats.m_counts.droppedAnswers;
+        return;
+    }
+    auto *attempt = findAttempt(answer.attempt);
+    bool matches = false;
+    if (attempt != nullptr) {
+        const auto &definition = m_table->topology->layouts()[attempt->layout].shards[attempt->shard];
+        matches = answer.backend == definition.replicas[attempt->replica].backend && answer.shard == definition.shard;
+        if (matches && (answer.status == shard_status::answered || answer.status == shard_status::partial)) {
+            matches = attempt->kind != attempt_kind::discovery && answer.snapshot == m_pin;
+        }
+    }
+    if (!matches) {
+        ++m_stats.m_counts.droppedAnswers;
+        if (answer.hasReport) {
+            m_stats.observe(answer.backend, answer.report, now);
+        }
+        return;
+    }
+    const auto shard = attempt->shard;
+    auto &record = m_table->records[attempt->backend];
+    const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(now - attempt->sent);
+    const bool discovery = attempt->kind == attempt_kind::discovery;
+    attemptEnded(*attempt);
+    m_stats.noteOutcome(*m_table, record, answer, now);
+    if (discovery) {
+        if (!answer.hasReport || answer.report.held.empty()) {
+            discoveryLost(*attempt, answer.code, now);
+        }
+        settle(now);
+        return;
+    }
+    --m_shards[shard].outstanding;
+    switch (answer.status) {
+    case shard_status::answered:
+        m_stats.m_latency.record(elapsed);
+        useAnswer(shard, std::move(answer.hits), now);
+        break;
+    case shard_status::partial: {
+        m_stats.m_latency.record(elapsed);
+        auto &state = m_shards[shard];
+        if (!state.hasPartial || answer.hits.size() > state.partialHits.size()) {
+            state.partialHits = std::move(answer.hits);
+        }
+        state.hasPartial = true;
+        attemptLost(shard, missing_reason::partial, answer.code, now);
+        break;
+    }
+    case shard_status::refused: {
+        if (answer.code == error_code::snapshotNotHeld && !answer.hasReport) {
+            m_stats.noteNotHeld(*m_table, record, m_pin, now);
+        }
+        const auto reason = reasonOf(answer.code);
+        m_overloads += reason == missing_reason::overloaded ? 1 : 0;
+        attemptLost(shard, reason, answer.code, now);
+        break;
+    }
+    case shard_status::failed:
+        attemptLost(shard, missing_reason::failed, answer.code, now);
+        break;
+    }
+    settle(now);
+}
+
+void search_run::attemptFailed(std::uint64_t attempt, error_code code, time_point now)
+{
+    auto *found = findAttempt(attempt);
+    if (found == nullptr) {
+        return;
+    }
+    const auto shard = found->shard;
+    const bool discovery = found->kind == attempt_kind::discovery;
+    auto &record = m_table->records[found->backend];
+    attemptEnded(*found);
+    if (code == error_code::unreachable) {
+        m_stats.noteFailure(*m_table, record, 2, now);
+    }
+    if (discovery) {
+        discoveryLost(*found, code, now);
+    } else {
+        --m_shards[shard].outstanding;
+        attemptLost(shard, reasonOf(code), code, now);
+    }
+    settle(now);
+}
+
+void search_run::discoveryLost(const attempt_state &attempt, error_code code, time_point now)
+{
+    m_discoveryReason = reasonOf(code);
+    m_discoveryCode = code;
+    askHeld(attempt.layout, attempt.shard, now);
+}
+
+void search_run::useAnswer(std::uint32_t shard, std::vector<hit> &&hits, time_point now)
+{
+    auto &state = m_shards[shard];
+    state.answered = true;
+    ++m_answered;
+    mergeHits(std::move(hits));
+    state.partialHits.clear();
+    if (state.outstanding != 0) {
+        for (std::size_t index = 0; index < state.attempts; ++index) {
+            if (m_attempts[state.attemptIndex[index]].outstanding) {
+                cancelAttempt(state.attemptIndex[index], now);
+            }
+        }
+    }
+    if (!m_coverageMet && m_answered >= m_required) {
+        m_coverageMet = true;
+        m_coverageTime = now;
+    }
+}
+
+void search_run::mergeHits(std::vector<hit> &&hits)
+{
+    if (m_input.limit == 0) {
+        return;
+    }
+    for (auto &value : hits) {
+        if (m_best.size() < m_input.limit) {
+            m_best.push_back(std::move(value));
+            std::push_heap(m_best.begin(), m_best.end(), better);
+        } else if (better(value, m_best.front())) {
+            std::pop_heap(m_best.begin(), m_best.end(), better);
+            m_best.back() = std::move(value);
+            std::push_heap(m_best.begin(), m_best.end(), better);
+        }
+    }
+}
+
+void search_run::attemptEnded(attempt_state &attempt)
+{
+    attempt.outstanding = false;
+    --m_table->records[attempt.backend].outstanding;
+    --m_outstanding;
+}
+
+void search_run::cancelAttempt(std::uint32_t attempt, time_point now)
+{
+    auto &state = m_attempts[attempt];
+    attemptEnded(state);
+    const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(now - state.sent);
+    if (state.kind != attempt_kind::discovery) {
+        --m_shards[state.shard].outstanding;
+        if (elapsed >= m_hedgeDelay) {
+            // The latency is at least this; leaving such attempts out would lower the percentile that starts hedges.
+            m_stats.m_latency.record(elapsed);
+            m_stats.noteFailure(*m_table, m_table->records[state.backend], 1, now);
+        }
+    }
+    m_actions.emplace_back(cancel_attempt{m_firstAttemptId + attempt,
+                                          &m_table->topology->layouts()[state.layout].shards[state.shard].replicas[state.replica]});
+}
+
+void search_run::cancelAll(time_point now)
+{
+    if (m_outstanding == 0) {
+        return;
+    }
+    for (std::uint32_t attempt = 0; attempt < m_attempts.size(); ++attempt) {
+        if (m_attempts[attempt].outstanding) {
+            cancelAttempt(attempt, now);
+        }
+    }
+}
+
+void search_run::attemptLost(std::uint32_t shard, missing_reason reason, error_code code, time_point now)
+{
+    auto &state = m_shards[shard];
+    state.reason = reason;
+    state.code = code;
+    if (state.outstanding == 0 && !state.retryWaiting) {
+        scheduleRetry(shard, now);
+    }
+}
+
+void search_run::scheduleRetry(std::uint32_t shard, time_point now)
+{
+    auto &state = m_shards[shard];
+    const bool another = chooseReplica(shard, false, false, now).has_value();
+    const bool repeat = !another && mayRepeat(state.code);
+    if ((!another && !repeat) || state.attempts >= m_input.policy.maxAttempts || m_retriesLeft == 0 || !m_stats.takeRetryToken()) {
+        giveUp(shard, state.reason, state.code);
+        return;
+    }
+    --m_retriesLeft;
+    ++m_result.retries;
+    const std::chrono::microseconds jitter(m_random.below(retryJitter.count()));
+    state.repeatAllowed = repeat;
+    state.retryAt = now + jitter + (repeat ? repeatBackoff * (1U << (state.attempts - 1U)) : 0ms);
+    state.retryWaiting = true;
+    m_retryWaiting.push_back(shard);
+}
+
+void search_run::sendRetries(time_point now)
+{
+    for (std::size_t index = 0; index < m_retryWaiting.size();) {
+        const auto shard = m_retryWaiting[index];
+        auto &state = m_shards[shard];
+        if (now < state.retryAt) {
+            ++index;
+            continue;
+        }
+        m_retryWaiting[index] = m_retryWaiting.back();
+        m_retryWaiting.pop_back();
+        state.retryWaiting = false;
+        if (const auto replica = chooseReplica(shard, false, state.repeatAllowed, now)) {
+            send(shard, *replica, attempt_kind::retry, now);
+        } else {
+            giveUp(shard, state.reason, state.code);
+        }
+    }
+}
+
+void search_run::sendHedges(time_point now)
+{
+    if (now >= m_nextHedgeCheck && !m_hedgeWaiting.empty()) {
+        std::erase_if(m_hedgeWaiting, [this, now](std::uint32_t attempt) { return hedge(attempt, now); });
+        m_nextHedgeCheck = now + hedgeCheckInterval;
+    }
+    m_hedgeDelay = m_stats.hedgeDelay(m_input.policy.minHedgeDelay);
+    while (m_hedgeCursor < m_attempts.size() && m_attempts[m_hedgeCursor].sent + m_hedgeDelay <= now) {
+        if (!hedge(m_hedgeCursor, now)) {
+            m_hedgeWaiting.push_back(m_hedgeCursor);
+            m_nextHedgeCheck = now + hedgeCheckInterval;
+        }
+        ++m_hedgeCursor;
+    }
+}
+
+// Returns false when the attempt should be hedged but the budget does not allow it now.
+bool search_run::hedge(std::uint32_t attempt, time_point now)
+{
+    const auto shard = m_attempts[attempt].shard;
+    const auto &state = m_shards[shard];
+    if (!m_attempts[attempt].outstanding || state.answered || state.attempts >= m_input.policy.maxAttempts) {
+        return true;
+    }
+    const auto replica = chooseReplica(shard, false, false, now);
+    if (!replica) {
+        return true;
+    }
+    if (!m_stats.takeHedgeToken()) {
+        return false;
+    }
+    ++m_result.hedges;
+    send(shard, *replica, attempt_kind::hedge, now);
+    return true;
+}
+
+void search_run::giveUp(std::uint32_t shard, missing_reason reason, error_code code)
+{
+    auto &state = m_shards[shard];
+    state.givenUp = true;
+    state.reason = reason;
+    state.code = code;
+    ++m_givenUp;
+}
+
+bool search_run::tryRestart(time_point now)
+{
+    if (m_result.restarted || now + 2 * m_hedgeDelay >= finishAt()) {
+        return false;
+    }
+    m_nextRestartCheck = now + restartCheckInterval;
+    const auto choice = m_stats.choosePinIn(*m_table, m_input.policy.minCoverage, m_pin, now);
+    if (!choice || choice->share + 1e-9 < m_input.policy.minCoverage) {
+        return false;
+    }
+    cancelAll(now);
+    m_result.restarted = true;
+    pin(choice->pin, now);
+    return true;
+}
+
+// Decides after each event whether the query goes on.
+void search_run::settle(time_point now)
+{
+    if (m_finished) {
+        return;
+    }
+    if (now >= finishAt()) {
+        finish(now);
+        return;
+    }
+    if (m_discovering) {
+        checkDiscovery(now);
+        if (m_finished || m_discovering) {
+            return;
+        }
+    }
+    while (m_hedgeCursor < m_attempts.size() && !m_attempts[m_hedgeCursor].outstanding) {
+        ++m_hedgeCursor;
+    }
+    const auto total = static_cast<std::uint32_t>(m_shards.size());
+    const bool allSettled = m_answered + m_givenUp == total;
+    if (!m_coverageMet && m_answered >= m_required) {
+        m_coverageMet = true; // Only with a policy that accepts an empty answer.
+        m_coverageTime = now;
+    }
+    if (!m_coverageMet && total - m_givenUp < m_required && (allSettled || now >= m_nextRestartCheck) && tryRestart(now)) {
+        if (m_answered + m_givenUp == m_shards.size()) {
+            finish(now);
+        }
+        return;
+    }
+    if (allSettled || (m_coverageMet && now >= m_coverageTime + m_input.policy.maxExtraWait)) {
+        finish(now);
+    }
+}
+
+void search_run::wakeup(time_point now)
+{
+    if (m_finished) {
+        return;
+    }
+    if (!m_discovering && now < finishAt()) {
+        sendRetries(now);
+        sendHedges(now);
+    }
+    settle(now);
+}
+
+void search_run::cancel(time_point now)
+{
+    if (!m_finished) {
+        finish(now);
+    }
+}
+
+std::optional<time_point> search_run::nextWakeup() const
+{
+    if (m_finished) {
+        return std::nullopt;
+    }
+    auto next = finishAt();
+    if (m_discovering) {
+        return std::min(next, m_discoveryEnd);
+    }
+    if (m_coverageMet) {
+        next = std::min(next, time_point(m_coverageTime + m_input.policy.maxExtraWait));
+    }
+    if (m_hedgeCursor < m_attempts.size()) {
+        next = std::min(next, time_point(m_attempts[m_hedgeCursor].sent + m_hedgeDelay));
+    }
+    if (!m_hedgeWaiting.empty()) {
+        next = std::min(next, m_nextHedgeCheck);
+    }
+    for (const auto shard : m_retryWaiting) {
+        next = std::min(next, m_shards[shard].retryAt);
+    }
+    return next;
+}
+
+void search_run::takeActions(std::vector<search_action> &out)
+{
+    if (out.empty()) {
+        out.swap(m_actions);
+        return;
+    }
+    out.insert(out.end(), std::make_move_iterator(m_actions.begin()), std::make_move_iterator(m_actions.end()));
+    m_actions.clear();
+}
+
+void search_run::finish(time_point now)
+{
+    cancelAll(now);
+    m_finished = true;
+    m_result.snapshot = m_pin;
+    const auto &shards = layout().shards;
+    m_shards.resize(shards.size());
+    m_result.shardsTotal = static_cast<std::uint32_t>(shards.size());
+    m_result.shardsAnswered = m_answered;
+    m_result.early = m_answered + m_givenUp < m_result.shardsTotal;
+    m_result.overloaded = m_overloads > 0 && m_overloads >= overloadShare * m_result.shardsTotal;
+    m_result.missing.reserve(m_result.shardsTotal - m_answered);
+    for (std::size_t shard = 0; shard < shards.size(); ++shard) {
+        auto &state = m_shards[shard];
+        if (state.answered) {
+            continue;
+        }
+        mergeHits(std::move(state.partialHits));
+        missing_shard missing{shards[shard].shard, state.givenUp ? state.reason : missing_reason::late, state.code};
+        if (state.hasPartial) {
+            missing.reason = missing_reason::partial;
+        }
+        m_result.missing.push_back(std::move(missing));
+    }
+    std::sort_heap(m_best.begin(), m_best.end(), better);
+    m_result.hits = std::move(m_best);
+    m_actions.emplace_back(finish_search{std::move(m_result)});
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/search/src/search_topology.cpp
@@ -0,0 +1,69 @@
+#include <search/search_topology.h>
+
+#include <set>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+// Replicas already tried are kept as a 64-bit set for each shard of a query.
+constexpr std::size_t maxReplicas = 64;
+
+} // namespace
+
+expected<search_topology> search_topology::create(service_id service, std::vector<search_layout> layouts)
+{
+    const auto fail = [&service](std::string message) {
+        return makeError(error_code::invalidArgument, "build topology of service " + service.str(), std::move(message));
+    };
+    if (layouts.empty()) {
+        return fail("there is no layout");
+    }
+    search_topology topology;
+    std::set<std::uint32_t> layoutNumbers;
+    for (const auto &layout : layouts) {
+        const auto name = "layout " + std::to_string(layout.layout);
+        if (!layoutNumbers.insert(layout.layout).second) {
+            return fail(name + " is listed twice");
+        }
+        if (layout.shards.empty()) {
+            return fail(name + " has no shard");
+        }
+        std::set<shard_id> shards;
+        auto &numbers = topology.m_numbers.emplace_back();
+        for (const auto &shard : layout.shards) {
+            if (!shards.insert(shard.shard).second) {
+                return fail("shard " + shard.shard.str() + " is listed twice in " + name);
+            }
+            if (shard.replicas.size() > maxReplicas) {
+                return fail("shard " + shard.shard.str() + " of " + name + " has more than 64 replicas");
+            }
+            auto &shardNumbers = numbers.emplace_back();
+            for (const auto &replica : shard.replicas) {
+                const auto [found, added] =
+                    topology.m_index.try_emplace(replica.backend, static_cast<std::uint32_t>(topology.m_backends.size()));
+                if (added) {
+                    topology.m_backends.push_back(replica.backend);
+                    topology.m_excluded.push_back(false);
+                }
+                if (replica.excluded) {
+                    topology.m_excluded[found->second] = true;
+                }
+                shardNumbers.push_back(found->second);
+            }
+        }
+    }
+    topology.m_service = std::move(service);
+    topology.m_layouts = std::move(layouts);
+    return topology;
+}
+
+std::size_t search_topology::find(const backend_id &backend) const
+{
+    const auto found = m_index.find(backend);
+    return found == m_index.end() ? m_backends.size() : found->second;
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/search/tests/test_admission.cpp
@@ -0,0 +1,133 @@
+#include <search/admission.h>
+#include <search/latency_histogram.h>
+
+#include <gtest/gtest.h>
+
+using namespace orioledrum;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const time_point begin{std::chrono::hours(1)};
+
+} // namespace
+
+// Guards against a customer at ten times its share that takes the place of another customer.
+TEST(Admission, AFloodDoesNotDisplaceAnotherCustomer)
+{
+    admission gate({60, 60, 60});
+    const customer_id flood("flood");
+    const customer_id calm("calm");
+    ASSERT_TRUE(gate.admit(calm, {}, begin).has_value());
+    gate.finished(calm, false, begin);
+    int admitted = 0;
+    for (int index = 0; index < 300; ++index) {
+        admitted += gate.admit(flood, {}, begin).has_value() ? 1 : 0;
+    }
+    EXPECT_GE(admitted, 30);
+    EXPECT_LE(admitted, 54) << "a customer of priority 1 leaves a tenth of the limit to others";
+    for (int index = 0; index < 30; ++index) {
+        EXPECT_TRUE(gate.admit(calm, {}, begin).has_value()) << index;
+    }
+    const auto refused = gate.admit(flood, {}, begin);
+    ASSERT_FALSE(refused.has_value());
+    EXPECT_EQ(refused.error().code, error_code::overloaded);
+}
+
+// Guards against shares that ignore the weights.
+TEST(Admission, SharesFollowWeights)
+{
+    admission gate({40, 40, 40});
+    const customer_id heavy("heavy");
+    const customer_id light("light");
+    ASSERT_TRUE(gate.admit(heavy, {3, 1}, begin).has_value());
+    int heavyCount = 1;
+    int lightCount = 0;
+    for (int index = 0; index < 100; ++index) {
+        heavyCount += gate.admit(heavy, {3, 1}, begin).has_value() ? 1 : 0;
+        lightCount += gate.admit(light, {1, 1}, begin).has_value() ? 1 : 0;
+    }
+    EXPECT_NEAR(heavyCount, 30, 1);
+    EXPECT_GE(lightCount, 9);
+    EXPECT_LE(lightCount, 20);
+}
+
+// Guards against a low priority that fills the whole limit when nobody else is there.
+TEST(Admission, LowPriorityLeavesRoom)
+{
+    admission gate({40, 40, 40});
+    const customer_id other("other");
+    ASSERT_TRUE(gate.admit(other, {1, 1}, begin).has_value());
+    int admitted = 0;
+    for (int index = 0; index < 100; ++index) {
+        admitted += gate.admit(customer_id("batch"), {1, 2}, begin).has_value() ? 1 : 0;
+    }
+    EXPECT_EQ(admitted, 29);
+}
+
+// Guards against a limit that does not fall under overload, falls too far, or does not recover within seconds.
+TEST(Admission, LimitFollowsOverload)
+{
+    admission gate({100, 4, 200});
+    const customer_id customer("c");
+    auto now = begin;
+    for (int index = 0; index < 1000; ++index) {
+        now += 10ms;
+        if (gate.admit(customer, {}, now)) {
+            gate.finished(customer, true, now);
+        }
+    }
+    EXPECT_DOUBLE_EQ(gate.limit(), 4.0);
+    // Three seconds of full use with queries of 20 ms.
+    for (int step = 0; step < 150; ++step) {
+        now += 20ms;
+        int running = 0;
+        while (gate.admit(customer, {}, now)) {
+            ++running;
+        }
+        for (; running > 0; --running) {
+            gate.finished(customer, false, now);
+        }
+    }
+    EXPECT_GE(gate.limit(), 50.0);
+    EXPECT_EQ(gate.inProgress(), 0U);
+}
+
+// Guards against a weight that would make shares meaningless.
+TEST(Admission, RejectsAWeightOfZero)
+{
+    admission gate({});
+    const auto refused = gate.admit(customer_id("c"), {0, 1}, begin);
+    ASSERT_FALSE(refused.has_value());
+    EXPECT_EQ(refused.error().code, error_code::invalidArgument);
+    EXPECT_EQ(gate.inProgress(), 0U);
+}
+
+// Guards against wrong bucket bounds, which would shift every hedge.
+TEST(LatencyHistogram, QuantilesAreWithinTheBucketError)
+{
+    latency_histogram histogram(1000000);
+    for (int micros = 1; micros <= 100000; ++micros) {
+        histogram.record(std::chrono::microseconds(micros));
+    }
+    for (const double quantile : {0.01, 0.5, 0.95, 0.99}) {
+        const auto exact = quantile * 100000;
+        const auto estimate = static_cast<double>(histogram.quantile(quantile).count());
+        EXPECT_GE(estimate, exact * 0.999);
+        EXPECT_LE(estimate, exact * 1.126);
+    }
+}
+
+// Guards against old samples that keep their weight after the latency has changed.
+TEST(LatencyHistogram, OldSamplesFade)
+{
+    latency_histogram histogram(1024);
+    for (int index = 0; index < 1000; ++index) {
+        histogram.record(100ms);
+    }
+    for (int index = 0; index < 5000; ++index) {
+        histogram.record(1ms);
+    }
+    EXPECT_LE(histogram.quantile(0.95), 2ms);
+}
--- /dev/null
+++ b/libs/search/tests/test_search_run.cpp
@@ -0,0 +1,514 @@
+#include "fakes/fake_fanout.h"
+
+#include <search/search_run.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+using namespace orioledrum;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const time_point begin{std::chrono::hours(1)};
+
+search_layout makeLayout(std::uint32_t number, std::size_t shards, std::size_t replicas, const std::string &prefix)
+{
+    search_layout layout{number, {}};
+    for (std::size_t shard = 0; shard < shards; ++shard) {
+        const auto name = prefix + std::to_string(shard);
+        search_shard definition{shard_id(name), {}};
+        for (std::size_t replica = 0; replica < replicas; ++replica) {
+            const auto zone = "z" + std::to_string(replica);
+            definition.replicas.push_back({backend_id(name + "-" + std::to_string(replica)),
+                                           zone_id(zone),
+                                           group_id("s/" + zone + "/" + std::to_string(shard / 8)),
+                                           false});
+        }
+        layout.shards.push_back(std::move(definition));
+    }
+    return layout;
+}
+
+std::shared_ptr<const search_topology> makeTopology(std::vector<search_layout> layouts)
+{
+    auto topology = search_topology::create(service_id("parts"), std::move(layouts));
+    EXPECT_TRUE(topology.has_value());
+    return std::make_shared<const search_topology>(std::move(*topology));
+}
+
+void holdAll(fake_fanout &fanout, service_stats *stats, const search_layout &layout, const std::vector<snapshot_ref> &held)
+{
+    backend_report report;
+    report.state = backend_state::warm;
+    report.slots = 2;
+    report.held = held;
+    for (const auto &shard : layout.shards) {
+        for (const auto &replica : shard.replicas) {
+            fanout.hold(replica.backend, held);
+            if (stats != nullptr) {
+                stats->observe(replica.backend, report, begin);
+            }
+        }
+    }
+}
+
+search_input makeInput(std::chrono::milliseconds time, double minCoverage = 1.0)
+{
+    search_input input;
+    input.request = request_id("r1");
+    input.policy.minCoverage = minCoverage;
+    input.deadline = begin + time;
+    return input;
+}
+
+// Answers an attempt in full.
+shard_answer fullAnswer(const send_attempt &attempt)
+{
+    shard_answer answer;
+    answer.attempt = attempt.attempt;
+    answer.backend = attempt.replica->backend;
+    answer.shard = *attempt.shard;
+    answer.snapshot = attempt.snapshot;
+    answer.status = shard_status::answered;
+    answer.hits = fake_fanout::hitsOf(attempt.snapshot, *attempt.shard);
+    return answer;
+}
+
+std::vector<send_attempt> takeSends(search_run &run)
+{
+    std::vector<search_action> actions;
+    run.takeActions(actions);
+    std::vector<send_attempt> sends;
+    for (const auto &action : actions) {
+        if (const auto *send = std::get_if<send_attempt>(&action)) {
+            sends.push_back(*send);
+        }
+    }
+    return sends;
+}
+
+std::optional<search_result> takeResult(search_run &run)
+{
+    std::vector<search_action> actions;
+    run.takeActions(actions);
+    for (auto &action : actions) {
+        if (auto *finish = std::get_if<finish_search>(&action)) {
+            return finish->result;
+        }
+    }
+    return std::nullopt;
+}
+
+// The rules that every result must keep, checked against what the fakes delivered.
+void checkTruth(const fake_fanout::outcome &seen, const search_input &input, const search_topology &topology)
+{
+    const auto &result = seen.result;
+    RC_ASSERT(seen.finishes == 1U);
+    RC_ASSERT(seen.finishedAt <= std::max(begin, input.deadline - search_run::answerMargin));
+    const auto layout = std::find_if(topology.layouts().begin(), topology.layouts().end(), [&result](const auto &entry) {
+        return entry.layout == result.snapshot.layout;
+    });
+    RC_ASSERT(layout != topology.layouts().end());
+    RC_ASSERT(result.shardsTotal == layout->shards.size());
+    RC_ASSERT(result.shardsAnswered + result.missing.size() == result.shardsTotal);
+    RC_ASSERT(result.shardsAnswered == seen.fullShards.size());
+    std::vector<hit> expectedHits;
+    std::set<shard_id> missing;
+    for (const auto &entry : result.missing) {
+        RC_ASSERT(missing.insert(entry.shard).second);
+        RC_ASSERT(!seen.fullShards.contains(entry.shard));
+        const auto partial = seen.partialHits.find(entry.shard);
+        RC_ASSERT((entry.reason == missing_reason::partial) == (partial != seen.partialHits.end()));
+        if (partial != seen.partialHits.end()) {
+            expectedHits.insert(expectedHits.end(), partial->second.begin(), partial->second.end());
+        }
+    }
+    for (const auto &shard : seen.fullShards) {
+        const auto hits = fake_fanout::hitsOf(result.snapshot, shard);
+        expectedHits.insert(expectedHits.end(), hits.begin(), hits.end());
+    }
+    std::sort(expectedHits.begin(), expectedHits.end(), [](const hit &left, const hit &right) {
+        return left.score != right.score ? left.score > right.score : left.id < right.id;
+    });
+    expectedHits.resize(std::min<std::size_t>(expectedHits.size(), input.limit));
+    RC_ASSERT(result.hits.size() == expectedHits.size());
+    for (std::size_t index = 0; index < expectedHits.size(); ++index) {
+        RC_ASSERT(result.hits[index].id == expectedHits[index].id);
+    }
+    // Between a restart and its end there are at most two full rounds, plus hedges and retries within their bounds.
+    RC_ASSERT(result.retries <= 2 * std::max<std::size_t>(1, result.shardsTotal / 10));
+}
+
+} // namespace
+
+// Guards against a wrong coverage or a mixed result when answers are partial, late, duplicated, crossed, refused, failed
+// or missing, and against an answer after the deadline.
+RC_GTEST_PROP(SearchRunProperty, CoverageIsTrueAndInTime, (std::uint32_t seed))
+{
+    random_source random(seed);
+    const auto shards = 1 + random.below(40);
+    const auto topology = makeTopology({makeLayout(1, shards, 1 + random.below(3), "a")});
+    fanout_behaviour behaviour;
+    behaviour.slow = random.unit() * 0.3;
+    behaviour.never = random.unit() * 0.2;
+    behaviour.refused = random.unit() * 0.3;
+    behaviour.failed = random.unit() * 0.2;
+    behaviour.partial = random.unit() * 0.3;
+    behaviour.duplicated = random.unit();
+    behaviour.crossed = random.unit();
+    fake_fanout fanout(random.next(), behaviour);
+    service_stats stats(topology, zone_id("z0"), begin);
+    holdAll(fanout, random.below(4) == 0 ? nullptr : &stats, topology->layouts()[0], {{7, 1}, {8, 1}});
+    auto input = makeInput(std::chrono::milliseconds(1 + random.below(300)), random.unit());
+    input.limit = static_cast<std::uint32_t>(random.below(20));
+    for (int round = 0; round < 3; ++round) {
+        search_run run(input, stats, random);
+        const auto seen = fanout.run(run, input.request, begin);
+        checkTruth(seen, input, *topology);
+    }
+    for (const auto &backend : topology->backends()) {
+        RC_ASSERT(stats.record(backend)->outstanding == 0U);
+    }
+}
+
+// Guards against hits of two snapshots or layouts in one answer when the backend servers move to a new layout while the
+// query runs, and against more than one restart.
+RC_GTEST_PROP(SearchRunProperty, LayoutSplitGivesOneSnapshot, (std::uint32_t seed))
+{
+    random_source random(seed);
+    const auto shards = 1 + random.below(20);
+    auto oldLayout = makeLayout(1, shards, 2, "a");
+    auto newLayout = makeLayout(2, 2 * shards, 2, "a");
+    const auto topology = makeTopology({oldLayout, newLayout});
+    fanout_behaviour behaviour;
+    behaviour.crossed = 0.2;
+    behaviour.duplicated = 0.2;
+    fake_fanout fanout(random.next(), behaviour);
+    service_stats stats(topology, zone_id("z0"), begin);
+    holdAll(fanout, &stats, oldLayout, {{7, 1}});
+    // Each backend server drops the old layout and holds the new one at its own moment around the start.
+    for (const auto &shard : newLayout.shards) {
+        for (const auto &replica : shard.replicas) {
+            fanout.hold(replica.backend, {{8, 2}}, begin + std::chrono::microseconds(random.below(6000)));
+        }
+    }
+    const auto input = makeInput(200ms, 0.5 + random.unit() / 2);
+    for (int round = 0; round < 3; ++round) {
+        search_run run(input, stats, random);
+        const auto seen = fanout.run(run, input.request, begin + round * 10ms);
+        checkTruth(seen, input, *topology);
+    }
+}
+
+// Guards against a query that starts on a host without any knowledge of snapshots and never pins one.
+TEST(SearchRun, DiscoversSnapshotsOnAFreshHost)
+{
+    const auto topology = makeTopology({makeLayout(1, 5, 2, "a")});
+    fanout_behaviour behaviour;
+    behaviour.slow = 0;
+    behaviour.never = 0;
+    fake_fanout fanout(1, behaviour);
+    holdAll(fanout, nullptr, topology->layouts()[0], {{7, 1}, {8, 1}});
+    // The first replica asked for this shard is silent, so its other replica must be asked.
+    fanout.silence(backend_id("a3-0"));
+    service_stats stats(topology, zone_id("z0"), begin);
+    random_source random(1);
+    const auto input = makeInput(500ms);
+    search_run run(input, stats, random);
+    const auto seen = fanout.run(run, input.request, begin);
+    EXPECT_EQ(seen.result.snapshot, (snapshot_ref{8, 1}));
+    EXPECT_EQ(seen.result.shardsAnswered, 5U);
+    EXPECT_FALSE(seen.result.restarted);
+}
+
+// Guards against an empty answer without a reason when no backend server holds anything.
+TEST(SearchRun, NothingHeldIsReportedAsMissing)
+{
+    const auto topology = makeTopology({makeLayout(1, 3, 2, "a")});
+    fanout_behaviour behaviour;
+    behaviour.never = 0;
+    fake_fanout fanout(1, behaviour);
+    service_stats stats(topology, zone_id("z0"), begin);
+    random_source random(1);
+    const auto input = makeInput(500ms);
+    search_run run(input, stats, random);
+    const auto seen = fanout.run(run, input.request, begin);
+    EXPECT_EQ(seen.result.shardsAnswered, 0U);
+    ASSERT_EQ(seen.result.missing.size(), 3U);
+    EXPECT_EQ(seen.result.missing[0].reason, missing_reason::snapshotNotHeld);
+}
+
+// Guards against pinning a snapshot that too few shards hold, and against staying on an old one.
+TEST(SearchRun, PinsTheNewestSnapshotHeldByEnoughShards)
+{
+    const auto topology = makeTopology({makeLayout(1, 4, 1, "a")});
+    service_stats stats(topology, zone_id("z0"), begin);
+    backend_report report;
+    report.state = backend_state::warm;
+    report.held = {{7, 1}};
+    for (const auto &backend : topology->backends()) {
+        stats.observe(backend, report, begin);
+    }
+    report.held = {{7, 1}, {8, 1}};
+    stats.observe(backend_id("a0-0"), report, begin);
+    stats.observe(backend_id("a1-0"), report, begin);
+    stats.observe(backend_id("a2-0"), report, begin);
+    EXPECT_EQ(stats.choosePin(1.0, {}, begin), (snapshot_ref{7, 1}));
+    EXPECT_EQ(stats.choosePin(0.75, {}, begin), (snapshot_ref{8, 1}));
+    EXPECT_EQ(stats.choosePin(1.0, snapshot_ref{7, 1}, begin), (snapshot_ref{8, 1}));
+    stats.observe(backend_id("a3-0"), report, begin);
+    EXPECT_EQ(stats.choosePin(1.0, {}, begin), (snapshot_ref{8, 1}));
+    EXPECT_EQ(stats.choosePin(1.0, snapshot_ref{8, 1}, begin), std::nullopt);
+}
+
+// Guards against new work for an availability zone that was taken out or a leaving backend server, also by a query that
+// was already running, and against new work for a draining backend server.
+TEST(SearchRun, ExcludedAndDrainingReplicasGetNothing)
+{
+    auto layout = makeLayout(1, 20, 2, "a");
+    const auto topology = makeTopology({layout});
+    fanout_behaviour behaviour;
+    behaviour.never = 0;
+    behaviour.slow = 0;
+    fake_fanout fanout(1, behaviour);
+    service_stats stats(topology, zone_id("z0"), begin);
+    holdAll(fanout, &stats, layout, {{7, 1}});
+    random_source random(1);
+    const auto input = makeInput(500ms);
+    search_run running(input, stats, random);
+    running.start(begin);
+    const auto first = takeSends(running);
+    ASSERT_EQ(first.size(), 20U);
+    EXPECT_TRUE(std::all_of(first.begin(), first.end(), [](const auto &send) { return send.replica->zone == zone_id("z0"); }));
+
+    for (auto &shard : layout.shards) {
+        shard.replicas[1].excluded = true;
+    }
+    stats.setTopology(makeTopology({layout}), begin);
+    running.attemptFailed(first[0].attempt, error_code::unreachable, begin + 1ms);
+    running.wakeup(begin + 40ms);
+    for (const auto &send : takeSends(running)) {
+        EXPECT_EQ(send.replica->zone, zone_id("z0")) << "a running query used a replica that was excluded meanwhile";
+    }
+
+    backend_report draining;
+    draining.state = backend_state::draining;
+    draining.held = {{7, 1}};
+    stats.observe(backend_id("a5-0"), draining, begin + 40ms);
+    search_run run(makeInput(500ms), stats, random);
+    run.start(begin + 41ms);
+    const auto sends = takeSends(run);
+    EXPECT_EQ(sends.size(), 19U);
+    for (const auto &send : sends) {
+        EXPECT_NE(send.replica->backend, backend_id("a5-0"));
+        run.answered(request_id("r1"), fullAnswer(send), begin + 42ms);
+    }
+    const auto result = takeResult(run);
+    ASSERT_TRUE(result.has_value());
+    ASSERT_EQ(result->missing.size(), 1U);
+    EXPECT_EQ(result->missing[0].reason, missing_reason::noReplica);
+}
+
+// Guards against hedges beyond the budget and against slow attempts that are not hedged.
+TEST(SearchRun, HedgesSlowAttemptsWithinTheBudget)
+{
+    const auto layout = makeLayout(1, 460, 2, "a");
+    const auto topology = makeTopology({layout});
+    fake_fanout fanout(5, {});
+    service_stats stats(topology, zone_id("z0"), begin);
+    holdAll(fanout, &stats, layout, {{7, 1}});
+    random_source random(3);
+    auto input = makeInput(1000ms, 0.995);
+    std::vector<std::chrono::microseconds> times;
+    double coverage = 0;
+    constexpr int rounds = 300;
+    for (int round = 0; round < rounds; ++round) {
+        const auto now = begin + round * 5ms;
+        input.deadline = now + 1000ms;
+        search_run run(input, stats, random);
+        const auto seen = fanout.run(run, input.request, now);
+        times.push_back(std::chrono::duration_cast<std::chrono::microseconds>(seen.finishedAt - now));
+        coverage += seen.result.coverage() / rounds;
+    }
+    std::sort(times.begin(), times.end());
+    const auto &counts = stats.counts();
+    const double extra = static_cast<double>(counts.hedges + counts.retries) / static_cast<double>(counts.firstAttempts);
+    RecordProperty("p99_us", static_cast<int>(times[rounds * 99 / 100].count()));
+    RecordProperty("extra_load_ppm", static_cast<int>(extra * 1e6));
+    RecordProperty("coverage_ppm", static_cast<int>(coverage * 1e6));
+    EXPECT_LE(extra, 0.05);
+    EXPECT_GE(coverage, 0.999);
+    EXPECT_LE(times[rounds * 99 / 100], 79ms);
+}
+
+// Guards against ejecting the last replica or more than half, and against asking an ejected one in ordinary traffic.
+TEST(SearchRun, EjectsSilentReplicasButNotTheLast)
+{
+    const auto layout = makeLayout(1, 2, 2, "a");
+    const auto topology = makeTopology({layout});
+    fanout_behaviour behaviour;
+    behaviour.never = 0;
+    behaviour.slow = 0;
+    fake_fanout fanout(5, behaviour);
+    service_stats stats(topology, zone_id("z0"), begin);
+    holdAll(fanout, &stats, layout, {{7, 1}});
+    fanout.silence(backend_id("a0-0"));
+    random_source random(3);
+    auto input = makeInput(100ms);
+    std::size_t asked = 0;
+    std::size_t lateMissing = 0;
+    for (int round = 0; round < 400; ++round) {
+        const auto now = begin + round * 5ms;
+        input.deadline = now + 100ms;
+        search_run run(input, stats, random);
+        const auto seen = fanout.run(run, input.request, now);
+        for (const auto &send : seen.sent) {
+            asked += round >= 200 && send.replica->backend == backend_id("a0-0") ? 1 : 0;
+        }
+        lateMissing += round >= 200 ? seen.result.missing.size() : 0;
+    }
+    EXPECT_GT(stats.counts().ejections, 0U);
+    EXPECT_LE(asked, 10U) << "an ejected replica is asked only by probes";
+    EXPECT_EQ(lateMissing, 0U);
+
+    // With both silent, one of them must still be asked.
+    fanout.silence(backend_id("a0-1"));
+    for (int round = 400; round < 440; ++round) {
+        const auto now = begin + round * 5ms;
+        input.deadline = now + 100ms;
+        search_run run(input, stats, random);
+        const auto seen = fanout.run(run, input.request, now);
+        const auto toShard = std::count_if(seen.sent.begin(), seen.sent.end(), [](const auto &send) { return send.shard->str() == "a0"; });
+        EXPECT_GE(toShard, 1);
+    }
+}
+
+// Guards against a retry after `overloaded` from the last replica, which would add load where there is too much.
+TEST(SearchRun, NoRetryAfterOverloadedFromTheLastReplica)
+{
+    const auto layout = makeLayout(1, 1, 1, "a");
+    const auto topology = makeTopology({layout});
+    fake_fanout fanout(5, {});
+    service_stats stats(topology, zone_id("z0"), begin);
+    holdAll(fanout, &stats, layout, {{7, 1}});
+    random_source random(3);
+    search_run run(makeInput(100ms), stats, random);
+    run.start(begin);
+    const auto sends = takeSends(run);
+    ASSERT_EQ(sends.size(), 1U);
+    auto answer = fullAnswer(sends[0]);
+    answer.status = shard_status::refused;
+    answer.code = error_code::overloaded;
+    run.answered(request_id("r1"), std::move(answer), begin + 1ms);
+    const auto result = takeResult(run);
+    ASSERT_TRUE(result.has_value());
+    EXPECT_EQ(result->retries, 0U);
+    EXPECT_EQ(result->missing[0].reason, missing_reason::overloaded);
+    EXPECT_TRUE(result->overloaded);
+}
+
+// Guards against losing a shard for the moment in which its group has no owner.
+TEST(SearchRun, RepeatsAfterAnOwnerChange)
+{
+    const auto layout = makeLayout(1, 1, 1, "a");
+    const auto topology = makeTopology({layout});
+    fake_fanout fanout(5, {});
+    service_stats stats(topology, zone_id("z0"), begin);
+    holdAll(fanout, &stats, layout, {{7, 1}});
+    random_source random(3);
+    search_run run(makeInput(500ms), stats, random);
+    run.start(begin);
+    run.attemptFailed(takeSends(run).at(0).attempt, error_code::notOwner, begin + 1ms);
+    const auto wakeup = run.nextWakeup();
+    ASSERT_TRUE(wakeup.has_value());
+    EXPECT_LE(*wakeup, begin + 20ms);
+    run.wakeup(*wakeup);
+    const auto repeated = takeSends(run);
+    ASSERT_EQ(repeated.size(), 1U);
+    EXPECT_EQ(repeated[0].kind, attempt_kind::retry);
+    run.answered(request_id("r1"), fullAnswer(repeated[0]), begin + 30ms);
+    EXPECT_EQ(takeResult(run)->shardsAnswered, 1U);
+}
+
+// Guards against an early answer below the policy's coverage and against waiting longer than the policy allows.
+TEST(SearchRun, AnswersEarlyByPolicy)
+{
+    const auto layout = makeLayout(1, 10, 1, "a");
+    const auto topology = makeTopology({layout});
+    fake_fanout fanout(5, {});
+    service_stats stats(topology, zone_id("z0"), begin);
+    holdAll(fanout, &stats, layout, {{7, 1}});
+    random_source random(3);
+    auto input = makeInput(500ms, 0.8);
+    input.policy.maxExtraWait = 15ms;
+    search_run run(input, stats, random);
+    run.start(begin);
+    const auto sends = takeSends(run);
+    for (std::size_t index = 0; index < 7; ++index) {
+        run.answered(request_id("r1"), fullAnswer(sends[index]), begin + 3ms);
+    }
+    run.wakeup(begin + 100ms);
+    EXPECT_FALSE(run.finished());
+    run.answered(request_id("r1"), fullAnswer(sends[7]), begin + 110ms);
+    EXPECT_FALSE(run.finished());
+    run.wakeup(begin + 124ms);
+    EXPECT_FALSE(run.finished());
+    run.wakeup(begin + 125ms);
+    ASSERT_TRUE(run.finished());
+    const auto result = takeResult(run);
+    EXPECT_TRUE(result->early);
+    EXPECT_EQ(result->shardsAnswered, 8U);
+    EXPECT_EQ(result->missing.at(0).reason, missing_reason::late);
+}
+
+// Guards against a restart that is not taken although a newer snapshot would meet the policy, and against a second one.
+TEST(SearchRun, RestartsOnceAtANewerSnapshot)
+{
+    const auto layout = makeLayout(1, 3, 1, "a");
+    const auto topology = makeTopology({layout});
+    fake_fanout fanout(5, {});
+    service_stats stats(topology, zone_id("z0"), begin);
+    holdAll(fanout, &stats, layout, {{7, 1}});
+    random_source random(3);
+    search_run run(makeInput(500ms), stats, random);
+    run.start(begin);
+    const auto refuse = [&run](const std::vector<send_attempt> &sends, std::uint64_t held, time_point now) {
+        for (const auto &send : sends) {
+            auto answer = fullAnswer(send);
+            answer.status = shard_status::refused;
+            answer.code = error_code::snapshotNotHeld;
+            answer.hasReport = true;
+            answer.report.held = {{held, 1}};
+            run.answered(request_id("r1"), std::move(answer), now);
+        }
+    };
+    const auto old = takeSends(run);
+    refuse(old, 8, begin + 2ms);
+    EXPECT_EQ(run.pinned(), (snapshot_ref{8, 1}));
+    const auto restarted = takeSends(run);
+    ASSERT_EQ(restarted.size(), 3U);
+    // A late answer for the old snapshot must not count.
+    run.answered(request_id("r1"), fullAnswer(old[0]), begin + 3ms);
+    refuse(restarted, 9, begin + 4ms);
+    ASSERT_TRUE(run.finished());
+    const auto result = takeResult(run);
+    EXPECT_TRUE(result->restarted);
+    EXPECT_EQ(result->shardsAnswered, 0U);
+    EXPECT_TRUE(result->hits.empty());
+}
+
+// Guards against a topology that would make coverage ambiguous.
+TEST(SearchTopology, RejectsAmbiguousLayouts)
+{
+    EXPECT_FALSE(search_topology::create(service_id("s"), {}).has_value());
+    EXPECT_FALSE(search_topology::create(service_id("s"), {search_layout{1, {}}}).has_value());
+    const auto layout = makeLayout(1, 2, 1, "a");
+    EXPECT_FALSE(search_topology::create(service_id("s"), {layout, layout}).has_value());
+    auto twice = layout;
+    twice.shards.push_back(twice.shards[0]);
+    EXPECT_FALSE(search_topology::create(service_id("s"), {twice}).has_value());
+}
