Add stand-ins for the configuration service and the host list

Cause: the process tests and the demonstration need the platform's two read-only services. Conclusion: entry hosts can start against them.

--- /dev/null
+++ b/standins/hosts/host_list_file.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <tl/expected.hpp>
+
+#include <string>
+
+namespace orioledrum::standin
+{
+
+/// @param hosts Array of objects with id, kind (entryHost or backendServer), zone, address and state (live or leaving).
+/// @return Empty when valid, else a message that names the entry.
+std::string checkHosts(const nlohmann::json &hosts);
+
+/// Reads a file that holds an array of hosts, or an object with the member "hosts".
+/// @return The array, or a message.
+tl::expected<nlohmann::json, std::string> readHostFile(const std::string &file);
+
+} // namespace orioledrum::standin
--- /dev/null
+++ b/standins/http/src/http_parser_state.cpp
@@ -0,0 +1,142 @@
+#include "http_parser_state.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace orioledrum::standin
+{
+
+namespace
+{
+
+constexpr std::size_t maximumBodyBytes = 1024UL * 1024UL;
+
+int hexValue(char digit)
+{
+    if (digit >= '0' && digit <= '9') {
+        return digit - '0';
+    }
+    const char lower = static_cast<char>(std::tolower(static_cast<unsigned char>(digit)));
+    return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+std::string decode(std::string_view text)
+{
+    std::string result;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        if (text[index] == '%' && index + 2 < text.size() && hexValue(text[index + 1]) >= 0 && hexValue(text[index + 2]) >= 0) {
+            result.push_back(static_cast<char>(hexValue(text[index + 1]) * 16 + hexValue(text[index + 2])));
+            index += 2;
+        } else {
+            result.push_back(text[index] == '+' ? ' ' : text[index]);
+        }
+    }
+    return result;
+}
+
+void splitTarget(std::string_view target, http_request &request)
+{
+    const auto mark = target.find('?');
+    request.path = std::string(target.substr(0, mark));
+    std::string_view rest = mark == std::string_view::npos ? std::string_view{} : target.substr(mark + 1);
+    while (!rest.empty()) {
+        const auto end = rest.find('&');
+        const std::string_view pair = rest.substr(0, end);
+        const auto equals = pair.find('=');
+        if (equals != std::string_view::npos) {
+            request.query[decode(pair.substr(0, equals))] = decode(pair.substr(equals + 1));
+        }
+        rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
+    }
+}
+
+} // namespace
+
+http_parser_state::http_parser_state(http_connection &connection)
+    : m_connection(connection)
+{
+    http_parser_init(&m_parser, HTTP_REQUEST);
+    m_parser.data = this;
+}
+
+http_parser_state &http_parser_state::of(http_parser *parser)
+{
+    return *static_cast<http_parser_state *>(parser->data);
+}
+
+void http_parser_state::storeHeader()
+{
+    if (m_valueSeen) {
+        std::transform(m_headerName.begin(), m_headerName.end(), m_headerName.begin(), [](unsigned char letter) {
+            return static_cast<char>(std::tolower(letter));
+        });
+        m_request.headers.emplace_back(std::move(m_headerName), std::move(m_headerValue));
+    }
+    m_headerName.clear();
+    m_headerValue.clear();
+    m_valueSeen = false;
+}
+
+int http_parser_state::finish()
+{
+    m_request.method = http_method_str(static_cast<http_method>(m_parser.method));
+    splitTarget(m_target, m_request);
+    m_target.clear();
+    if (http_should_keep_alive(&m_parser) == 0) {
+        m_connection.m_closeAfterWrite = true;
+    }
+    m_connection.m_pending.push_back(std::move(m_request));
+    m_request = {};
+    return 0;
+}
+
+const http_parser_settings &http_parser_state::settings()
+{
+    static const http_parser_settings table = [] {
+        http_parser_settings result;
+        http_parser_settings_init(&result);
+        result.on_url = [](http_parser *parser, const char *data, std::size_t size) {
+            of(parser).m_target.append(data, size);
+            return 0;
+        };
+        result.on_header_field = [](http_parser *parser, const char *data, std::size_t size) {
+            if (of(parser).m_valueSeen) {
+                of(parser).storeHeader();
+            }
+            of(parser).m_headerName.append(data, size);
+            return 0;
+        };
+        result.on_header_value = [](http_parser *parser, const char *data, std::size_t size) {
+            of(parser).m_valueSeen = true;
+            of(parser).m_headerValue.append(data, size);
+            return 0;
+        };
+        result.on_headers_complete = [](http_parser *parser) {
+            of(parser).storeHeader();
+            return 0;
+        };
+        result.on_body = [](http_parser *parser, const char *data, std::size_t size) {
+            auto &state = of(parser);
+            if (state.m_request.body.size() + size > maximumBodyBytes) {
+                state.m_tooLarge = true;
+                return 1;
+            }
+            state.m_request.body.append(data, size);
+            return 0;
+        };
+        result.on_message_complete = [](http_parser *parser) { return of(parser).finish(); };
+        return result;
+    }();
+    return table;
+}
+
+int http_parser_state::feed(const char *data, std::size_t size)
+{
+    const std::size_t used = http_parser_execute(&m_parser, &settings(), data, size);
+    if (HTTP_PARSER_ERRNO(&m_parser) == HPE_OK && used == size) {
+        return 0;
+    }
+    return m_tooLarge ? 413 : 400;
+}
+
+} // namespace orioledrum::standin
