Add the stand-in for backend servers

Cause: the process tests and the demonstration need hundreds of backend servers with slots, cold starts, draining and faults. Change: one program plays many backend servers, each on its own loopback port, on a few Asio threads. Conclusion: entry hosts can be driven against it.

--- /dev/null
+++ b/standins/backend/main.cpp
@@ -0,0 +1,129 @@
+#include <standin/backend_fleet.h>
+#include <standin/process.h>
+
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+
+namespace
+{
+
+using namespace orioledrum::standin;
+using json = nlohmann::json;
+namespace options = boost::program_options;
+
+// Bounds how much of the recording is lost when the process is killed.
+constexpr std::chrono::milliseconds flushInterval{200};
+
+tl::expected<json, std::string> readSettings(const options::variables_map &values)
+{
+    json settings = {{"backendServers", json::array()}};
+    if (values.count("file") != 0) {
+        const auto name = values["file"].as<std::string>();
+        std::ifstream input(name);
+        if (!input) {
+            return tl::unexpected("Cannot read file " + name + ".");
+        }
+        settings = json::parse(input, nullptr, true, true);
+        if (settings.is_array()) {
+            settings = json{{"backendServers", settings}};
+        }
+    }
+    if (values.count("backend") != 0) {
+        for (const auto &text : values["backend"].as<std::vector<std::string>>()) {
+            settings["backendServers"].push_back(json::parse(text));
+        }
+    }
+    if (values.count("seed") != 0) {
+        settings["seed"] = values["seed"].as<std::uint64_t>();
+    }
+    return settings;
+}
+
+void flushRegularly(asio::steady_timer &timer, recorder &events)
+{
+    timer.expires_after(flushInterval);
+    timer.async_wait([&](std::error_code error) {
+        if (!error) {
+            events.flush();
+            flushRegularly(timer, events);
+        }
+    });
+}
+
+int run(const options::variables_map &values)
+{
+    raiseOpenFileLimit();
+    const auto text = readSettings(values);
+    if (!text) {
+        std::cerr << text.error() << '\n';
+        return 1;
+    }
+    const auto settings = parseFleet(*text);
+    if (!settings) {
+        std::cerr << settings.error() << '\n';
+        return 1;
+    }
+    recorder events;
+    if (values.count("record") != 0 && !events.open(values["record"].as<std::string>())) {
+        std::cerr << "Cannot write file " << values["record"].as<std::string>() << ".\n";
+        return 1;
+    }
+    const auto threads = values["threads"].as<std::uint32_t>();
+    if (threads == 0) {
+        std::cerr << "threads must be at least 1.\n";
+        return 2;
+    }
+    asio::io_context context(1);
+    asio::signal_set signals(context, SIGINT, SIGTERM);
+    signals.async_wait([&context](std::error_code /*error*/, int /*signal*/) { context.stop(); });
+    backend_fleet fleet(*settings, threads, events);
+    const auto ports = fleet.start(values["control-port"].as<std::uint16_t>());
+    if (!ports) {
+        std::cerr << ports.error() << '\n';
+        return 1;
+    }
+    std::cout << *ports << std::endl;
+    asio::steady_timer flushTimer(context);
+    flushRegularly(flushTimer, events);
+    context.run();
+    fleet.stop();
+    events.flush();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    options::options_description description("standin-backend: plays many backend servers, each on its own loopback port");
+    // clang-format off
+    description.add_options()
+        ("help", "show this text")
+        ("file", options::value<std::string>(), "JSON file: {\"seed\",\"defaults\":{},\"backendServers\":[{\"id\",\"service\",\"shard\",\"zone\",\"port\",...}]}")
+        ("backend", options::value<std::vector<std::string>>(), "one more backend server as JSON text; repeatable")
+        ("seed", options::value<std::uint64_t>(), "seed of the service times; replaces the one of the file")
+        ("control-port", options::value<std::uint16_t>()->default_value(0), "port of the control requests; 0 lets the system choose")
+        ("record", options::value<std::string>(), "file for one JSON line for each search and order")
+        ("threads", options::value<std::uint32_t>()->default_value(2), "threads that serve the backend servers");
+    // clang-format on
+    try {
+        options::variables_map values;
+        options::store(options::parse_command_line(argc, argv, description), values);
+        if (values.count("help") != 0) {
+            std::cout << description << '\n';
+            return 0;
+        }
+        options::notify(values);
+        return run(values);
+    } catch (const options::error &error) {
+        std::cerr << error.what() << '\n';
+        return 2;
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return 1;
+    }
+}
