--- a/standins/backend/src/backend_fleet.cpp
+++ b/standins/backend/src/backend_fleet.cpp
@@ -118,15 +118,23 @@
 
 http_response backend_fleet::orders()
 {
-    json result = json::object();
+    struct order_count {
+        std::uint64_t runs = 0;
+        std::map<std::string, std::uint64_t> byBackend;
+    };
+    std::map<std::string, order_count> counts;
     for (const auto &backend : m_backends) {
         onThreadOf(*backend, [&] {
             for (const auto &[ticket, runs] : backend->orderRuns()) {
-                result[ticket]["runs"] = result[ticket].value("runs", std::uint64_t{0}) + runs;
-                result[ticket]["backendServers"][backend->id()] = runs;
+                counts[ticket].runs += runs;
+                counts[ticket].byBackend[backend->id()] = runs;
             }
         });
     }
+    json result = json::object();
+    for (const auto &[ticket, count] : counts) {
+        result[ticket] = {{"runs", count.runs}, {"backendServers", count.byBackend}};
+    }
     return {200, {}, json{{"orders", std::move(result)}}.dump(-1, ' ', false, json::error_handler_t::replace)};
 }
 
--- a/standins/backend/src/backend_server.cpp
+++ b/standins/backend/src/backend_server.cpp
@@ -35,6 +35,12 @@
     return text;
 }
 
+/// Identifiers taken from headers may hold bytes that are not UTF-8; these are replaced.
+std::string toText(const json &value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 std::int64_t toMicroseconds(time_point when)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(when.time_since_epoch()).count();
@@ -367,14 +373,13 @@
             hits.push_back({{"id", std::move(hit.id)}, {"score", hit.score}, {"text", std::move(hit.text)}});
         }
         response.headers.emplace_back("X-Request-Id", entry->requestId);
-        response.body = json{{"requestId", entry->requestId},
-                             {"service", entry->serviceName},
-                             {"shard", entry->shard},
-                             {"snapshot", entry->snapshot},
-                             {"layout", entry->layout},
-                             {"partial", partial},
-                             {"hits", std::move(hits)}}
-                            .dump();
+        response.body = toText({{"requestId", entry->requestId},
+                                {"service", entry->serviceName},
+                                {"shard", entry->shard},
+                                {"snapshot", entry->snapshot},
+                                {"layout", entry->layout},
+                                {"partial", partial},
+                                {"hits", std::move(hits)}});
     }
     if (!entry->attemptId.empty()) {
         response.headers.emplace_back("X-Attempt-Id", entry->attemptId);
@@ -507,7 +512,7 @@
     if (!entry.attemptId.empty()) {
         line["attempt"] = entry.attemptId;
     }
-    m_recorder.append(line.dump(-1, ' ', false, json::error_handler_t::replace));
+    m_recorder.append(toText(line));
 }
 
 void backend_server::dropCalls(std::string_view outcome)
