--- /dev/null
+++ b/libs/entryhost/src/admin_api.cpp
@@ -0,0 +1,208 @@
+#include "admin_api.h"
+
+#include "backend_pool.h"
+#include "control_plane.h"
+#include "host_shared.h"
+#include "worker.h"
+
+#include <config/configuration.h>
+#include <transport/http_exchange.h>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <mutex>
+#include <optional>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t mostEvents = 10000;
+
+http_response text(int status, std::string body)
+{
+    http_response response;
+    response.status = status;
+    response.contentType = "text/plain; charset=utf-8";
+    response.body = std::move(body);
+    return response;
+}
+
+http_response jsonResponse(std::string body)
+{
+    http_response response;
+    response.body = std::move(body);
+    return response;
+}
+
+/// Compares without ending early, so that the time does not tell how much of a token was right.
+bool sameToken(std::string_view left, std::string_view right)
+{
+    unsigned difference = left.size() == right.size() ? 0 : 1;
+    for (std::size_t index = 0; index < left.size(); ++index) {
+        difference |= static_cast<unsigned char>(left[index]) ^ static_cast<unsigned char>(right.empty() ? 0 : right[index % right.size()]);
+    }
+    return difference == 0;
+}
+
+/// @return The value of a query parameter, or nothing when it is missing; an unreadable number is an error.
+expected<std::optional<std::uint64_t>> numberParameter(const std::string &query, std::string_view name)
+{
+    std::string_view rest = query;
+    while (!rest.empty()) {
+        const auto end = rest.find('&');
+        const auto item = rest.substr(0, end);
+        rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+        if (!item.starts_with(name) || item.size() <= name.size() || item[name.size()] != '=') {
+            continue;
+        }
+        const auto value = item.substr(name.size() + 1);
+        std::uint64_t number = 0;
+        const auto parsed = std::from_chars(value.data(), value.data() + value.size(), number);
+        if (parsed.ec != std::errc() || parsed.ptr != value.data() + value.size()) {
+            return makeError(error_code::invalidArgument,
+                             "read query parameter",
+                             "'" + std::string(name) + "' is '" + std::string(value) + "'; expected a number");
+        }
+        return std::optional(number);
+    }
+    return std::optional<std::uint64_t>();
+}
+
+json configJson(const configuration &config)
+{
+    json services = json::object();
+    for (const auto &service : config.services()) {
+        json layouts = json::array();
+        for (const auto &layout : service.layouts) {
+            layouts.push_back({{"layout", layout.id}, {"shards", layout.shards.size()}});
+        }
+        services[service.id.str()] = {{"kind", toString(service.kind)},
+                                      {"minCoverage", service.policy.minimumCoverage},
+                                      {"deadlineMs", service.policy.defaultDeadline.count()},
+                                      {"backendServers", service.backendIndexes.size()},
+                                      {"layouts", std::move(layouts)}};
+    }
+    json backends = json::object();
+    for (const auto &backend : config.backendServers()) {
+        backends[backend.id.str()] = {{"zone", backend.zone.str()},
+                                      {"address", backend.address},
+                                      {"slots", backend.slots},
+                                      {"coldSlots", backend.coldSlots},
+                                      {"connections", backend.connections}};
+    }
+    return {{"revision", config.revision()}, {"services", std::move(services)}, {"backendServers", std::move(backends)}};
+}
+
+} // namespace
+
+admin_api::admin_api(host_shared &shared, control_plane &control)
+    : m_shared(shared)
+    , m_control(control)
+{
+}
+
+bool admin_api::authorized(const http_request &request) const
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const auto header = headerValue(request.headers, "Authorization");
+    return header.starts_with(scheme) && sameToken(header.substr(scheme.size()), m_shared.options.adminToken);
+}
+
+void admin_api::handle(http_request request, std::shared_ptr<http_exchange> exchange)
+{
+    if (request.method != "GET") {
+        exchange->respond(errorResponse(405, {error_code::invalidArgument, "only GET is allowed", "route request", {}}));
+    } else if (request.path == "/livez") {
+        exchange->respond(text(200, "ok\n"));
+    } else if (request.path == "/readyz") {
+        const bool ready = m_shared.ready.load();
+        exchange->respond(text(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
+    } else if (request.path == "/metrics") {
+        exchange->respond(text(200, m_shared.metrics.text()));
+    } else if (!authorized(request)) {
+        exchange->respond(errorResponse(401, {error_code::unauthorized, "the bearer token is missing or wrong", "authorize", {}}));
+    } else if (request.path == "/admin/v1/status") {
+        status(exchange);
+    } else if (request.path == "/admin/v1/timeline") {
+        timeline(request, exchange);
+    } else if (request.path == "/admin/v1/backends") {
+        backends(exchange);
+    } else if (request.path == "/admin/v1/config") {
+        const auto routing = m_shared.routing.read();
+        if (!routing->config) {
+            exchange->respond(errorResponse(503, {error_code::notReady, "there is no configuration yet", "read configuration", {}}));
+            return;
+        }
+        exchange->respond(jsonResponse(configJson(*routing->config).dump()));
+    } else {
+        exchange->respond(errorResponse(404, {error_code::invalidArgument, "there is no " + request.path, "route request", {}}));
+    }
+}
+
+void admin_api::status(const std::shared_ptr<http_exchange> &exchange)
+{
+    asio::post(m_control.context(), [this, exchange] { exchange->respond(jsonResponse(m_control.statusJson())); });
+}
+
+void admin_api::timeline(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
+{
+    const auto after = numberParameter(request.query, "after");
+    const auto limit = numberParameter(request.query, "limit");
+    if (!after || !limit) {
+        exchange->respond(errorResponse(400, after ? limit.error() : after.error()));
+        return;
+    }
+    json events = json::array();
+    for (const auto &entry :
+         m_shared.events.eventsAfter(after->value_or(0), std::min<std::size_t>(limit->value_or(mostEvents), mostEvents))) {
+        events.push_back({{"sequence", entry.sequence},
+                          {"wallTimeUs", std::chrono::duration_cast<std::chrono::microseconds>(entry.wallTime.time_since_epoch()).count()},
+                          {"kind", toString(entry.kind)},
+                          {"request", entry.request.str()},
+                          {"peer", entry.peer},
+                          {"detail", entry.detail}});
+    }
+    exchange->respond(jsonResponse(
+        json{{"host", m_shared.options.id.str()}, {"events", std::move(events)}}.dump(-1, ' ', false, json::error_handler_t::replace)));
+}
+
+void admin_api::backends(const std::shared_ptr<http_exchange> &exchange)
+{
+    struct collection {
+        std::mutex mutex;
+        std::size_t missing = 0;
+        json list = json::array();
+    };
+    auto collected = std::make_shared<collection>();
+    collected->missing = m_shared.workers.size();
+    for (const auto &worker : m_shared.workers) {
+        auto &target = *worker;
+        asio::post(target.context(), [&target, collected, exchange] {
+            const auto entries = target.pool().status();
+            const std::lock_guard lock(collected->mutex);
+            for (const auto &entry : entries) {
+                collected->list.push_back({{"backend", entry.backend.str()},
+                                           {"group", entry.group.str()},
+                                           {"state", toString(entry.state)},
+                                           {"limit", entry.limit},
+                                           {"occupied", entry.occupied},
+                                           {"queued", entry.queued},
+                                           {"connections", entry.connections}});
+            }
+            if (--collected->missing == 0) {
+                exchange->respond(jsonResponse(json{{"backendServers", collected->list}}.dump()));
+            }
+        });
+    }
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/entryhost/src/caller_api.cpp
@@ -0,0 +1,230 @@
+#include "caller_api.h"
+
+#include "caller_requests.h"
+#include "caller_responses.h"
+#include "host_shared.h"
+#include "order_coordinator.h"
+#include "root_searches.h"
+#include "worker.h"
+
+#include <config/configuration.h>
+#include <orders/ticket_store.h>
+#include <transport/http_exchange.h>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+
+#include <algorithm>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+constexpr std::string_view ticketPath = "/v1/orders/tickets";
+constexpr std::string_view orderPath = "/v1/orders/";
+constexpr std::chrono::milliseconds ticketLife{60000};
+constexpr int lowestShare = 9;
+
+/// Counts a request as open for as long as it lives.
+class open_request
+{
+public:
+    explicit open_request(std::shared_ptr<std::atomic<std::size_t>> counter)
+        : m_counter(std::move(counter))
+    {
+        m_counter->fetch_add(1);
+    }
+    ~open_request() { m_counter->fetch_sub(1); }
+    open_request(const open_request &) = delete;
+    open_request &operator=(const open_request &) = delete;
+
+private:
+    std::shared_ptr<std::atomic<std::size_t>> m_counter;
+};
+
+expected<const service_config *> findService(const configuration &config, const service_id &id, service_kind kind)
+{
+    const auto *service = config.findService(id);
+    if (service == nullptr) {
+        return makeError(error_code::unknownService, "find service", "there is no service '" + id.str() + "'");
+    }
+    if (service->kind != kind) {
+        return makeError(error_code::unknownService,
+                         "find service",
+                         "'" + id.str() + "' is a service of kind " + std::string(toString(service->kind)) + ", not "
+                             + std::string(toString(kind)));
+    }
+    return service;
+}
+
+customer_share shareOf(const configuration &config, const customer_id &customer, int requestPriority)
+{
+    customer_share share;
+    int priority = requestPriority;
+    if (const auto *known = config.findCustomer(customer)) {
+        share.weight = known->weight;
+        priority = std::max(priority, static_cast<int>(known->priority));
+    }
+    share.priority = static_cast<std::uint8_t>(lowestShare - std::clamp(priority, 0, lowestShare));
+    return share;
+}
+
+search_policy policyOf(const service_config &service, const caller_search &request)
+{
+    search_policy policy;
+    policy.minCoverage = request.minCoverage.value_or(service.policy.minimumCoverage);
+    policy.maxExtraWait = service.policy.waitForMore.maximum;
+    return policy;
+}
+
+} // namespace
+
+caller_api::caller_api(host_shared &shared)
+    : m_shared(shared)
+    , m_open(std::make_shared<std::atomic<std::size_t>>(0))
+{
+}
+
+void caller_api::handle(http_request request, std::shared_ptr<http_exchange> exchange)
+{
+    if (request.method == "POST" && request.path == "/v1/search") {
+        search(request, exchange);
+    } else if (request.method == "POST" && request.path == ticketPath) {
+        mintTicket(request, exchange);
+    } else if (request.method == "PUT" && request.path.starts_with(orderPath) && request.path.size() > orderPath.size()) {
+        order(request, request.path.substr(orderPath.size()), exchange);
+    } else {
+        exchange->respond(
+            errorResponse(404, {error_code::invalidArgument, "there is no " + request.method + " " + request.path, "route request", {}}));
+    }
+}
+
+expected<void> caller_api::checkServing()
+{
+    if (!m_shared.beliefs.mayWork(monotonic_clock::now())) {
+        return makeError(error_code::notReady, "check readiness", "this entry host waits for a confirmation of its configuration; not run");
+    }
+    if (!m_shared.routing.read()->config) {
+        return makeError(error_code::notReady, "check readiness", "this entry host has no configuration yet; not run");
+    }
+    return {};
+}
+
+void caller_api::refuse(const exchange_ptr &exchange, error failure)
+{
+    m_shared.metrics.requestRefused(toString(failure.code));
+    m_shared.record(event_kind::requestRefused, {}, std::string(toString(failure.code)));
+    exchange->respond(errorResponse(statusFor(failure.code), failure));
+}
+
+void caller_api::search(const http_request &request, const exchange_ptr &exchange)
+{
+    const auto received = monotonic_clock::now();
+    const auto parsed = parseSearch(request.body);
+    if (!parsed) {
+        refuse(exchange, parsed.error());
+        return;
+    }
+    if (const auto serving = checkServing(); !serving) {
+        refuse(exchange, serving.error());
+        return;
+    }
+    const auto routing = m_shared.routing.read();
+    const auto service = findService(*routing->config, parsed->service, service_kind::search);
+    if (!service) {
+        refuse(exchange, service.error());
+        return;
+    }
+    const auto admitted = m_shared.gate.admit(parsed->customer, shareOf(*routing->config, parsed->customer, parsed->priority), received);
+    if (!admitted) {
+        refuse(exchange, admitted.error());
+        return;
+    }
+    static thread_local random_source random = random_source::fromSystem();
+    root_query query;
+    query.request = request_id(random.hexId());
+    query.service = parsed->service;
+    query.customer = parsed->customer;
+    query.query = parsed->query;
+    query.limit = parsed->limit;
+    query.policy = policyOf(**service, *parsed);
+    query.deadline = received + parsed->deadline.value_or((*service)->policy.defaultDeadline);
+    auto open = std::make_shared<open_request>(m_open);
+    query.done = [this, open, exchange, received, id = query.request, customer = parsed->customer](const search_result &result) {
+        const auto now = monotonic_clock::now();
+        m_shared.gate.finished(customer, result.overloaded, now);
+        exchange->respond(searchResponse(id, result, std::chrono::duration_cast<std::chrono::milliseconds>(now - received)));
+    };
+    auto &target = *m_shared.workers[m_nextWorker.fetch_add(1, std::memory_order_relaxed) % m_shared.workers.size()];
+    asio::post(target.context(), [&target, query = std::move(query)]() mutable { target.searches().start(std::move(query)); });
+}
+
+void caller_api::mintTicket(const http_request &request, const exchange_ptr &exchange)
+{
+    const auto parsed = parseTicketRequest(request.body);
+    if (!parsed) {
+        refuse(exchange, parsed.error());
+        return;
+    }
+    if (const auto serving = checkServing(); !serving) {
+        refuse(exchange, serving.error());
+        return;
+    }
+    const auto routing = m_shared.routing.read();
+    if (const auto service = findService(*routing->config, parsed->service, service_kind::order); !service) {
+        refuse(exchange, service.error());
+        return;
+    }
+    const auto minted = m_shared.tickets->mint(monotonic_clock::now());
+    if (!minted) {
+        refuse(exchange, minted.error());
+        return;
+    }
+    exchange->respond(ticketResponse(minted->text(), ticketLife));
+}
+
+void caller_api::order(const http_request &request, const std::string &ticketText, const exchange_ptr &exchange)
+{
+    const auto parsedTicket = ticket::parse(ticketText);
+    if (!parsedTicket) {
+        refuse(exchange, parsedTicket.error());
+        return;
+    }
+    const auto parsed = parseOrder(request.body);
+    if (!parsed) {
+        refuse(exchange, parsed.error());
+        return;
+    }
+    // An order under another host's ticket is forwarded even while this host is not ready, because the minting host
+    // alone decides.
+    const auto routing = m_shared.routing.read();
+    auto deadline = parsed->deadline;
+    if (routing->config) {
+        const auto service = findService(*routing->config, parsed->service, service_kind::order);
+        if (!service) {
+            refuse(exchange, service.error());
+            return;
+        }
+        deadline = deadline.value_or((*service)->policy.defaultDeadline);
+    }
+    if (const auto serving = checkServing(); !serving && parsedTicket->host == m_shared.options.id) {
+        refuse(exchange, serving.error());
+        return;
+    }
+    order_request message;
+    message.ticket = ticketText;
+    message.service = parsed->service;
+    message.customer = parsed->customer;
+    message.remaining = deadline.value_or(caller_limits::longestDeadline);
+    message.body = parsed->order;
+    auto open = std::make_shared<open_request>(m_open);
+    auto &target = *m_shared.workers[parsedTicket->sequence % m_shared.workers.size()];
+    asio::post(target.context(), [&target, open, exchange, message = std::move(message), key = *parsedTicket] {
+        target.coordinator().submit(
+            key, message, [open, exchange](const order_answer &answer) { exchange->respond(orderResponse(answer)); });
+    });
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/entryhost/src/host_shared.cpp
@@ -0,0 +1,27 @@
+#include "host_shared.h"
+
+#include "worker.h"
+
+#include <orders/ticket_store.h>
+
+namespace orioledrum
+{
+
+host_shared::host_shared(settings values)
+    : options(std::move(values))
+{
+}
+
+host_shared::~host_shared() = default;
+
+void host_shared::record(event_kind kind, std::string peer, std::string detail, request_id request)
+{
+    event entry;
+    entry.kind = kind;
+    entry.peer = std::move(peer);
+    entry.detail = std::move(detail);
+    entry.request = std::move(request);
+    events.record(std::move(entry));
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/entryhost/src/order_coordinator.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <orders/ticket.h>
+#include <wire/order_messages.h>
+
+#include <base/monotonic_clock.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <unordered_set>
+#include <vector>
+
+namespace asio
+{
+class io_context;
+}
+
+namespace orioledrum
+{
+
+class order_run;
+class peer_client;
+struct host_shared;
+struct order_target;
+struct routing_state;
+
+/// Brings orders to the host that minted their ticket, and runs those of this host. Belongs to a worker's thread.
+class order_coordinator
+{
+public:
+    using answer_callback = std::function<void(const order_answer &)>;
+
+    order_coordinator(host_shared &shared, asio::io_context &context, peer_client &peers);
+    ~order_coordinator();
+    order_coordinator(const order_coordinator &) = delete;
+    order_coordinator &operator=(const order_coordinator &) = delete;
+
+    /// Submits an order from a caller or from another entry host.
+    /// @param ticket Its ticket.
+    /// @param request The order; `ticket` and `remaining` are set.
+    /// @param done Called exactly once, on any thread.
+    void submit(const ticket &ticket, order_request request, answer_callback done);
+
+    /// @return Orders in progress under tickets of this host.
+    [[nodiscard]] std::size_t open() const { return m_runs.size(); }
+
+private:
+    struct run_state;
+    using run_ptr = std::shared_ptr<run_state>;
+
+    void forward(const ticket &ticket, order_request request, answer_callback done);
+    void runHere(const ticket &ticket, order_request request, answer_callback done);
+    [[nodiscard]] std::vector<order_target> targetsFor(const order_request &request, const routing_state &routing) const;
+    void carryOut(const run_ptr &run);
+    void sendToOwner(const run_ptr &run, const entry_host_id &owner, order_request request);
+    void armTimer(const run_ptr &run);
+
+    host_shared &m_shared;
+    asio::io_context &m_context;
+    peer_client &m_peers;
+    std::unordered_set<run_ptr> m_runs;
+    std::shared_ptr<bool> m_alive;
+};
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/entryhost/src/owner_calls.cpp
@@ -0,0 +1,146 @@
+#include "owner_calls.h"
+
+#include "answer_sink.h"
+#include "backend_pool.h"
+#include "backend_reply.h"
+#include "host_shared.h"
+
+#include <nlohmann/json.hpp>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+/// Identifies an attempt towards the backend server; unique, since request ids are random.
+std::string remoteIdOf(const request_id &request, std::uint64_t attempt)
+{
+    return request.str() + "." + std::to_string(attempt);
+}
+
+std::string searchBody(const search_request &request, const shard_call &call)
+{
+    // The replacement policy keeps a query with invalid UTF-8 from failing here; the backend server sees U+FFFD.
+    return nlohmann::json{{"service", request.service.str()},
+                          {"shard", call.shard.str()},
+                          {"snapshot", request.snapshot.snapshot},
+                          {"layout", request.snapshot.layout},
+                          {"query", request.query},
+                          {"limit", request.limit}}
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+shard_answer answerTo(const shard_call &call)
+{
+    shard_answer answer;
+    answer.attempt = call.attempt;
+    answer.backend = call.backend;
+    answer.shard = call.shard;
+    return answer;
+}
+
+} // namespace
+
+owner_calls::owner_calls(host_shared &shared, backend_pool &pool)
+    : m_shared(shared)
+    , m_pool(pool)
+{
+}
+
+void owner_calls::run(const search_request &request, const std::shared_ptr<answer_sink> &sink)
+{
+    for (const auto &call : request.calls) {
+        if (request.snapshot.snapshot == 0) {
+            answerDiscovery(call, sink);
+        } else {
+            runCall(request, call, sink);
+        }
+    }
+}
+
+void owner_calls::cancel(const request_id &request, const std::vector<std::uint64_t> &attempts)
+{
+    for (const auto attempt : attempts) {
+        const auto found = m_active.find(remoteIdOf(request, attempt));
+        if (found != m_active.end()) {
+            const auto number = found->second;
+            m_active.erase(found);
+            m_pool.abandon(number);
+        }
+    }
+}
+
+void owner_calls::runCall(const search_request &request, const shard_call &call, const std::shared_ptr<answer_sink> &sink)
+{
+    const auto remoteId = remoteIdOf(request.request, call.attempt);
+    backend_call outgoing;
+    outgoing.backend = call.backend;
+    outgoing.deadline = monotonic_clock::now() + request.remaining;
+    outgoing.path = "/search";
+    outgoing.headers = {{"X-Request-Id", remoteId}};
+    outgoing.body = searchBody(request, call);
+    outgoing.done = [this, call, remoteId, sink](backend_result result) {
+        m_active.erase(remoteId);
+        auto answer = answerTo(call);
+        fill(answer, std::move(result), remoteId);
+        sink->push(std::move(answer));
+    };
+    m_active[remoteId] = m_pool.submit(std::move(outgoing));
+}
+
+void owner_calls::answerDiscovery(const shard_call &call, const std::shared_ptr<answer_sink> &sink)
+{
+    m_pool.report(call.backend, [this, call, sink](const backend_report *report) {
+        auto answer = answerTo(call);
+        answer.status = shard_status::refused;
+        answer.code = report != nullptr ? error_code::snapshotNotHeld : error_code::unreachable;
+        if (report != nullptr) {
+            answer.report = *report;
+            answer.hasReport = true;
+        }
+        sink->push(std::move(answer));
+    });
+}
+
+void owner_calls::fill(shard_answer &answer, backend_result result, const std::string &remoteId)
+{
+    answer.queueTime = result.queueTime;
+    answer.serviceTime = result.serviceTime;
+    answer.hasReport = result.hasReport;
+    answer.report = std::move(result.report);
+    answer.code = result.code;
+    switch (result.kind) {
+    case backend_result_kind::refused:
+        answer.status = shard_status::refused;
+        if (answer.code == error_code::notOwner) {
+            setHolder(answer);
+        }
+        break;
+    case backend_result_kind::failed:
+        answer.status = shard_status::failed;
+        break;
+    case backend_result_kind::answered:
+        if (result.reply.status == 200) {
+            readSearchReply(result.reply, remoteId, answer.shard, answer);
+        } else {
+            answer.status = result.reply.status == 409 ? shard_status::refused : shard_status::failed;
+        }
+        break;
+    }
+}
+
+void owner_calls::setHolder(shard_answer &answer)
+{
+    const auto routing = m_shared.routing.read();
+    const auto group = routing->groupOf.find(answer.backend);
+    if (group == routing->groupOf.end()) {
+        return;
+    }
+    const auto route = routing->routes.find(group->second);
+    if (route != routing->routes.end() && route->second.owner != m_shared.options.id) {
+        answer.holder = route->second.owner;
+    }
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/entryhost/src/platform_messages.cpp
@@ -0,0 +1,66 @@
+#include "platform_messages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+platform_host readHost(const json &item)
+{
+    platform_host host;
+    host.id = item.at("id").get<std::string>();
+    const auto kind = item.at("kind").get<std::string>();
+    if (kind != "entryHost" && kind != "backendServer") {
+        throw std::invalid_argument("unknown kind '" + kind + "'");
+    }
+    host.kind = kind == "entryHost" ? host_kind::entryHost : host_kind::backendServer;
+    host.zone = zone_id(item.at("zone").get<std::string>());
+    host.address = item.at("address").get<std::string>();
+    const auto state = item.at("state").get<std::string>();
+    if (state != "live" && state != "leaving") {
+        throw std::invalid_argument("unknown state '" + state + "'");
+    }
+    host.leaving = state == "leaving";
+    return host;
+}
+
+template<typename Result, typename Reader>
+expected<Result> readAnswer(const std::string &body, const std::string &step, const std::string &peer, const Reader &read)
+{
+    try {
+        return read(json::parse(body));
+    } catch (const std::exception &failure) {
+        return makeError(error_code::protocolError, step, std::string("malformed answer: ") + failure.what(), peer);
+    }
+}
+
+} // namespace
+
+expected<config_answer> parseConfigAnswer(const std::string &body, const std::string &peer)
+{
+    return readAnswer<config_answer>(body, "read configuration", peer, [](const json &answer) {
+        config_answer result;
+        result.revision = answer.at("revision").get<revision_number>();
+        result.files = answer.at("files").get<config_files>();
+        return result;
+    });
+}
+
+expected<host_list> parseHostList(const std::string &body, const std::string &peer)
+{
+    return readAnswer<host_list>(body, "read host list", peer, [](const json &answer) {
+        host_list result;
+        result.revision = answer.at("revision").get<revision_number>();
+        for (const auto &item : answer.at("hosts")) {
+            result.hosts.push_back(readHost(item));
+        }
+        return result;
+    });
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/entryhost/src/root_searches.cpp
@@ -0,0 +1,424 @@
+#include "root_searches.h"
+
+#include "answer_sink.h"
+#include "host_shared.h"
+#include "owner_calls.h"
+#include "worker.h"
+
+#include <config/configuration.h>
+#include <search/search_run.h>
+#include <search/service_stats.h>
+#include <transport/peer_client.h>
+#include <wire/codec.h>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <unordered_set>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+/// A hint from a refusing host is preferred to the own view for this long; one lease time.
+constexpr std::chrono::seconds hintLife{3};
+
+std::chrono::milliseconds toMillisUp(monotonic_clock::duration value)
+{
+    return std::max(std::chrono::ceil<std::chrono::milliseconds>(value), std::chrono::milliseconds(1));
+}
+
+} // namespace
+
+/// Where an attempt went.
+struct root_searches::attempt_info {
+    backend_id backend;
+    shard_id shard;
+    group_id group;
+    snapshot_ref snapshot;
+    entry_host_id owner;
+    std::uint32_t sendings = 0; ///< Sent once to the believed owner and at most once more to the holder it named.
+    bool open = true;
+};
+
+/// An attempt in a stream; a stream that ends concerns only the sending it carried.
+struct root_searches::sent_attempt {
+    std::uint64_t number = 0;
+    std::uint32_t sending = 0;
+};
+
+struct root_searches::run_state {
+    run_state(asio::io_context &context, root_query input)
+        : query(std::move(input))
+        , timer(context)
+    {
+    }
+
+    root_query query;
+    std::unique_ptr<search_run> machine;
+    asio::steady_timer timer;
+    time_point started;
+    std::unordered_map<std::uint64_t, attempt_info> attempts;
+    std::vector<peer_stream_handle> streams;
+    bool finished = false;
+};
+
+/// Calls of one query that travel to one owner together.
+struct root_searches::outgoing_batch {
+    entry_host_id owner;
+    search_request request;
+};
+
+/// Brings the answers of calls that this host owns itself back to the worker of the query.
+class root_searches::local_sink : public answer_sink
+{
+public:
+    local_sink(root_searches &searches, run_ptr run)
+        : m_searches(searches)
+        , m_run(std::move(run))
+    {
+    }
+
+    void push(shard_answer answer) override
+    {
+        auto *searches = &m_searches;
+        asio::post(m_searches.m_context,
+                   [searches, run = m_run, answer = std::move(answer)]() mutable { searches->receive(run, std::move(answer)); });
+    }
+
+private:
+    root_searches &m_searches;
+    run_ptr m_run;
+};
+
+root_searches::root_searches(host_shared &shared, std::size_t index, asio::io_context &context, peer_client &peers)
+    : m_shared(shared)
+    , m_index(index)
+    , m_context(context)
+    , m_peers(peers)
+    , m_random(random_source::fromSystem())
+    , m_alive(std::make_shared<bool>(true))
+{
+}
+
+root_searches::~root_searches()
+{
+    *m_alive = false;
+}
+
+void root_searches::start(root_query query)
+{
+    const auto now = monotonic_clock::now();
+    auto run = std::make_shared<run_state>(m_context, std::move(query));
+    run->started = now;
+    search_input input;
+    input.request = run->query.request;
+    input.policy = run->query.policy;
+    input.limit = run->query.limit;
+    input.deadline = run->query.deadline;
+    run->machine = std::make_unique<search_run>(std::move(input), statsOf(run->query.service, now), m_random);
+    m_runs.emplace(run->query.request.str(), run);
+    m_shared.record(event_kind::searchStarted, run->query.service.str(), {}, run->query.request);
+    run->machine->start(now);
+    carryOut(run);
+}
+
+service_stats &root_searches::statsOf(const service_id &service, time_point now)
+{
+    const auto routing = m_shared.routing.read();
+    const auto topology = routing->topologies.at(service);
+    auto &stats = m_stats[service];
+    if (!stats) {
+        stats = std::make_unique<service_stats>(topology, m_shared.options.zone, now);
+    } else if (stats->topology() != topology) {
+        stats->setTopology(topology, now);
+    }
+    return *stats;
+}
+
+entry_host_id root_searches::ownerOf(const group_id &group, time_point now)
+{
+    const auto hint = m_hints.find(group);
+    if (hint != m_hints.end()) {
+        if (now < hint->second.until) {
+            return hint->second.host;
+        }
+        m_hints.erase(hint);
+    }
+    const auto routing = m_shared.routing.read();
+    const auto route = routing->routes.find(group);
+    return route == routing->routes.end() ? entry_host_id() : route->second.owner;
+}
+
+void root_searches::carryOut(const run_ptr &run)
+{
+    std::vector<search_action> actions;
+    std::optional<search_result> result;
+    // A failed attempt may produce further actions, so repeat until none are left.
+    for (run->machine->takeActions(actions); !actions.empty(); run->machine->takeActions(actions)) {
+        std::unordered_map<std::string, outgoing_batch> batches;
+        std::unordered_map<std::string, std::vector<std::uint64_t>> cancels;
+        std::vector<std::uint64_t> unroutable;
+        for (auto &action : actions) {
+            if (const auto *send = std::get_if<send_attempt>(&action)) {
+                addAttempt(run, *send, batches);
+                if (run->attempts.at(send->attempt).owner.empty()) {
+                    unroutable.push_back(send->attempt);
+                }
+            } else if (const auto *cancel = std::get_if<cancel_attempt>(&action)) {
+                const auto found = run->attempts.find(cancel->attempt);
+                if (found != run->attempts.end() && found->second.open) {
+                    found->second.open = false;
+                    cancels[found->second.owner.str()].push_back(cancel->attempt);
+                }
+            } else {
+                result = std::move(std::get<finish_search>(action).result);
+            }
+        }
+        actions.clear();
+        for (auto &[key, batch] : batches) {
+            sendBatch(run, std::move(batch));
+        }
+        cancelAttempts(run, cancels);
+        for (const auto attempt : unroutable) {
+            run->machine->attemptFailed(attempt, error_code::notOwner, monotonic_clock::now());
+        }
+    }
+    if (result) {
+        finish(run, *result);
+    } else {
+        armTimer(run);
+    }
+}
+
+void root_searches::addAttempt(const run_ptr &run, const send_attempt &action, std::unordered_map<std::string, outgoing_batch> &batches)
+{
+    attempt_info info;
+    info.backend = action.replica->backend;
+    info.shard = *action.shard;
+    info.group = action.replica->group;
+    info.snapshot = action.snapshot;
+    info.owner = ownerOf(info.group, monotonic_clock::now());
+    const auto owner = info.owner;
+    run->attempts[action.attempt] = std::move(info);
+    if (action.kind == attempt_kind::hedge || action.kind == attempt_kind::retry) {
+        m_shared.record(action.kind == attempt_kind::hedge ? event_kind::hedgeSent : event_kind::retrySent,
+                        action.replica->backend.str(),
+                        {},
+                        run->query.request);
+    }
+    if (!owner.empty()) {
+        addCall(run, action.attempt, owner, batches);
+    }
+}
+
+void root_searches::addCall(const run_ptr &run,
+                            std::uint64_t attempt,
+                            const entry_host_id &owner,
+                            std::unordered_map<std::string, outgoing_batch> &batches)
+{
+    auto &info = run->attempts.at(attempt);
+    ++info.sendings;
+    const auto key = owner.str() + '/' + std::to_string(info.snapshot.snapshot) + ':' + std::to_string(info.snapshot.layout);
+    auto &batch = batches[key];
+    if (batch.request.calls.empty()) {
+        batch.owner = owner;
+        batch.request.request = run->query.request;
+        batch.request.service = run->query.service;
+        batch.request.customer = run->query.customer;
+        batch.request.snapshot = info.snapshot;
+        batch.request.query = run->query.query;
+        batch.request.limit = run->query.limit;
+    }
+    batch.request.calls.push_back({attempt, info.backend, info.shard});
+}
+
+void root_searches::sendBatch(const run_ptr &run, outgoing_batch batch)
+{
+    const auto now = monotonic_clock::now();
+    batch.request.remaining = std::chrono::duration_cast<std::chrono::microseconds>(run->query.deadline - now);
+    if (batch.owner == m_shared.options.id) {
+        runHere(run, std::move(batch));
+        return;
+    }
+    const auto address = m_shared.routing.read()->addressOf(batch.owner);
+    sendToPeer(run, std::move(batch), address);
+}
+
+void root_searches::sendToPeer(const run_ptr &run, outgoing_batch batch, const std::string &address)
+{
+    std::vector<sent_attempt> attempts;
+    for (const auto &call : batch.request.calls) {
+        attempts.push_back({call.attempt, run->attempts.at(call.attempt).sendings});
+    }
+    if (address.empty()) {
+        asio::post(m_context, [this, run, attempts, alive = m_alive] {
+            if (*alive) {
+                streamEnded(run, attempts, error_code::unreachable);
+            }
+        });
+        return;
+    }
+    const auto timeout = toMillisUp(batch.request.remaining);
+    const auto handle = m_peers.send(
+        address,
+        "/peer/search",
+        encode(batch.request),
+        timeout,
+        [this, run](std::string_view frame) {
+            auto answers = decode<shard_answers>(frame);
+            if (answers) {
+                for (auto &answer : answers->answers) {
+                    receive(run, std::move(answer));
+                }
+            }
+        },
+        [this, run, attempts](const peer_end &end) {
+            streamEnded(run, attempts, end.failure ? end.failure->code : error_code::protocolError);
+        });
+    run->streams.push_back(handle);
+}
+
+void root_searches::runHere(const run_ptr &run, outgoing_batch batch)
+{
+    const auto routing = m_shared.routing.read();
+    const auto sink = std::make_shared<local_sink>(*this, run);
+    std::unordered_map<std::size_t, search_request> byWorker;
+    for (const auto &call : batch.request.calls) {
+        const auto group = routing->groupOf.find(call.backend);
+        const auto target = group == routing->groupOf.end() ? m_index : workerOf(group->second, m_shared.workers.size());
+        auto [part, added] = byWorker.try_emplace(target);
+        if (added) {
+            part->second = batch.request;
+            part->second.calls.clear();
+        }
+        part->second.calls.push_back(call);
+    }
+    for (auto &[target, part] : byWorker) {
+        auto &worker = *m_shared.workers[target];
+        asio::post(worker.context(), [&worker, part = std::move(part), sink] { worker.calls().run(part, sink); });
+    }
+}
+
+void root_searches::cancelAttempts(const run_ptr &run, const std::unordered_map<std::string, std::vector<std::uint64_t>> &byOwner)
+{
+    constexpr std::chrono::milliseconds cancelTimeout{500};
+    const auto routing = m_shared.routing.read();
+    for (const auto &[ownerName, attempts] : byOwner) {
+        cancel_request message{run->query.request, attempts};
+        if (ownerName == m_shared.options.id.str()) {
+            for (const auto &worker : m_shared.workers) {
+                auto &target = *worker;
+                asio::post(target.context(), [&target, message] { target.calls().cancel(message.request, message.attempts); });
+            }
+            continue;
+        }
+        const auto address = routing->addressOf(entry_host_id(ownerName));
+        if (!address.empty()) {
+            m_peers.send(
+                address, "/peer/cancel", encode(message), cancelTimeout, [](std::string_view) {}, [](const peer_end &) {});
+        }
+    }
+}
+
+void root_searches::receive(const run_ptr &run, shard_answer answer)
+{
+    if (run->finished) {
+        return;
+    }
+    const auto found = run->attempts.find(answer.attempt);
+    if (found == run->attempts.end()) {
+        return;
+    }
+    auto &info = found->second;
+    const auto now = monotonic_clock::now();
+    if (answer.status == shard_status::refused && answer.code == error_code::notOwner) {
+        const auto holder = answer.holder;
+        if (info.open && info.sendings == 1 && !holder.empty() && holder != info.owner && followHint(run, info, answer.attempt, holder)) {
+            return;
+        }
+        m_hints.erase(info.group);
+    }
+    info.open = false;
+    run->machine->answered(run->query.request, std::move(answer), now);
+    carryOut(run);
+}
+
+bool root_searches::followHint(const run_ptr &run, attempt_info &attempt, std::uint64_t number, const entry_host_id &holder)
+{
+    const auto now = monotonic_clock::now();
+    if (run->query.deadline <= now) {
+        return false;
+    }
+    m_hints[attempt.group] = {holder, now + hintLife};
+    attempt.owner = holder;
+    std::unordered_map<std::string, outgoing_batch> batches;
+    addCall(run, number, holder, batches);
+    for (auto &[key, batch] : batches) {
+        sendBatch(run, std::move(batch));
+    }
+    return true;
+}
+
+void root_searches::streamEnded(const run_ptr &run, const std::vector<sent_attempt> &attempts, error_code code)
+{
+    if (run->finished) {
+        return;
+    }
+    const auto now = monotonic_clock::now();
+    bool changed = false;
+    for (const auto &sent : attempts) {
+        auto &info = run->attempts.at(sent.number);
+        if (info.open && info.sendings == sent.sending) {
+            info.open = false;
+            m_hints.erase(info.group);
+            run->machine->attemptFailed(sent.number, code, now);
+            changed = true;
+        }
+    }
+    if (changed && !run->finished) {
+        carryOut(run);
+    }
+}
+
+void root_searches::armTimer(const run_ptr &run)
+{
+    const auto next = run->machine->nextWakeup();
+    if (!next) {
+        return;
+    }
+    run->timer.expires_after(std::max<monotonic_clock::duration>(*next - monotonic_clock::now(), monotonic_clock::duration::zero()));
+    run->timer.async_wait([this, alive = m_alive, weak = std::weak_ptr<run_state>(run)](const std::error_code &failure) {
+        const auto present = weak.lock();
+        if (failure || !*alive || !present || present->finished) {
+            return;
+        }
+        present->machine->wakeup(monotonic_clock::now());
+        carryOut(present);
+    });
+}
+
+void root_searches::finish(const run_ptr &run, const search_result &result)
+{
+    run->finished = true;
+    run->timer.cancel();
+    for (const auto handle : run->streams) {
+        m_peers.cancel(handle); // No effect on streams that have ended.
+    }
+    const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(monotonic_clock::now() - run->started);
+    m_shared.metrics.searchFinished(run->query.service.str(), latency, result.coverage(), result.hedges, result.retries);
+    m_shared.record(event_kind::searchFinished,
+                    run->query.service.str(),
+                    "answered " + std::to_string(result.shardsAnswered) + "/" + std::to_string(result.shardsTotal) + " us "
+                        + std::to_string(latency.count()),
+                    run->query.request);
+    run->query.done(result);
+    m_runs.erase(run->query.request.str());
+}
+
+} // namespace orioledrum
--- a/libs/entryhost/src/settings.cpp
+++ b/libs/entryhost/src/settings.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 namespace orioledrum
@@ -26,7 +27,9 @@
     add("caller-address", po::value<std::string>(), "ip:port for callers (required; port 0: the system chooses)");
     add("peer-address", po::value<std::string>(), "ip:port for other entry hosts (required)");
     add("admin-address", po::value<std::string>(), "ip:port for administration and metrics (required)");
-    add("config-service", po::value<std::vector<std::string>>()->composing(), "base URL of the configuration service (repeatable, required)");
+    add("config-service",
+        po::value<std::vector<std::string>>()->composing(),
+        "base URL of the configuration service (repeatable, required)");
     add("host-service", po::value<std::vector<std::string>>()->composing(), "base URL of the host list service (repeatable, required)");
     add("peer", po::value<std::vector<std::string>>()->composing(), "ID,ZONE,IP:PORT of another entry host (repeatable)");
     add("admin-token", po::value<std::string>(), "bearer token of the administration API (required)");
@@ -153,9 +156,8 @@
 {
     const auto options = describeOptions();
     po::options_description commandLine("Usage: entryhostd [--settings FILE] [options]");
-    commandLine.add_options()("help", "show this text")("version", "show the version")("settings",
-                                                                                    po::value<std::string>(),
-                                                                                    "file of key=value lines; # starts a comment");
+    commandLine.add_options()("help", "show this text")("version", "show the version")(
+        "settings", po::value<std::string>(), "file of key=value lines; # starts a comment");
     commandLine.add(options);
 
     settings_request request;
