Add the state machine that spreads configuration revisions

Cause: a change must be in force on every host within seconds, never go back, and must not load the configuration service with the size of the fleet. Change: spread_machine (readers, fallback reads, pushes, pulls with changed files, start fence, confirmation ages) and properties over a lossy network.

--- /dev/null
+++ b/libs/spread/tests/fakes/fake_fleet.cpp
@@ -0,0 +1,288 @@
+#include "fake_fleet.h"
+
+#include <algorithm>
+#include <type_traits>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds step = 20ms;
+constexpr std::chrono::milliseconds digestInterval = 1s;
+
+} // namespace
+
+config_files filesNumbered(revision_number number)
+{
+    const auto customer = R"({"customers": {"r)" + std::to_string(number) + R"(": {}}})";
+    return {{"10.json", R"({"availabilityZones": {"a": {}},
+                 "backendServers": {"b": {"zone": "a", "address": "10.0.0.1:80", "slots": 1, "connections": 1}},
+                 "services": {"s": {"kind": "search", "layouts": {"1": {"shards": {"x": ["b"]}}}}}})"},
+            {"20.json", customer},
+            {"3" + std::to_string(number % 3) + ".json", "// also\n" + customer}};
+}
+
+fake_fleet::fake_fleet(options given)
+    : m_options(given)
+    , m_random(given.seed)
+{
+    for (std::size_t zone = 0; zone < given.zones; ++zone) {
+        for (std::size_t number = 0; number < given.hostsPerZone; ++number) {
+            fleet_host added;
+            added.id = entry_host_id("z" + std::to_string(zone) + "-h" + std::to_string(number));
+            added.zone = zone;
+            m_index[added.id.str()] = m_hosts.size();
+            m_hosts.push_back(std::move(added));
+        }
+    }
+    publish();
+    for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+        start(index);
+    }
+}
+
+void fake_fleet::publish(bool valid)
+{
+    ++m_latest;
+    auto files = filesNumbered(m_latest);
+    if (valid) {
+        m_latestValid = m_latest;
+    } else {
+        files["90.json"] = R"({"customers": 1})";
+    }
+    m_revisions[m_latest] = std::move(files);
+    auto waiting = std::exchange(m_waiting, {});
+    for (const auto &call : waiting) {
+        answerCall(call);
+    }
+}
+
+void fake_fleet::restart(std::size_t index)
+{
+    start(index);
+}
+
+void fake_fleet::start(std::size_t index)
+{
+    auto &started = m_hosts[index];
+    ++started.incarnation;
+    started.nextDigest = m_now + std::chrono::milliseconds(m_random.below(1000));
+    m_inForce.erase(index);
+    spread_settings settings;
+    settings.self = started.id;
+    settings.seed = m_random.next();
+    started.machine = std::make_unique<spread_machine>(settings, m_now);
+    spread_hosts hosts;
+    for (const auto &other : m_hosts) {
+        (other.zone == started.zone ? hosts.zoneRanked : hosts.elsewhere).push_back(other.id);
+    }
+    carryOut(index, started.machine->setHosts(std::move(hosts), m_now));
+}
+
+void fake_fleet::run(std::chrono::milliseconds duration)
+{
+    const auto end = m_now + duration;
+    while (m_now < end) {
+        const auto target = std::min(end, m_now + step);
+        while (!m_pending.empty() && m_pending.begin()->first <= target) {
+            auto next = m_pending.extract(m_pending.begin());
+            m_now = std::max(m_now, next.key());
+            next.mapped()();
+        }
+        m_now = target;
+        tick();
+    }
+}
+
+void fake_fleet::tick()
+{
+    auto waiting = std::exchange(m_waiting, {});
+    for (const auto &call : waiting) {
+        if (m_now >= call.until) {
+            answerCall(call);
+        } else {
+            m_waiting.push_back(call);
+        }
+    }
+    for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+        auto &current = m_hosts[index];
+        carryOut(index, current.machine->onTick(m_now));
+        if (m_now < current.nextDigest) {
+            continue;
+        }
+        current.nextDigest += digestInterval;
+        // Zones are consecutive ranges of hosts.
+        const auto first = current.zone * m_options.hostsPerZone;
+        for (int count = 0; count < 3; ++count) {
+            sendDigest(index, m_hosts[first + m_random.below(m_options.hostsPerZone)].id, false);
+        }
+        sendDigest(index, m_hosts[m_random.below(m_hosts.size())].id, false);
+    }
+}
+
+void fake_fleet::carryOut(std::size_t index, const spread_actions &actions)
+{
+    for (const auto &action : actions) {
+        std::visit(
+            [this, index](const auto &item) {
+                using type = std::decay_t<decltype(item)>;
+                const auto self = m_hosts[index].id;
+                if constexpr (std::is_same_v<type, read_service_action>) {
+                    callService(index, item);
+                } else if constexpr (std::is_same_v<type, send_push_action>) {
+                    send(index, item.to, [this, self, message = item.message](fleet_host &to) {
+                        carryOut(indexOf(to.id), to.machine->onPush(self, message, m_now));
+                    });
+                } else if constexpr (std::is_same_v<type, send_pull_action>) {
+                    send(index, item.to, [this, self, request = item.message](fleet_host &asked) {
+                        const auto from = asked.id;
+                        send(indexOf(from), self, [this, from, answer = asked.machine->answerPull(request)](fleet_host &to) {
+                            carryOut(indexOf(to.id), to.machine->onPullAnswer(from, answer, m_now));
+                        });
+                    });
+                } else if constexpr (std::is_same_v<type, send_digest_action>) {
+                    sendDigest(index, item.to, false);
+                } else if constexpr (std::is_same_v<type, apply_configuration_action>) {
+                    checkApplied(index, *item.value);
+                }
+            },
+            action);
+    }
+}
+
+void fake_fleet::checkApplied(std::size_t index, const configuration &value)
+{
+    ++m_applied;
+    auto &inForce = m_inForce[index];
+    const auto name = m_hosts[index].id.str() + " applied revision " + std::to_string(value.revision());
+    if (value.revision() <= inForce) {
+        m_violation = name + " after " + std::to_string(inForce);
+    }
+    const auto published = m_revisions.find(value.revision());
+    if (published == m_revisions.end() || hashOf(published->second) != value.hash()
+        || *m_hosts[index].machine->currentFiles() != published->second) {
+        m_violation = name + " with files that were not published under this number";
+    }
+    inForce = value.revision();
+}
+
+void fake_fleet::sendDigest(std::size_t from, const entry_host_id &to, bool answer)
+{
+    if (m_hosts[from].id == to) {
+        return;
+    }
+    digest message;
+    message.sender.host = m_hosts[from].id;
+    m_hosts[from].machine->fillDigest(message, m_now);
+    send(from, to, [this, message, answer](fleet_host &receiver) {
+        const auto index = indexOf(receiver.id);
+        if (!answer) {
+            sendDigest(index, message.sender.host, true);
+        }
+        carryOut(index, receiver.machine->onDigest(message, m_now));
+    });
+}
+
+void fake_fleet::send(std::size_t from, const entry_host_id &to, const delivery &deliver)
+{
+    const auto target = indexOf(to);
+    if (cutFromPeers.contains(from) || cutFromPeers.contains(target)) {
+        return;
+    }
+    const int copies = m_random.unit() < m_options.loss ? 0 : m_random.unit() < m_options.duplication ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        later(target, m_hosts[target].incarnation, deliver);
+    }
+}
+
+void fake_fleet::later(std::size_t index, std::uint64_t incarnation, const delivery &deliver)
+{
+    m_pending.emplace(m_now + delay(), [this, index, incarnation, deliver] {
+        if (m_hosts[index].incarnation == incarnation) {
+            deliver(m_hosts[index]);
+        }
+    });
+}
+
+void fake_fleet::callService(std::size_t index, const read_service_action &action)
+{
+    ++m_serviceCalls;
+    const auto incarnation = m_hosts[index].incarnation;
+    if (cutFromService.contains(index)) {
+        m_pending.emplace(m_now + action.wait + 1s, [this, index, incarnation, call = action.call] {
+            if (m_hosts[index].incarnation == incarnation) {
+                carryOut(index, m_hosts[index].machine->onServiceFailed(call, m_now));
+            }
+        });
+        return;
+    }
+    const waiting_call call{index, incarnation, action.call, action.after, m_now + action.wait};
+    if (staleAt != 0 || m_latest > action.after || action.wait == 0ms) {
+        answerCall(call);
+    } else {
+        m_waiting.push_back(call);
+    }
+}
+
+void fake_fleet::answerCall(const waiting_call &call)
+{
+    const auto number = staleAt != 0 ? staleAt : m_latest;
+    const bool unchanged = staleAt == 0 && number <= call.after;
+    later(call.host, call.incarnation, [this, call, number, unchanged](fleet_host &to) {
+        auto &machine = *to.machine;
+        carryOut(call.host,
+                 unchanged ? machine.onServiceUnchanged(call.call, m_now)
+                           : machine.onServiceAnswer(call.call, number, m_revisions.at(number), m_now));
+    });
+}
+
+revision_number fake_fleet::revision(std::size_t index) const
+{
+    const auto value = m_hosts[index].machine->current();
+    return value ? value->revision() : 0;
+}
+
+bool fake_fleet::converged() const
+{
+    for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+        if (revision(index) != m_latestValid || !m_hosts[index].machine->ready()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+revision_number fake_fleet::greatestInForce() const
+{
+    revision_number greatest = 0;
+    for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+        greatest = std::max(greatest, revision(index));
+    }
+    return greatest;
+}
+
+bool fake_fleet::agreed() const
+{
+    for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+        if (revision(index) != greatestInForce()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::size_t fake_fleet::indexOf(const entry_host_id &id) const
+{
+    return m_index.at(id.str());
+}
+
+std::chrono::nanoseconds fake_fleet::delay()
+{
+    return std::chrono::nanoseconds(m_random.below(static_cast<std::uint64_t>(std::chrono::nanoseconds(m_options.maxDelay).count()) + 1));
+}
+
+} // namespace orioledrum
