--- a/libs/limits/include/limits/backend_limiter.h
+++ b/libs/limits/include/limits/backend_limiter.h
@@ -8,12 +8,9 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
-#include <string>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace orioledrum
@@ -53,6 +50,8 @@
     static constexpr std::chrono::milliseconds maxCallTime{2000};
     /// Time without an answer after which the state is unconfirmed.
     static constexpr std::chrono::milliseconds confirmationTime{2000};
+    /// Time of probes without draining after which a backend server of the same instance is cold again.
+    static constexpr std::chrono::milliseconds drainClearTime{5000};
 
     /// @param settings What the backend server bears.
     /// @param leaseEnd End of the owner's lease; calls are sent only if their deadline plus the grace ends before it.
@@ -62,11 +61,11 @@
 
     /// @param call Number of the call; must not be in use.
     /// @param deadline Time until which an answer is useful.
-    /// @param priority Calls with the same deadline are served by descending priority, and a full queue refuses the
-    /// lowest priority first.
+    /// @param priority 0 is the highest. Calls with the same deadline are served by priority, and when the expected wait
+    /// is too long a queued call of a lower priority is dropped instead of refusing this one.
     /// @param now Current time.
     /// @param freshConnection True for orders: never reuse a connection.
-    /// @return started, queued or refused with draining, overloaded or deadlineExceeded.
+    /// @return started, queued or refused with draining, overloaded, deadlineExceeded or notOwner (the lease has ended).
     admit_decision admit(call_number call, time_point deadline, std::uint8_t priority, time_point now, bool freshConnection = false);
 
     /// The connection of a start action with newConnection is open.
@@ -84,7 +83,8 @@
 
     /// The backend server answered; also used for answers to abandoned calls.
     /// @param report What the answer says about the backend server, or null.
-    /// @param serviceTime From the write to the answer.
+    /// @param serviceTime From the write to the answer; 0 when it says nothing about the time of a call, for example
+    /// with snapshotNotHeld.
     /// @param connectionKept True when the connection stays open and idle.
     void answered(call_number call,
                   call_result result,
@@ -98,7 +98,9 @@
     /// @return True when the call had not been started, so nothing was sent.
     bool abandon(call_number call, time_point now);
 
-    /// A probe of the load endpoint was answered. It can only make the known state worse.
+    /// A probe of the load endpoint was answered. It can only make the known state worse, with one exception: a
+    /// draining backend server gets no calls that could show that it no longer drains, so it becomes cold when probes
+    /// report a new instance, or no draining for drainClearTime.
     void probed(const backend_report &report, time_point now);
 
     /// A probe of the load endpoint was refused or reset. The backend server counts as cold.
@@ -137,7 +139,7 @@
     [[nodiscard]] backend_state state() const;
     /// @return True when no answer confirmed the state within confirmationTime.
     [[nodiscard]] bool unconfirmed(time_point now) const;
-    /// @return True when the owner should probe: no answer for 1 s.
+    /// @return True when the owner should probe: no answer and no finished probe for 1 s.
     [[nodiscard]] bool probeDue(time_point now) const;
     /// @return The latest report of the backend server; instance is empty before the first.
     [[nodiscard]] const backend_report &lastReport() const;
@@ -146,9 +148,9 @@
 
 private:
     struct active_call {
-        time_point deadline;
+        time_point deadline; // As sent to the backend server.
+        std::uint32_t peak = 0; // Most slots occupied during the call.
         bool opening = false; // Its connection is not open yet.
-        bool abandoned = false;
     };
     struct queue_key {
         time_point deadline;
@@ -164,20 +166,24 @@
     backend_limiter(limiter_settings settings, time_point leaseEnd, time_point now);
 
     void turnCold(time_point now);
-    void noteInstance(const std::string &instance, time_point now);
-    void noteAnswerReport(const backend_report &report, time_point now);
-    void noteForeignLoad(const backend_report &report);
-    void advanceRamp(time_point now);
-    void expireAbandoned(time_point now);
-    void release(std::unordered_map<call_number, active_call>::iterator call, bool connectionKept);
-    void startQueued(time_point now);
-    bool canStart(bool freshConnection, time_point now) const;
+    void turnDraining(time_point now);
+    bool noteInstance(const backend_report &report, time_point now);
+    void noteReport(const backend_report &report, bool shed, time_point now);
+    void noteForeignLoad(std::uint32_t slotsInUse, std::uint32_t own, time_point now);
+    void expireActive(time_point now);
+    bool release(call_number call);
+    void advance(time_point now);
     void start(call_number call, time_point deadline, bool freshConnection, time_point now);
+    void enqueue(const queue_key &key, const queued_call &call);
+    void dropQueued(const queue_key &key, error_code code);
+    bool makeRoom(std::uint8_t priority);
+    void recordServiceTime(std::chrono::microseconds serviceTime);
+    [[nodiscard]] bool canConnect(bool freshConnection, time_point now) const;
+    [[nodiscard]] bool carefulWithConnections(time_point now) const;
     [[nodiscard]] time_point sendDeadline(time_point deadline, time_point now) const;
-    [[nodiscard]] bool finishesInTime(time_point deadline, bool newConnection, time_point now) const;
-    [[nodiscard]] bool needsConnection(bool freshConnection) const;
+    [[nodiscard]] bool finishesInTime(time_point deadline, bool freshConnection, time_point now) const;
     [[nodiscard]] std::uint32_t connectionLimit() const;
-    void recordServiceTime(std::chrono::microseconds serviceTime);
+    [[nodiscard]] time_point blockedUntil(time_point now) const;
 
     limiter_settings m_settings;
     time_point m_leaseEnd;
@@ -185,14 +191,15 @@
     backend_state m_state = backend_state::cold;
     bool m_leaving = false;
     backend_report m_report;
-    time_point m_lastAnswer; // Latest warm confirmation by an answer.
-    time_point m_lastHeard; // Latest answer of any kind.
-    time_point m_rampStep; // Start of the current interval of the ramp.
-    time_point m_drainingSince; // Latest evidence of draining.
+    time_point m_lastWarm; // Latest warm answer.
+    time_point m_lastHeard; // Latest answer or probe.
+    time_point m_lastDraining; // Latest evidence of draining.
     std::uint32_t m_rampLimit = 1;
+    time_point m_rampStep; // Start of the current interval of the ramp.
     time_point m_shedUntil;
-    std::uint32_t m_foreign = 0;
-    std::uint32_t m_foreignSeen = 0;
+    std::uint32_t m_foreign = 0; // Slots that others use.
+    std::uint32_t m_foreignSeen = 0; // Difference in the latest answer.
+    time_point m_foreignUntil;
     std::unordered_map<call_number, active_call> m_active;
     std::map<queue_key, queued_call> m_queue;
     std::unordered_map<call_number, queue_key> m_queueIndex;
@@ -203,7 +210,7 @@
     std::vector<std::chrono::microseconds> m_serviceTimes; // Ring of the latest service times.
     std::size_t m_serviceTimeNext = 0;
     std::chrono::microseconds m_median{0};
-    time_point m_now;
+    time_point m_now; // Latest time passed in.
     std::vector<limiter_action> m_actions;
 };
 
--- a/libs/limits/include/limits/limiter_action.h
+++ b/libs/limits/include/limits/limiter_action.h
@@ -21,7 +21,7 @@
 struct limiter_action {
     limiter_action_kind kind = limiter_action_kind::drop;
     call_number call = 0;
-    error_code code = error_code::internal; ///< With drop: deadlineExceeded, overloaded, draining or unreachable.
+    error_code code = error_code::internal; ///< With drop: deadlineExceeded, overloaded, draining, unreachable or notOwner.
     time_point deadline; ///< With start: the deadline to send to the backend server; at most 2 s away.
     bool newConnection = false; ///< With start: open a connection; otherwise reuse an idle one.
     bool closeIdle = false; ///< With start: close one idle connection first, so that the new one is within the limit.
