Remove an unused member and a string copy of the stand-ins' HTTP server

Change: http_server keeps no reference to its io_context; header lines are appended in place. Conclusion: no change in behaviour.

--- a/standins/http/include/standin/http_server.h
+++ b/standins/http/include/standin/http_server.h
@@ -51,7 +51,6 @@
 private:
     void accept();
 
-    asio::io_context &m_context;
     http_handler &m_handler;
     asio::ip::tcp::acceptor m_acceptor;
     std::map<std::uint64_t, std::shared_ptr<http_connection>> m_connections;
--- a/standins/http/src/http_connection.cpp
+++ b/standins/http/src/http_connection.cpp
@@ -110,7 +110,7 @@
     m_output = "HTTP/1.1 " + std::to_string(response.status) + ' ';
     m_output += reasonPhrase(response.status);
     for (const auto &[name, value] : response.headers) {
-        m_output += "\r\n" + name + ": " + value;
+        m_output.append("\r\n").append(name).append(": ").append(value);
     }
     if (response.status != 304) {
         m_output += "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(response.body.size());
--- a/standins/http/src/http_server.cpp
+++ b/standins/http/src/http_server.cpp
@@ -4,8 +4,7 @@
 {
 
 http_server::http_server(asio::io_context &context, http_handler &handler)
-    : m_context(context)
-    , m_handler(handler)
+    : m_handler(handler)
     , m_acceptor(context)
 {
 }
