Add the load generator

Cause: tail latency and coverage must be measured as callers see them. Conclusion: a slow answer does not hold back later requests, so a stall shows in the percentiles.

--- /dev/null
+++ b/tools/load/src/load_runner.cpp
@@ -0,0 +1,183 @@
+#include <load/load_runner.h>
+
+#include <load/http_engine.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <thread>
+
+namespace orioledrum::load
+{
+
+using json = nlohmann::json;
+
+namespace
+{
+
+/// Sends the arrivals of one thread.
+class sender
+{
+public:
+    sender(const load_settings &settings, time_point start, std::vector<const arrival *> arrivals)
+        : m_settings(settings)
+        , m_start(start)
+        , m_arrivals(std::move(arrivals))
+        , m_samples(m_arrivals.size())
+    {
+    }
+
+    void run()
+    {
+        for (std::size_t index = 0; index < m_arrivals.size(); ++index) {
+            const time_point due = m_start + m_arrivals[index]->at;
+            do {
+                m_engine.drive(due);
+            } while (monotonic_clock::now() < due);
+            begin(*m_arrivals[index], m_samples[index]);
+        }
+        while (m_engine.active() > 0) {
+            m_engine.drive(monotonic_clock::now() + std::chrono::seconds{1});
+        }
+    }
+
+    [[nodiscard]] std::vector<sample> &samples() { return m_samples; }
+
+private:
+    [[nodiscard]] std::chrono::microseconds sinceStart() const
+    {
+        return std::chrono::duration_cast<std::chrono::microseconds>(monotonic_clock::now() - m_start);
+    }
+
+    void begin(const arrival &next, sample &result)
+    {
+        result.order = next.order;
+        result.service = next.service;
+        result.customer = next.customer;
+        result.query = next.query;
+        result.host = m_settings.hosts[next.host];
+        result.scheduled = next.at;
+        result.sent = sinceStart();
+        if (next.order) {
+            askTicket(result);
+        } else {
+            search(result);
+        }
+    }
+
+    void search(sample &result)
+    {
+        json body = {{"service", result.service},
+                     {"query", result.query},
+                     {"customer", result.customer},
+                     {"deadlineMs", m_settings.deadline.count()},
+                     {"minCoverage", m_settings.minCoverage},
+                     {"limit", m_settings.limit}};
+        if (!m_settings.priority.empty()) {
+            body["priority"] = m_settings.priority;
+        }
+        m_engine.send(
+            "POST", "http://" + result.host + "/v1/search", body.dump(), m_settings.timeout, [this, &result](const http_result &answer) {
+                result.ended = sinceStart();
+                if (answer.answered) {
+                    readSearchAnswer(answer.status, answer.body, m_settings.keepResults, result);
+                } else {
+                    fail(result, "failed", answer);
+                }
+            });
+    }
+
+    void askTicket(sample &result)
+    {
+        const json body = {{"service", result.service}, {"customer", result.customer}};
+        m_engine.send("POST",
+                      "http://" + result.host + "/v1/orders/tickets",
+                      body.dump(),
+                      m_settings.timeout,
+                      [this, &result](const http_result &answer) {
+                          result.ended = sinceStart();
+                          // Without a ticket no order was sent, so it has not run whatever the reason.
+                          if (!answer.answered) {
+                              fail(result, "notRun", answer);
+                              return;
+                          }
+                          const json ticket = json::parse(answer.body, nullptr, false);
+                          const bool usable =
+                              answer.status == 200 && ticket.is_object() && ticket.contains("ticket") && ticket["ticket"].is_string();
+                          if (!usable) {
+                              readOrderAnswer(answer.status, answer.body, result);
+                              result.outcome = "notRun";
+                              return;
+                          }
+                          result.ticket = ticket["ticket"].get<std::string>();
+                          order(result);
+                      });
+    }
+
+    void order(sample &result)
+    {
+        const json body = {{"service", result.service},
+                           {"customer", result.customer},
+                           {"deadlineMs", m_settings.deadline.count()},
+                           {"order", {{"item", result.query}, {"quantity", 1}}}};
+        m_engine.send("PUT",
+                      "http://" + result.host + "/v1/orders/" + result.ticket,
+                      body.dump(),
+                      m_settings.timeout,
+                      [this, &result](const http_result &answer) {
+                          result.ended = sinceStart();
+                          if (answer.answered) {
+                              readOrderAnswer(answer.status, answer.body, result);
+                          } else {
+                              fail(result, "unknown", answer);
+                          }
+                      });
+    }
+
+    static void fail(sample &result, const char *outcome, const http_result &answer)
+    {
+        result.status = 0;
+        result.outcome = outcome;
+        result.code = "noAnswer";
+        result.message = answer.problem;
+    }
+
+    const load_settings &m_settings;
+    time_point m_start;
+    std::vector<const arrival *> m_arrivals;
+    std::vector<sample> m_samples;
+    http_engine m_engine;
+};
+
+} // namespace
+
+std::vector<sample> runLoad(const load_settings &settings, const std::vector<arrival> &arrivals)
+{
+    const std::size_t count = std::max<std::size_t>(settings.threads, 1);
+    std::vector<std::vector<const arrival *>> parts(count);
+    for (std::size_t index = 0; index < arrivals.size(); ++index) {
+        parts[index % count].push_back(&arrivals[index]);
+    }
+    // The short wait lets every thread be ready before the first arrival.
+    const time_point start = monotonic_clock::now() + std::chrono::milliseconds{50};
+    std::vector<std::unique_ptr<sender>> senders;
+    std::vector<std::thread> threads;
+    for (auto &part : parts) {
+        senders.push_back(std::make_unique<sender>(settings, start, std::move(part)));
+    }
+    threads.reserve(count);
+    for (const auto &one : senders) {
+        threads.emplace_back([&one = *one] { one.run(); });
+    }
+    std::vector<sample> result;
+    for (std::size_t index = 0; index < count; ++index) {
+        threads[index].join();
+        auto &samples = senders[index]->samples();
+        result.insert(result.end(), std::make_move_iterator(samples.begin()), std::make_move_iterator(samples.end()));
+    }
+    std::stable_sort(
+        result.begin(), result.end(), [](const sample &left, const sample &right) { return left.scheduled < right.scheduled; });
+    return result;
+}
+
+} // namespace orioledrum::load
