Add tickets, order runs and the guard of an owner

Cause: an order must run at most once although callers repeat it through other hosts and any process or connection may fail. Change: library orders with unit tests and a property in which hosts crash, streams and backend connections break and messages are duplicated and late. The same run has to find a violation with each of seven mechanisms out of use.

--- a/libs/orders/include/orders/order_guard.h
+++ b/libs/orders/include/orders/order_guard.h
@@ -7,9 +7,9 @@
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
+#include <deque>
 #include <map>
-#include <optional>
+#include <string>
 #include <unordered_map>
 #include <utility>
 
@@ -19,7 +19,7 @@
 /// Bounds of an order_guard.
 struct order_guard_settings {
     std::chrono::seconds memory{900}; ///< How long an attempt is remembered; longer than a ticket lives.
-    std::size_t maxAttempts = 200000; ///< Further attempts are refused with overloaded.
+    std::size_t maxAttempts = 200000; ///< Above it the oldest settled attempt is forgotten early.
 };
 
 /// What the owner does with an order that arrived.
@@ -54,7 +54,8 @@
 public:
     explicit order_guard(order_guard_settings settings);
 
-    /// An order arrived.
+    /// An order arrived. An attempt that may have been forgotten is answered with unknown and never handed on: tickets of
+    /// one incarnation are numbered, so everything up to the highest forgotten number is treated so.
     guard_decision receive(const order_request &request, time_point now);
 
     /// Refuses an attempt that is not handed on. From then on mayWrite is false for it.
@@ -84,21 +85,25 @@
     [[nodiscard]] std::size_t size() const { return m_attempts.size(); }
 
 private:
-    enum class phase : std::uint8_t { received, handedOn, refused, finished };
+    enum class phase : std::uint8_t { received, handedOn, settled };
+    using key = std::pair<std::string, std::uint64_t>;
     struct attempt_state {
         phase step = phase::received;
         time_point deadline;
-        time_point received;
-        order_answer answer; // The answer sent; its body is not kept.
+        order_answer answer; // Once settled; without the body.
+    };
+    struct forgotten {
+        std::uint64_t sequence = 0; // Highest sequence of a forgotten attempt.
+        time_point when;
     };
-    using key = std::pair<std::string, std::uint64_t>;
 
-    static order_answer makeAnswer(const key &attempt, order_outcome outcome, error_code code, std::string message);
+    const order_answer &settle(const key &attempt, attempt_state &state, order_outcome outcome, error_code code, std::string message);
+    bool forgetOldest(bool inProgressToo, time_point now);
 
     order_guard_settings m_settings;
     std::map<key, attempt_state> m_attempts;
-    std::multimap<time_point, key> m_byAge;
-    std::unordered_map<incarnation_id, std::pair<std::uint64_t, time_point>> m_forgotten; // Highest forgotten sequence.
+    std::deque<std::pair<time_point, key>> m_byAge;
+    std::unordered_map<incarnation_id, forgotten> m_forgotten;
 };
 
 } // namespace orioledrum
--- a/libs/orders/include/orders/order_run.h
+++ b/libs/orders/include/orders/order_run.h
@@ -70,6 +70,7 @@
     void takeActions(std::vector<order_action> &out);
 
 private:
+    void send(order_target target, time_point now);
     void sendNext(error_code reason, std::string message, time_point now);
     void finish(order_outcome outcome, error_code code, std::string message, std::string body = {});
 
--- a/libs/orders/include/orders/ticket.h
+++ b/libs/orders/include/orders/ticket.h
@@ -3,7 +3,6 @@
 #include <base/error.h>
 #include <base/ids.h>
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -21,7 +20,7 @@
     incarnation_id incarnation;
     std::uint64_t sequence = 0; ///< From 1.
 
-    auto operator<=>(const ticket &other) const = default;
+    bool operator==(const ticket &other) const = default;
 
     /// @return The text form.
     [[nodiscard]] std::string text() const;
--- a/libs/orders/include/orders/ticket_store.h
+++ b/libs/orders/include/orders/ticket_store.h
@@ -8,7 +8,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -57,8 +56,9 @@
     /// Submits an order under a ticket.
     ///
     /// Refusals are settled answers: ticketConflict when the ticket was used with another order (outcome of this
-    /// submission: notRun), unknownTicket with notRun when the ticket expired unused, and unknownTicket with unknown
-    /// when the ticket is not remembered or belongs to another incarnation.
+    /// submission: notRun), unknownTicket with notRun when the ticket expired unused, unknownTicket with unknown when
+    /// the ticket is not remembered, was never minted or belongs to another incarnation, and overloaded with unknown
+    /// when too many repeats wait already.
     /// @param ticket The ticket.
     /// @param request The order; service, customer and body must be the same in every submission.
     /// @param callback Called once, from the thread that calls finish, if the result is waiting.
@@ -78,14 +78,14 @@
     struct digest {
         std::uint64_t first = 0;
         std::uint64_t second = 0;
-        std::size_t length = 0;
         bool operator==(const digest &other) const = default;
     };
-    struct entry {
+    struct ticket_entry {
         state phase = state::minted;
+        bool used = false; // Submitted at least once; otherwise it has no content.
         time_point minted;
         digest content;
-        order_answer answer;
+        std::unique_ptr<order_answer> answer; // Without the ticket's text, once done.
         std::vector<answer_callback> waiters;
     };
 
@@ -100,7 +100,7 @@
     std::uint64_t m_next = 1;
     std::uint64_t m_oldest = 1; // Lowest sequence that may still be remembered.
     std::size_t m_answerBytes = 0;
-    std::unordered_map<std::uint64_t, entry> m_entries;
+    std::unordered_map<std::uint64_t, ticket_entry> m_entries;
 };
 
 } // namespace orioledrum
--- /dev/null
+++ b/libs/orders/tests/fakes/fake_fleet.h
@@ -0,0 +1,490 @@
+#pragma once
+
+#include <base/random_source.h>
+#include <orders/order_guard.h>
+#include <orders/order_run.h>
+#include <orders/ticket_store.h>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace orioledrum
+{
+
+/// Deliberate faults of fake_fleet, each of which takes one mechanism out of use.
+enum class order_defect {
+    none,
+    ignoresIncarnation, ///< A restarted minting host runs orders under tickets of its earlier run.
+    runsWhereReceived, ///< Every host runs the orders it receives itself, instead of the minting host.
+    forgetsOutcomes, ///< A repeated ticket is run again.
+    brokenMeansRefused, ///< After a broken stream another owner is chosen.
+    noGuard, ///< The owner hands on every message that it receives.
+    forgetsRefusals, ///< The owner does not remember what it refused.
+    lostMeansNotRun, ///< A lost answer of a backend server is reported as not run.
+};
+
+/// Entry hosts with tickets, runs and guards, and backend servers that count what runs, in simulated time. Hosts crash
+/// and restart, streams and backend connections break, messages are duplicated and late, and callers submit again
+/// through other hosts. A message reaches only the incarnation that its connection was opened to, as with TCP.
+class fake_fleet
+{
+public:
+    fake_fleet(std::uint64_t seed, order_defect defect)
+        : m_random(seed)
+        , m_defect(defect)
+        , m_now(std::chrono::hours(1))
+    {
+        for (std::size_t index = 0; index < hostCount; ++index) {
+            restart(index);
+        }
+    }
+
+    /// Runs some orders to their end.
+    /// @return A description of the first violation, if any.
+    std::optional<std::string> run(int orders)
+    {
+        for (int order = 0; order < orders; ++order) {
+            after(m_random.below(300000), [this] { startOrder(); });
+        }
+        while (!m_events.empty()) {
+            const auto event = m_events.top();
+            m_events.pop();
+            m_now = std::max(m_now, event.when);
+            event.action();
+            if (m_random.below(60) == 0) {
+                crash(m_random.below(hostCount));
+            }
+        }
+        return violation();
+    }
+
+    [[nodiscard]] int ranReports() const { return m_ran; }
+    [[nodiscard]] int notRunReports() const { return m_notRun; }
+    [[nodiscard]] int unknownReports() const { return m_unknown; }
+
+private:
+    static constexpr std::size_t hostCount = 3;
+    static constexpr std::size_t backendCount = 2;
+
+    using reply = std::function<void(const order_answer &)>;
+
+    struct run_entry {
+        ticket name;
+        std::unique_ptr<order_run> run;
+        std::vector<reply> replies;
+    };
+    struct fake_host {
+        bool up = false;
+        int incarnation = 0;
+        std::unique_ptr<ticket_store> store;
+        std::unique_ptr<order_guard> guard;
+        std::map<std::string, run_entry> runs;
+    };
+    struct stream {
+        std::size_t receiver = 0;
+        int receiverIncarnation = 0;
+        bool open = true;
+        std::function<void()> broken;
+    };
+    struct timed_event {
+        time_point when;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+        bool operator<(const timed_event &other) const { return when != other.when ? when > other.when : order > other.order; }
+    };
+    struct report {
+        std::string ticket;
+        std::string body;
+        order_outcome outcome = order_outcome::unknown;
+    };
+
+    void after(std::uint64_t micros, std::function<void()> action)
+    {
+        m_events.push({m_now + std::chrono::microseconds(micros), m_order++, std::move(action)});
+    }
+
+    // Runs the action later, unless the host has crashed by then.
+    void afterAt(std::size_t index, std::uint64_t micros, std::function<void()> action)
+    {
+        after(micros, [this, index, incarnation = m_hosts[index].incarnation, action = std::move(action)] {
+            if (m_hosts[index].up && m_hosts[index].incarnation == incarnation) {
+                action();
+            }
+        });
+    }
+
+    static entry_host_id hostName(std::size_t index) { return entry_host_id("host-" + std::to_string(index)); }
+    static std::size_t hostIndex(const entry_host_id &id) { return static_cast<std::size_t>(id.str().back() - '0'); }
+
+    // Mostly short, sometimes longer than any deadline.
+    std::uint64_t delay() { return m_random.below(20) == 0 ? m_random.below(1500000) : m_random.below(4000); }
+
+    void restart(std::size_t index)
+    {
+        auto &host = m_hosts[index];
+        host.up = true;
+        ++host.incarnation;
+        host.store = std::move(*ticket_store::create(hostName(index), incarnation_id(m_random.hexId()), {}));
+        host.guard = std::make_unique<order_guard>(order_guard_settings{});
+        host.runs.clear();
+    }
+
+    void crash(std::size_t index)
+    {
+        auto &host = m_hosts[index];
+        if (!host.up) {
+            return;
+        }
+        host.up = false;
+        host.runs.clear();
+        for (auto &entry : m_streams) {
+            if (entry->open && entry->receiver == index) {
+                entry->open = false;
+                after(m_random.below(3000), entry->broken);
+            }
+        }
+        after(m_random.below(100000), [this, index] { restart(index); });
+    }
+
+    // A stream from one host to another whose messages may be duplicated and late, and which may break at any time.
+    void transmit(std::size_t from,
+                  std::size_t to,
+                  const std::function<void(const std::shared_ptr<stream> &)> &deliver,
+                  std::function<void()> broken)
+    {
+        auto connection = std::make_shared<stream>();
+        connection->receiver = to;
+        connection->receiverIncarnation = m_hosts[to].incarnation;
+        connection->broken = [this, from, incarnation = m_hosts[from].incarnation, broken = std::move(broken)] {
+            if (m_hosts[from].up && m_hosts[from].incarnation == incarnation) {
+                broken();
+            }
+        };
+        m_streams.push_back(connection);
+        const auto copies = m_random.below(4) == 0 ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            afterAt(to, delay(), [deliver, connection] { deliver(connection); });
+        }
+        if (m_random.below(12) == 0) {
+            after(delay(), [connection] {
+                if (connection->open) {
+                    connection->open = false;
+                    connection->broken();
+                }
+            });
+        }
+    }
+
+    // Answers on a stream, unless it broke or the sender of the request has gone.
+    void respond(std::size_t to, int toIncarnation, const std::shared_ptr<stream> &connection, std::function<void()> action)
+    {
+        const auto copies = m_random.below(4) == 0 ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            after(delay(), [this, to, toIncarnation, connection, action] {
+                if (connection->open && m_hosts[to].up && m_hosts[to].incarnation == toIncarnation) {
+                    action();
+                }
+            });
+        }
+    }
+
+    void startOrder()
+    {
+        const auto minting = m_random.below(hostCount);
+        if (!m_hosts[minting].up) {
+            return;
+        }
+        const auto minted = m_hosts[minting].store->mint(m_now);
+        if (!minted) {
+            return;
+        }
+        const auto submissions = 1 + m_random.below(4);
+        for (std::uint64_t submission = 0; submission < submissions; ++submission) {
+            const auto wait = m_random.below(12) == 0 ? 59000000 + m_random.below(3000000) : m_random.below(400000);
+            const std::string body = m_random.below(8) == 0 ? "another" : "order";
+            after(wait, [this, text = minted->text(), body] { submitAnywhere(text, body); });
+        }
+    }
+
+    void submitAnywhere(const std::string &text, const std::string &body)
+    {
+        const auto index = m_random.below(hostCount);
+        if (!m_hosts[index].up) {
+            return;
+        }
+        order_request request;
+        request.ticket = text;
+        request.service = service_id("desk");
+        request.body = body;
+        request.remaining = std::chrono::milliseconds(50 + m_random.below(500));
+        const auto incarnation = m_hosts[index].incarnation;
+        receive(index, request, [this, index, incarnation, text, body](const order_answer &answer) {
+            if (m_hosts[index].up && m_hosts[index].incarnation == incarnation) {
+                noteReport(text, body, answer.outcome);
+            }
+        });
+    }
+
+    void noteReport(const std::string &text, const std::string &body, order_outcome outcome)
+    {
+        m_reports.push_back({text, body, outcome});
+        m_ran += outcome == order_outcome::ran ? 1 : 0;
+        m_notRun += outcome == order_outcome::notRun ? 1 : 0;
+        m_unknown += outcome == order_outcome::unknown ? 1 : 0;
+    }
+
+    // An order of a caller at any host.
+    void receive(std::size_t index, const order_request &request, const reply &answerCaller)
+    {
+        const auto name = ticket::parse(request.ticket);
+        const auto minting = hostIndex(name->host);
+        if (minting == index || m_defect == order_defect::runsWhereReceived) {
+            mint(index, request, answerCaller);
+            return;
+        }
+        order_answer unreachable;
+        unreachable.outcome = order_outcome::unknown;
+        if (!m_hosts[minting].up) {
+            answerCaller(unreachable);
+            return;
+        }
+        const auto incarnation = m_hosts[index].incarnation;
+        const auto answered = std::make_shared<bool>(false);
+        const auto once = [answerCaller, answered](const order_answer &answer) {
+            if (!std::exchange(*answered, true)) {
+                answerCaller(answer);
+            }
+        };
+        transmit(
+            index,
+            minting,
+            [this, index, incarnation, minting, request, once](const std::shared_ptr<stream> &connection) {
+                mint(minting, request, [this, index, incarnation, connection, once](const order_answer &answer) {
+                    respond(index, incarnation, connection, [once, answer] { once(answer); });
+                });
+            },
+            [once, unreachable] { once(unreachable); });
+    }
+
+    // An order at the minting host.
+    void mint(std::size_t index, const order_request &request, const reply &answerSender)
+    {
+        auto &host = m_hosts[index];
+        const auto name = *ticket::parse(request.ticket);
+        auto found = host.store->submit(name, request, answerSender, m_now);
+        bool runIt = found.state == submission_state::accepted;
+        if (found.state == submission_state::settled) {
+            const bool foreign = found.answer.code == error_code::unknownTicket && found.answer.outcome == order_outcome::unknown;
+            runIt = (foreign && (m_defect == order_defect::ignoresIncarnation || m_defect == order_defect::runsWhereReceived))
+                || (m_defect == order_defect::forgetsOutcomes && found.answer.code != error_code::ticketConflict);
+            if (!runIt || host.runs.contains(request.ticket)) {
+                answerSender(found.answer);
+                return;
+            }
+        }
+        if (!runIt) {
+            return;
+        }
+        std::vector<order_target> targets;
+        for (std::size_t backend = 0; backend < backendCount; ++backend) {
+            const auto believed = m_random.below(3) == 0 ? m_random.below(hostCount) : m_owner[backend];
+            targets.push_back({backend_id("backend-" + std::to_string(backend)), hostName(believed)});
+        }
+        if (m_random.below(2) == 0) {
+            std::swap(targets[0], targets[1]);
+        }
+        auto &entry = host.runs[request.ticket];
+        entry.name = name;
+        entry.run = std::make_unique<order_run>(name, request, targets, m_now + request.remaining);
+        entry.replies.push_back(answerSender);
+        entry.run->start(m_now);
+        afterAt(index, static_cast<std::uint64_t>(request.remaining.count()), [this, index, text = request.ticket] {
+            withRun(index, text, [this](order_run &run) { run.wakeup(m_now); });
+        });
+        carryOut(index, request.ticket);
+    }
+
+    void withRun(std::size_t index, const std::string &text, const std::function<void(order_run &)> &action)
+    {
+        const auto found = m_hosts[index].runs.find(text);
+        if (found != m_hosts[index].runs.end()) {
+            action(*found->second.run);
+            carryOut(index, text);
+        }
+    }
+
+    void carryOut(std::size_t index, const std::string &text)
+    {
+        std::vector<order_action> actions;
+        m_hosts[index].runs.at(text).run->takeActions(actions);
+        for (auto &action : actions) {
+            if (const auto *send = std::get_if<send_order>(&action)) {
+                sendToOwner(index, *send);
+                continue;
+            }
+            const auto answer = std::get<finish_order>(action).answer;
+            auto entry = std::move(m_hosts[index].runs.at(text));
+            m_hosts[index].runs.erase(text);
+            m_hosts[index].store->finish(entry.name, answer, m_now);
+            for (const auto &answerSender : entry.replies) {
+                answerSender(answer);
+            }
+            return;
+        }
+    }
+
+    void sendToOwner(std::size_t index, const send_order &send)
+    {
+        const auto owner = hostIndex(send.owner);
+        const auto text = send.request.ticket;
+        const auto attempt = send.request.attempt;
+        if (!m_hosts[owner].up) {
+            afterAt(index, m_random.below(1000), [this, index, text, attempt] {
+                withRun(index, text, [this, attempt](order_run &run) { run.notSent(attempt, m_now); });
+            });
+            return;
+        }
+        const auto incarnation = m_hosts[index].incarnation;
+        transmit(
+            index,
+            owner,
+            [this, index, incarnation, owner, request = send.request, text](const std::shared_ptr<stream> &connection) {
+                own(owner, request, [this, index, incarnation, connection, text](const order_answer &answer) {
+                    respond(index, incarnation, connection, [this, index, text, answer] {
+                        withRun(index, text, [this, &answer](order_run &run) { run.answered(answer, m_now); });
+                    });
+                });
+            },
+            [this, index, text, attempt] {
+                withRun(index, text, [this, attempt](order_run &run) {
+                    if (m_defect == order_defect::brokenMeansRefused) {
+                        run.notSent(attempt, m_now);
+                    } else {
+                        run.streamBroken(attempt, m_now);
+                    }
+                });
+            });
+    }
+
+    // An order at the owner of its backend server, or at a host that is believed to be the owner.
+    void own(std::size_t index, const order_request &request, const reply &answerSender)
+    {
+        auto &guard = *m_hosts[index].guard;
+        if (m_defect == order_defect::noGuard) {
+            guard = order_guard({});
+        }
+        const auto decision = guard.receive(request, m_now);
+        if (decision.verdict == guard_verdict::answer) {
+            answerSender(decision.answer);
+            return;
+        }
+        if (decision.verdict == guard_verdict::inProgress) {
+            return;
+        }
+        const auto backend = hostIndex(entry_host_id(request.backend.str()));
+        // The lease moves while orders are under way.
+        if (m_random.below(10) == 0) {
+            m_owner[backend] = m_random.below(hostCount);
+        }
+        const bool isOwner = m_owner[backend] == index;
+        if (!isOwner || m_random.below(5) == 0) {
+            auto answer =
+                guard.refuse(request.ticket, request.attempt, isOwner ? error_code::draining : error_code::notOwner, "refused", m_now);
+            answer.holder = isOwner ? entry_host_id() : hostName(m_owner[backend]);
+            if (m_defect == order_defect::forgetsRefusals) {
+                guard = order_guard({});
+            }
+            answerSender(answer);
+            return;
+        }
+        afterAt(index, delay(), [this, index, backend, request, answerSender] { write(index, backend, request, answerSender); });
+    }
+
+    void write(std::size_t index, std::size_t backend, const order_request &request, const reply &answerSender)
+    {
+        auto &guard = *m_hosts[index].guard;
+        const auto leaseEnd = m_owner[backend] == index ? m_now + std::chrono::seconds(1) : m_now;
+        if (m_defect == order_defect::noGuard) {
+            guard.receive(request, m_now);
+        }
+        order_answer refusal;
+        if (!guard.mayWrite(request.ticket, request.attempt, leaseEnd, m_now, &refusal)) {
+            answerSender(refusal);
+            return;
+        }
+        const auto settle = [this, index, request, answerSender](order_evidence evidence, error_code code) {
+            answerSender(m_hosts[index].guard->finish(request.ticket, request.attempt, evidence, code, "message", "body", m_now));
+        };
+        if (m_random.below(6) == 0) {
+            settle(order_evidence::noByteSent, error_code::unreachable);
+            return;
+        }
+        const bool refuses = m_random.below(6) == 0;
+        const bool breaks = m_random.below(4) == 0;
+        // The written bytes reach the backend server also when the connection or the owner dies after that.
+        after(delay(), [this, index, incarnation = m_hosts[index].incarnation, request, refuses, breaks, settle] {
+            if (!refuses) {
+                ++m_runs[request.ticket][request.body];
+            }
+            if (breaks || !m_hosts[index].up || m_hosts[index].incarnation != incarnation) {
+                return;
+            }
+            afterAt(index, delay(), [refuses, settle] {
+                settle(refuses ? order_evidence::backendRefused : order_evidence::ran,
+                       refuses ? error_code::draining : error_code::internal);
+            });
+        });
+        if (breaks) {
+            afterAt(index, delay(), [this, settle] {
+                settle(m_defect == order_defect::lostMeansNotRun ? order_evidence::noByteSent : order_evidence::lost,
+                       error_code::unreachable);
+            });
+        }
+    }
+
+    [[nodiscard]] std::optional<std::string> violation()
+    {
+        for (const auto &[text, bodies] : m_runs) {
+            int runs = 0;
+            for (const auto &[body, count] : bodies) {
+                runs += count;
+            }
+            if (runs > 1) {
+                return "ticket " + text + " ran " + std::to_string(runs) + " times";
+            }
+        }
+        for (const auto &entry : m_reports) {
+            const int runs = m_runs[entry.ticket][entry.body];
+            if (entry.outcome == order_outcome::notRun && runs != 0) {
+                return "ticket " + entry.ticket + " was reported as not run but ran";
+            }
+            if (entry.outcome == order_outcome::ran && runs != 1) {
+                return "ticket " + entry.ticket + " was reported as run but did not run";
+            }
+        }
+        return std::nullopt;
+    }
+
+    random_source m_random;
+    order_defect m_defect;
+    time_point m_now;
+    std::array<fake_host, hostCount> m_hosts;
+    std::array<std::size_t, backendCount> m_owner{0, 1};
+    std::vector<std::shared_ptr<stream>> m_streams;
+    std::priority_queue<timed_event> m_events;
+    std::uint64_t m_order = 0;
+    std::map<std::string, std::map<std::string, int>> m_runs;
+    std::vector<report> m_reports;
+    int m_ran = 0;
+    int m_notRun = 0;
+    int m_unknown = 0;
+};
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/orders/tests/test_orders.cpp
@@ -0,0 +1,410 @@
+#include "fakes/fake_fleet.h"
+
+#include <orders/order_guard.h>
+#include <orders/order_run.h>
+#include <orders/ticket.h>
+#include <orders/ticket_store.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace orioledrum;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const time_point begin{std::chrono::hours(1)};
+const incarnation_id run1("0123456789abcdef0123456789abcdef");
+
+std::unique_ptr<ticket_store> makeStore(ticket_store_settings settings = {})
+{
+    return std::move(*ticket_store::create(entry_host_id("host-1.zone"), run1, settings));
+}
+
+order_request makeRequest(const std::string &body = "two tons")
+{
+    order_request request;
+    request.service = service_id("desk");
+    request.customer = customer_id("p");
+    request.body = body;
+    request.remaining = 100ms;
+    return request;
+}
+
+order_answer makeAnswer(const ticket &name, std::uint64_t attempt, order_outcome outcome, error_code code = error_code::internal)
+{
+    order_answer answer;
+    answer.ticket = name.text();
+    answer.attempt = attempt;
+    answer.outcome = outcome;
+    answer.code = code;
+    answer.body = outcome == order_outcome::ran ? "number 7" : "";
+    return answer;
+}
+
+const ticket ticket1{entry_host_id("host-1.zone"), run1, 1};
+
+// The single action that a run has produced.
+template<typename Action>
+std::optional<Action> takeOnly(order_run &run)
+{
+    std::vector<order_action> actions;
+    run.takeActions(actions);
+    if (actions.size() != 1 || !std::holds_alternative<Action>(actions[0])) {
+        return std::nullopt;
+    }
+    return std::get<Action>(actions[0]);
+}
+
+} // namespace
+
+// Guards against an order that runs twice, runs although it was reported as not run, or did not run although it was
+// reported as run, when hosts and connections fail at any step and messages are duplicated and late.
+RC_GTEST_PROP(OrdersProperty, AtMostOnceAndTrueOutcomes, (std::uint32_t seed))
+{
+    fake_fleet fleet(seed, order_defect::none);
+    const auto violation = fleet.run(12);
+    if (violation) {
+        RC_FAIL(*violation);
+    }
+}
+
+// Guards against a property that cannot fail: with one mechanism out of use the same check has to find a violation. Also
+// guards against a fleet in which nothing is run or refused, where the property would say nothing.
+TEST(OrdersProperty, FindsEachDefect)
+{
+    for (const auto defect : {order_defect::ignoresIncarnation,
+                              order_defect::runsWhereReceived,
+                              order_defect::forgetsOutcomes,
+                              order_defect::brokenMeansRefused,
+                              order_defect::noGuard,
+                              order_defect::forgetsRefusals,
+                              order_defect::lostMeansNotRun}) {
+        int found = 0;
+        for (std::uint64_t seed = 0; seed < 100; ++seed) {
+            found += fake_fleet(seed, defect).run(12).has_value() ? 1 : 0;
+        }
+        EXPECT_GT(found, 0) << "defect " << static_cast<int>(defect);
+        RecordProperty("defect_" + std::to_string(static_cast<int>(defect)), found);
+    }
+    int ran = 0;
+    int notRun = 0;
+    int unknown = 0;
+    for (std::uint64_t seed = 0; seed < 100; ++seed) {
+        fake_fleet fleet(seed, order_defect::none);
+        EXPECT_EQ(fleet.run(12), std::nullopt);
+        ran += fleet.ranReports();
+        notRun += fleet.notRunReports();
+        unknown += fleet.unknownReports();
+    }
+    RecordProperty("ran", ran);
+    RecordProperty("notRun", notRun);
+    RecordProperty("unknown", unknown);
+    EXPECT_GT(ran, 100);
+    EXPECT_GT(notRun, 100);
+    EXPECT_GT(unknown, 100);
+}
+
+// Guards against a text form that is not read back as the same ticket.
+TEST(Ticket, TextFormIsReadBack)
+{
+    const auto read = ticket::parse(ticket1.text());
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(*read, ticket1);
+    const ticket highest{entry_host_id("a"), run1, UINT64_MAX};
+    EXPECT_EQ(*ticket::parse(highest.text()), highest);
+}
+
+// Guards against accepting a text that another host would read as another ticket.
+TEST(Ticket, RejectsMalformedTexts)
+{
+    const std::string incarnation = run1.str();
+    for (const auto &text : std::vector<std::string>{"",
+                                                     ".",
+                                                     "..",
+                                                     "host",
+                                                     "host." + incarnation,
+                                                     "." + incarnation + ".1",
+                                                     "host." + incarnation + ".",
+                                                     "host." + incarnation + ".0",
+                                                     "host." + incarnation + ".01",
+                                                     "host." + incarnation + ".-1",
+                                                     "host." + incarnation + ".1x",
+                                                     "host." + incarnation + ".18446744073709551616",
+                                                     "host.0123456789ABCDEF0123456789abcdef.1",
+                                                     "host.0123.1",
+                                                     "ho/st." + incarnation + ".1",
+                                                     std::string(300, 'h') + "." + incarnation + ".1"}) {
+        const auto read = ticket::parse(text);
+        ASSERT_FALSE(read.has_value()) << text;
+        EXPECT_EQ(read.error().code, error_code::malformed);
+        EXPECT_FALSE(read.error().message.empty());
+    }
+}
+
+// Guards against another outcome for a repeat, and against running another order under a used ticket.
+TEST(TicketStore, RepeatsGetTheSameOutcome)
+{
+    const auto store = makeStore();
+    const auto name = store->mint(begin);
+    ASSERT_TRUE(name.has_value());
+    int calls = 0;
+    const auto count = [&calls](const order_answer &answer) { calls += answer.outcome == order_outcome::ran ? 1 : 100; };
+    EXPECT_EQ(store->submit(*name, makeRequest(), count, begin).state, submission_state::accepted);
+    EXPECT_EQ(store->submit(*name, makeRequest(), count, begin).state, submission_state::waiting);
+    const auto conflict = store->submit(*name, makeRequest("three tons"), count, begin);
+    EXPECT_EQ(conflict.state, submission_state::settled);
+    EXPECT_EQ(conflict.answer.code, error_code::ticketConflict);
+    EXPECT_EQ(conflict.answer.outcome, order_outcome::notRun);
+    store->finish(*name, makeAnswer(*name, 1, order_outcome::ran), begin + 5ms);
+    EXPECT_EQ(calls, 1);
+    store->finish(*name, makeAnswer(*name, 1, order_outcome::notRun), begin + 6ms);
+    const auto repeat = store->submit(*name, makeRequest(), count, begin + 9min);
+    EXPECT_EQ(repeat.state, submission_state::settled);
+    EXPECT_EQ(repeat.answer.outcome, order_outcome::ran);
+    EXPECT_EQ(repeat.answer.body, "number 7");
+    EXPECT_EQ(repeat.answer.ticket, name->text());
+    EXPECT_EQ(store->submit(*name, makeRequest("three tons"), count, begin + 9min).answer.code, error_code::ticketConflict);
+}
+
+// Guards against a definite answer for a ticket whose history is not known.
+TEST(TicketStore, UnknownTicketsHaveNoDefiniteOutcome)
+{
+    const auto store = makeStore();
+    const auto name = *store->mint(begin);
+    const auto submit = [&store](const ticket &other, time_point now) { return store->submit(other, makeRequest(), {}, now); };
+    auto other = name;
+    other.incarnation = incarnation_id("ffffffffffffffffffffffffffffffff");
+    EXPECT_EQ(submit(other, begin).answer.outcome, order_outcome::unknown);
+    other = name;
+    other.host = entry_host_id("another");
+    EXPECT_EQ(submit(other, begin).answer.outcome, order_outcome::unknown);
+    other = name;
+    other.sequence = 2; // It may be minted and run later.
+    EXPECT_EQ(submit(other, begin).answer.outcome, order_outcome::unknown);
+    EXPECT_EQ(submit(other, begin).answer.code, error_code::unknownTicket);
+
+    const auto expired = submit(name, begin + 61s);
+    EXPECT_EQ(expired.state, submission_state::settled);
+    EXPECT_EQ(expired.answer.outcome, order_outcome::notRun);
+    EXPECT_EQ(submit(name, begin + 2min).answer.outcome, order_outcome::notRun);
+    EXPECT_EQ(submit(name, begin + 11min).answer.outcome, order_outcome::unknown) << "forgotten";
+    EXPECT_EQ(store->size(), 0U);
+}
+
+// Guards against memory that grows without a bound, and against forgetting a ticket too early to make room.
+TEST(TicketStore, IsBounded)
+{
+    ticket_store_settings settings;
+    settings.maxTickets = 2;
+    settings.maxWaiters = 1;
+    auto store = makeStore(settings);
+    const auto first = *store->mint(begin);
+    ASSERT_TRUE(store->mint(begin + 1s).has_value());
+    const auto refused = store->mint(begin + 2s);
+    ASSERT_FALSE(refused.has_value());
+    EXPECT_EQ(refused.error().code, error_code::overloaded);
+    EXPECT_FALSE(store->mint(begin + 659s).has_value());
+    EXPECT_TRUE(store->mint(begin + 660s).has_value());
+
+    settings.maxTickets = 10;
+    settings.maxAnswerBytes = 8;
+    store = makeStore(settings);
+    const auto name = *store->mint(begin);
+    ASSERT_EQ(store->submit(name, makeRequest(), {}, begin).state, submission_state::accepted);
+    ASSERT_EQ(store
+                  ->submit(
+                      name, makeRequest(), [](const auto &) {}, begin)
+                  .state,
+              submission_state::waiting);
+    const auto tooMany = store->submit(name, makeRequest(), {}, begin);
+    EXPECT_EQ(tooMany.answer.code, error_code::overloaded);
+    EXPECT_EQ(tooMany.answer.outcome, order_outcome::unknown);
+    store->finish(name, makeAnswer(name, 1, order_outcome::ran), begin);
+    EXPECT_FALSE(store->mint(begin).has_value());
+    EXPECT_TRUE(store->mint(begin + 660s).has_value());
+}
+
+// Guards against two threads that both run an order, and against data races in the store.
+TEST(TicketStore, OneOfManyThreadsRunsAnOrder)
+{
+    const auto store = makeStore();
+    for (int round = 0; round < 50; ++round) {
+        const auto name = *store->mint(begin);
+        std::atomic<int> accepted = 0;
+        std::atomic<int> answered = 0;
+        std::vector<std::thread> threads;
+        for (int index = 0; index < 4; ++index) {
+            threads.emplace_back([&] {
+                const auto found = store->submit(
+                    name, makeRequest(), [&answered](const order_answer &) { ++answered; }, begin);
+                if (found.state == submission_state::accepted) {
+                    ++accepted;
+                    store->finish(name, makeAnswer(name, 1, order_outcome::ran), begin);
+                } else if (found.state == submission_state::settled) {
+                    EXPECT_EQ(found.answer.outcome, order_outcome::ran);
+                    ++answered;
+                }
+            });
+        }
+        for (auto &thread : threads) {
+            thread.join();
+        }
+        EXPECT_EQ(accepted, 1);
+        EXPECT_EQ(answered, 3);
+    }
+}
+
+// Guards against host names that would make tickets ambiguous.
+TEST(TicketStore, RejectsIdsThatDoNotFitATicket)
+{
+    EXPECT_FALSE(ticket_store::create(entry_host_id(""), run1, {}).has_value());
+    EXPECT_FALSE(ticket_store::create(entry_host_id("a/b"), run1, {}).has_value());
+    EXPECT_FALSE(ticket_store::create(entry_host_id("a"), incarnation_id("1"), {}).has_value());
+}
+
+// Guards against giving up after an explicit refusal and against following hints without end.
+TEST(OrderRun, ChoosesAnotherOwnerOnlyAfterARefusal)
+{
+    order_run run(ticket1, makeRequest(), {{backend_id("a"), entry_host_id("o1")}, {backend_id("b"), entry_host_id("o2")}}, begin + 100ms);
+    run.start(begin);
+    auto send = takeOnly<send_order>(run);
+    ASSERT_TRUE(send.has_value());
+    EXPECT_EQ(send->owner, entry_host_id("o1"));
+    EXPECT_EQ(send->request.remaining, 95ms);
+    EXPECT_EQ(send->request.backend, backend_id("a"));
+    auto refusal = makeAnswer(ticket1, 1, order_outcome::notRun, error_code::notOwner);
+    refusal.holder = entry_host_id("o3");
+    run.answered(refusal, begin + 1ms);
+    send = takeOnly<send_order>(run);
+    ASSERT_TRUE(send.has_value());
+    EXPECT_EQ(send->owner, entry_host_id("o3"));
+    EXPECT_EQ(send->request.backend, backend_id("a"));
+    EXPECT_EQ(send->request.attempt, 2U);
+    run.answered(refusal, begin + 2ms); // A duplicate of the first answer.
+    EXPECT_FALSE(takeOnly<send_order>(run).has_value());
+    refusal.attempt = 2;
+    refusal.holder = entry_host_id("o4");
+    run.answered(refusal, begin + 3ms);
+    send = takeOnly<send_order>(run);
+    ASSERT_TRUE(send.has_value());
+    EXPECT_EQ(send->owner, entry_host_id("o2"));
+    run.notSent(3, begin + 4ms);
+    const auto finish = takeOnly<finish_order>(run);
+    ASSERT_TRUE(finish.has_value());
+    EXPECT_EQ(finish->answer.outcome, order_outcome::notRun);
+    EXPECT_EQ(finish->answer.code, error_code::unreachable);
+}
+
+// Guards against a second owner after a broken stream or a late answer, and against an outcome after the deadline.
+TEST(OrderRun, BrokenOrLateMeansUnknown)
+{
+    const std::vector<order_target> targets{{backend_id("a"), entry_host_id("o1")}, {backend_id("b"), entry_host_id("o2")}};
+    order_run broken(ticket1, makeRequest(), targets, begin + 100ms);
+    broken.start(begin);
+    ASSERT_TRUE(takeOnly<send_order>(broken).has_value());
+    broken.streamBroken(1, begin + 1ms);
+    auto finish = takeOnly<finish_order>(broken);
+    ASSERT_TRUE(finish.has_value());
+    EXPECT_EQ(finish->answer.outcome, order_outcome::unknown);
+
+    order_run late(ticket1, makeRequest(), targets, begin + 100ms);
+    late.start(begin);
+    ASSERT_TRUE(takeOnly<send_order>(late).has_value());
+    EXPECT_EQ(late.nextWakeup(), begin + 95ms);
+    late.wakeup(begin + 95ms);
+    finish = takeOnly<finish_order>(late);
+    ASSERT_TRUE(finish.has_value());
+    EXPECT_EQ(finish->answer.outcome, order_outcome::unknown);
+    EXPECT_EQ(finish->answer.code, error_code::deadlineExceeded);
+    late.answered(makeAnswer(ticket1, 1, order_outcome::ran), begin + 96ms);
+    std::vector<order_action> actions;
+    late.takeActions(actions);
+    EXPECT_TRUE(actions.empty());
+}
+
+// Guards against moving refused orders to other backend servers under overload.
+TEST(OrderRun, OverloadedIsFinal)
+{
+    order_run run(ticket1, makeRequest(), {{backend_id("a"), entry_host_id("o1")}, {backend_id("b"), entry_host_id("o2")}}, begin + 100ms);
+    run.start(begin);
+    ASSERT_TRUE(takeOnly<send_order>(run).has_value());
+    run.answered(makeAnswer(ticket1, 1, order_outcome::notRun, error_code::overloaded), begin + 1ms);
+    const auto finish = takeOnly<finish_order>(run);
+    ASSERT_TRUE(finish.has_value());
+    EXPECT_EQ(finish->answer.outcome, order_outcome::notRun);
+    EXPECT_EQ(finish->answer.code, error_code::overloaded);
+}
+
+// Guards against an order without a target that is sent nowhere and never answered.
+TEST(OrderRun, WithoutATargetOrTimeNothingIsSent)
+{
+    order_run none(ticket1, makeRequest(), {}, begin + 100ms);
+    none.start(begin);
+    EXPECT_EQ(takeOnly<finish_order>(none)->answer.outcome, order_outcome::notRun);
+    order_run past(ticket1, makeRequest(), {{backend_id("a"), entry_host_id("o1")}}, begin);
+    past.start(begin);
+    EXPECT_EQ(takeOnly<finish_order>(past)->answer.code, error_code::deadlineExceeded);
+}
+
+// Guards against a write of a paused owner after its deadline or lease, and against a later write of a refused attempt.
+TEST(OrderGuard, WritesOnceAndOnlyInTime)
+{
+    order_guard guard({});
+    auto request = makeRequest();
+    request.ticket = ticket1.text();
+    order_answer refusal;
+    for (const auto attempt : {1, 2, 3}) {
+        request.attempt = attempt;
+        EXPECT_EQ(guard.receive(request, begin).verdict, guard_verdict::proceed);
+    }
+    EXPECT_EQ(guard.receive(request, begin).verdict, guard_verdict::inProgress);
+    EXPECT_FALSE(guard.mayWrite(request.ticket, 1, begin + 3s, begin + 100ms, &refusal));
+    EXPECT_EQ(refusal.outcome, order_outcome::notRun);
+    EXPECT_EQ(refusal.code, error_code::deadlineExceeded);
+    EXPECT_FALSE(guard.mayWrite(request.ticket, 2, begin + 50ms, begin + 50ms, &refusal));
+    EXPECT_EQ(refusal.code, error_code::notOwner);
+    EXPECT_FALSE(guard.mayWrite(request.ticket, 2, begin + 3s, begin + 51ms, &refusal)) << "refused before";
+    EXPECT_TRUE(guard.mayWrite(request.ticket, 3, begin + 3s, begin + 50ms, &refusal));
+    EXPECT_FALSE(guard.mayWrite(request.ticket, 3, begin + 3s, begin + 50ms, &refusal));
+    EXPECT_EQ(guard.refuse(request.ticket, 3, error_code::draining, "", begin + 51ms).outcome, order_outcome::unknown);
+    EXPECT_EQ(guard.finish(request.ticket, 3, order_evidence::lost, error_code::unreachable, "", "", begin + 60ms).outcome,
+              order_outcome::unknown);
+    request.attempt = 2;
+    const auto repeat = guard.receive(request, begin + 1min);
+    EXPECT_EQ(repeat.verdict, guard_verdict::answer);
+    EXPECT_EQ(repeat.answer.outcome, order_outcome::notRun);
+}
+
+// Guards against a late duplicate that is handed on after its attempt was forgotten, by time or for room.
+TEST(OrderGuard, ForgottenAttemptsAreNeverHandedOn)
+{
+    order_guard_settings settings;
+    settings.maxAttempts = 2;
+    order_guard guard(settings);
+    const auto request = [](std::uint64_t sequence) {
+        auto made = makeRequest();
+        made.ticket = ticket{entry_host_id("h"), run1, sequence}.text();
+        made.attempt = 1;
+        return made;
+    };
+    for (const auto sequence : {1, 2}) {
+        EXPECT_EQ(guard.receive(request(sequence), begin).verdict, guard_verdict::proceed);
+    }
+    const auto full = guard.receive(request(3), begin);
+    EXPECT_EQ(full.answer.code, error_code::overloaded);
+    EXPECT_EQ(full.answer.outcome, order_outcome::unknown);
+    guard.refuse(request(1).ticket, 1, error_code::draining, "", begin);
+    EXPECT_EQ(guard.receive(request(3), begin).verdict, guard_verdict::proceed);
+    const auto duplicate = guard.receive(request(1), begin + 1s);
+    EXPECT_EQ(duplicate.verdict, guard_verdict::answer);
+    EXPECT_EQ(duplicate.answer.outcome, order_outcome::unknown);
+    guard.expire(begin + 15min);
+    EXPECT_EQ(guard.size(), 0U);
+    EXPECT_EQ(guard.receive(request(3), begin + 16min).answer.outcome, order_outcome::unknown);
+    EXPECT_EQ(guard.receive(request(4), begin + 16min).verdict, guard_verdict::proceed);
+}
