--- a/tools/load/include/load/load_runner.h
+++ b/tools/load/include/load/load_runner.h
@@ -17,7 +17,7 @@
     std::chrono::milliseconds deadline{79};
     double minCoverage = 0.99;
     std::uint32_t limit = 10;
-    std::string priority;
+    int priority = -1; ///< -1 to send none.
     std::chrono::milliseconds timeout{2000}; ///< Longest wait for one answer.
     bool keepResults = false;
 };
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -84,7 +84,7 @@
     sending.deadline = std::chrono::milliseconds(values["deadline-ms"].as<std::uint32_t>());
     sending.minCoverage = values["min-coverage"].as<double>();
     sending.limit = values["limit"].as<std::uint32_t>();
-    sending.priority = values["priority"].as<std::string>();
+    sending.priority = values["priority"].as<int>();
     sending.keepResults = values.count("sample-results") != 0;
     sending.timeout = sending.deadline + std::chrono::milliseconds(values["timeout-after-deadline-ms"].as<std::uint32_t>());
     report_context context;
@@ -140,7 +140,7 @@
         ("timeout-after-deadline-ms", options::value<std::uint32_t>()->default_value(2000), "how long after the deadline to wait for an answer")
         ("min-coverage", options::value<double>()->default_value(0.99), "minimum coverage of searches")
         ("limit", options::value<std::uint32_t>()->default_value(10), "results for each search")
-        ("priority", options::value<std::string>()->default_value(""), "priority of searches; empty to send none")
+        ("priority", options::value<int>()->default_value(-1), "priority of searches, greater is more urgent; -1 to send none")
         ("queries", options::value<std::uint32_t>()->default_value(1000), "number of different queries")
         ("threads", options::value<std::uint32_t>()->default_value(1), "threads that send")
         ("seed", options::value<std::uint64_t>()->default_value(1), "seed of the arrivals")
--- a/tools/load/src/load_runner.cpp
+++ b/tools/load/src/load_runner.cpp
@@ -73,7 +73,7 @@
                      {"deadlineMs", m_settings.deadline.count()},
                      {"minCoverage", m_settings.minCoverage},
                      {"limit", m_settings.limit}};
-        if (!m_settings.priority.empty()) {
+        if (m_settings.priority >= 0) {
             body["priority"] = m_settings.priority;
         }
         m_engine.send(
