Add tests of the stand-ins

Cause: a fault in a stand-in would hide or invent faults of the system. Conclusion: the stand-ins do what the process tests will rely on.

--- /dev/null
+++ b/standins/tests/test_backend.cpp
@@ -0,0 +1,429 @@
+#include "loopback_client.h"
+
+#include <standin/backend_fleet.h>
+#include <standin/hits.h>
+
+#include <nlohmann/json.hpp>
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <functional>
+
+using namespace orioledrum;
+using namespace orioledrum::standin;
+using json = nlohmann::json;
+
+namespace
+{
+
+/// One running fleet with fixed service times: sigma 0, no slow and no unanswered calls.
+class BackendTest : public testing::Test
+{
+protected:
+    void start(const json &changes = json::object(), const std::string &recordFile = {})
+    {
+        json defaults = {{"id", "b0"},
+                         {"service", "archive"},
+                         {"shard", "s0"},
+                         {"slots", 2},
+                         {"medianMs", 1},
+                         {"sigma", 0},
+                         {"slowShare", 0},
+                         {"neverShare", 0},
+                         {"connectionCostMs", 0},
+                         {"coldFactor", 1}};
+        defaults.update(changes);
+        const auto settings = parseFleet(json::array({defaults}));
+        ASSERT_TRUE(settings) << settings.error();
+        if (!recordFile.empty()) {
+            ASSERT_TRUE(m_events.open(recordFile));
+        }
+        m_fleet = std::make_unique<backend_fleet>(*settings, 1, m_events);
+        const auto ports = m_fleet->start(0);
+        ASSERT_TRUE(ports) << ports.error();
+        m_port = json::parse(*ports)["backendServers"]["b0"].get<std::uint16_t>();
+        m_controlPort = json::parse(*ports)["controlPort"].get<std::uint16_t>();
+    }
+
+    static std::string searchBody(const std::string &shard = "s0", int snapshot = 1, int layout = 1)
+    {
+        return json{{"service", "archive"}, {"shard", shard}, {"snapshot", snapshot}, {"layout", layout}, {"query", "oak"}, {"limit", 2}}
+            .dump();
+    }
+
+    json stats() { return json::parse(exchangeOnce(m_controlPort, "GET", "/control/stats").body)["backendServers"][0]; }
+    json orders() { return json::parse(exchangeOnce(m_controlPort, "GET", "/control/orders").body)["orders"]; }
+
+    int control(const json &change) { return exchangeOnce(m_controlPort, "POST", "/control/backend/b0", change.dump()).status; }
+
+    /// Waits until a counter has a value; the bound only ends a test that would hang.
+    bool reaches(const std::string &key, const json &value)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{20};
+        while (stats()[key] != value) {
+            if (std::chrono::steady_clock::now() > end) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    recorder m_events;
+    std::unique_ptr<backend_fleet> m_fleet;
+    std::uint16_t m_port = 0;
+    std::uint16_t m_controlPort = 0;
+};
+
+constexpr int foreverMs = 60000;
+
+} // namespace
+
+// Guards against a checker that cannot compute what a full answer must hold.
+TEST_F(BackendTest, AnswersDependOnlyOnShardSnapshotAndQuery)
+{
+    start();
+    loopback_client client(m_port);
+    const auto reply = client.exchange("POST", "/search", searchBody(), {{"X-Request-Id", "r1"}, {"X-Attempt-Id", "7"}});
+    ASSERT_EQ(reply.status, 200) << reply.body;
+    EXPECT_EQ(reply.headers.at("x-request-id"), "r1");
+    EXPECT_EQ(reply.headers.at("x-attempt-id"), "7");
+    EXPECT_EQ(reply.headers.at("x-state"), "warm");
+    EXPECT_EQ(reply.headers.at("x-load"), "0/2");
+    EXPECT_EQ(reply.headers.at("x-snapshots"), "1:1");
+    const auto body = json::parse(reply.body);
+    EXPECT_EQ(body["hits"].size(), 2U);
+    const auto expected = exchangeOnce(m_controlPort, "GET", "/control/expected?shard=s0&snapshot=1&query=oak&limit=2");
+    EXPECT_EQ(body["hits"], json::parse(expected.body)["hits"]);
+    EXPECT_NE(makeHits("s0", 1, "oak", 3, 0).front().id, makeHits("s0", 2, "oak", 3, 0).front().id);
+    EXPECT_NE(makeHits("s0", 1, "oak", 3, 0).front().id, makeHits("s1", 1, "oak", 3, 0).front().id);
+}
+
+// Guards against a stand-in that takes more calls than its slots, which would hide that the owner sends too many.
+TEST_F(BackendTest, ShedsCallsAboveItsSlots)
+{
+    start({{"medianMs", foreverMs}});
+    loopback_client first(m_port);
+    loopback_client second(m_port);
+    first.send("POST", "/search", searchBody(), {{"X-Request-Id", "r1"}});
+    second.send("POST", "/search", searchBody(), {{"X-Request-Id", "r2"}});
+    ASSERT_TRUE(reaches("inUse", 2));
+    const auto shed = exchangeOnce(m_port, "POST", "/search", searchBody());
+    EXPECT_EQ(shed.status, 503);
+    EXPECT_EQ(shed.headers.at("x-not-run"), "1");
+    EXPECT_EQ(shed.headers.at("x-load"), "2/2");
+    EXPECT_EQ(stats()["aboveBorne"], 1);
+    EXPECT_EQ(stats()["peakInUse"], 2);
+    // A closed connection ends its call.
+    first.close();
+    EXPECT_TRUE(reaches("inUse", 1));
+    EXPECT_EQ(stats()["closedInCall"], 1);
+}
+
+// Guards against a cold backend server that warms up by waiting, and against one that bears its full slots at once.
+TEST_F(BackendTest, ColdBackendServerWarmsUpByWork)
+{
+    start({{"slots", 3}, {"startCold", true}, {"coldSlots", 1}, {"medianMs", 10}, {"rampWorkMs", 40}});
+    const std::vector<std::pair<std::string, std::string>> expected = {{"cold", "0/1"}, {"cold", "0/2"}, {"cold", "0/2"}, {"warm", "0/3"}};
+    loopback_client client(m_port);
+    for (const auto &[state, load] : expected) {
+        const auto reply = client.exchange("POST", "/search", searchBody());
+        EXPECT_EQ(reply.headers.at("x-state"), state);
+        EXPECT_EQ(reply.headers.at("x-load"), load);
+    }
+    // It turns cold without a restart when told to, and sheds what it then does not bear.
+    ASSERT_EQ(control({{"cold", true}, {"medianMs", foreverMs}}), 200);
+    client.send("POST", "/search", searchBody());
+    ASSERT_TRUE(reaches("inUse", 1));
+    const auto shed = exchangeOnce(m_port, "POST", "/search", searchBody());
+    EXPECT_EQ(shed.status, 503);
+    EXPECT_EQ(shed.headers.at("x-state"), "cold");
+    EXPECT_EQ(stats()["aboveBorneCold"], 1);
+}
+
+// Guards against a drain that cuts work in progress or accepts new work.
+TEST_F(BackendTest, DrainingRefusesNewWorkAndEndsOldWork)
+{
+    start({{"medianMs", 1000}});
+    loopback_client client(m_port);
+    client.send("POST", "/search", searchBody());
+    ASSERT_TRUE(reaches("inUse", 1));
+    ASSERT_EQ(control({{"drain", true}}), 200);
+    const auto refused = exchangeOnce(m_port, "POST", "/search", searchBody());
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(refused.headers.at("x-not-run"), "1");
+    EXPECT_EQ(refused.headers.at("x-state"), "draining");
+    EXPECT_EQ(json::parse(refused.body)["error"]["code"], "draining");
+    const auto old = client.receive();
+    EXPECT_EQ(old.status, 200);
+    EXPECT_EQ(old.headers.at("x-state"), "draining");
+}
+
+// Guards against a silence that closes connections, or that also silences new connections.
+TEST_F(BackendTest, SilentConnectionsStayOpenWhileNewOnesWork)
+{
+    start();
+    loopback_client silent(m_port);
+    ASSERT_EQ(silent.exchange("POST", "/search", searchBody()).status, 200);
+    ASSERT_EQ(control({{"silent", "existing"}}), 200);
+    silent.send("POST", "/search", searchBody());
+    const auto nothing = silent.receive(std::chrono::milliseconds{200});
+    EXPECT_EQ(nothing.status, 0);
+    EXPECT_FALSE(nothing.closed);
+    EXPECT_EQ(exchangeOnce(m_port, "POST", "/search", searchBody()).status, 200);
+    ASSERT_EQ(control({{"silent", "all"}}), 200);
+    loopback_client alsoSilent(m_port);
+    alsoSilent.send("POST", "/search", searchBody());
+    EXPECT_EQ(alsoSilent.receive(std::chrono::milliseconds{200}).status, 0);
+    ASSERT_EQ(control({{"silent", "none"}}), 200);
+    EXPECT_EQ(exchangeOnce(m_port, "POST", "/search", searchBody()).status, 200);
+}
+
+// Guards against lost order effects: the answer is lost but the order has run, which a caller must see as unknown.
+TEST_F(BackendTest, SilenceCanLoseTheAnswerOfAnOrderThatRan)
+{
+    start();
+    loopback_client client(m_port);
+    ASSERT_EQ(client.exchange("GET", "/load", "").status, 200);
+    ASSERT_EQ(control({{"silent", "existing"}, {"silentLoses", "answers"}}), 200);
+    client.send("POST", "/order", R"({"service":"archive"})", {{"X-Order-Id", "t1"}});
+    EXPECT_EQ(client.receive(std::chrono::milliseconds{200}).status, 0);
+    EXPECT_EQ(orders()["t1"]["runs"], 1);
+}
+
+// Guards against answers from a snapshot or layout that is not held.
+TEST_F(BackendTest, ServesOnlyTheSnapshotsAndLayoutsItHolds)
+{
+    start();
+    loopback_client client(m_port);
+    const auto refused = client.exchange("POST", "/search", searchBody("s0", 2));
+    EXPECT_EQ(refused.status, 409);
+    EXPECT_EQ(refused.headers.at("x-not-run"), "1");
+    EXPECT_EQ(client.exchange("POST", "/search", searchBody("s0", 1, 2)).status, 409);
+    EXPECT_EQ(client.exchange("POST", "/search", searchBody("s9")).status, 409);
+    ASSERT_EQ(control({{"addSnapshot", {{"snapshot", 2}, {"layout", 1}}}}), 200);
+    EXPECT_EQ(client.exchange("POST", "/search", searchBody("s0", 2)).headers.at("x-snapshots"), "1:1,2:1");
+    ASSERT_EQ(control({{"splitLayout", {{"shards", {"s0a", "s0b"}}}}}), 200);
+    EXPECT_EQ(client.exchange("POST", "/search", searchBody("s0a", 3, 2)).status, 200);
+    EXPECT_EQ(client.exchange("POST", "/search", searchBody("s0", 3, 2)).status, 409);
+    EXPECT_EQ(client.exchange("POST", "/search", searchBody("s0", 1)).status, 200);
+    ASSERT_EQ(control({{"dropSnapshot", 1}}), 200);
+    EXPECT_EQ(client.exchange("POST", "/search", searchBody("s0", 1)).status, 409);
+}
+
+// Guards against order counts that hide a second run or count a refused one.
+TEST_F(BackendTest, CountsEveryRunOfAnOrder)
+{
+    start();
+    loopback_client client(m_port);
+    const std::string body = R"({"service":"archive","order":{}})";
+    EXPECT_EQ(client.exchange("POST", "/order", body, {{"X-Order-Id", "t1"}}).status, 200);
+    EXPECT_EQ(client.exchange("POST", "/order", body, {{"X-Order-Id", "t1"}}).status, 200);
+    EXPECT_EQ(orders()["t1"]["runs"], 2);
+    ASSERT_EQ(control({{"drain", true}}), 200);
+    const auto refused = client.exchange("POST", "/order", body, {{"X-Order-Id", "t2"}});
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(refused.headers.at("x-not-run"), "1");
+    EXPECT_FALSE(orders().contains("t2"));
+    EXPECT_EQ(client.exchange("POST", "/order", body).status, 400);
+}
+
+// Guards against a deadline answer that claims "not run" although the order has run.
+TEST_F(BackendTest, DeadlinesEndCallsAndTellTheTruthAboutOrders)
+{
+    start({{"medianMs", foreverMs}});
+    loopback_client client(m_port);
+    const auto before = client.exchange("POST", "/search", searchBody(), {{"X-Deadline-Ms", "0"}});
+    EXPECT_EQ(before.status, 504);
+    EXPECT_EQ(before.headers.at("x-not-run"), "1");
+    const auto during = client.exchange("POST", "/order", R"({"service":"archive"})", {{"X-Order-Id", "t1"}, {"X-Deadline-Ms", "20"}});
+    EXPECT_EQ(during.status, 504);
+    EXPECT_FALSE(during.headers.contains("x-not-run"));
+    EXPECT_EQ(orders()["t1"]["runs"], 1);
+    EXPECT_EQ(stats()["inUse"], 0);
+}
+
+// Guards against slots that stay in use after a cancellation, and against cancelled orders.
+TEST_F(BackendTest, CancellationFreesTheSlotOfASearchOnly)
+{
+    start({{"neverShare", 1}});
+    loopback_client search(m_port);
+    search.send("POST", "/search", searchBody(), {{"X-Request-Id", "r1"}});
+    loopback_client order(m_port);
+    order.send("POST", "/order", R"({"service":"archive"})", {{"X-Order-Id", "r1"}});
+    ASSERT_TRUE(reaches("inUse", 2));
+    const auto reply = exchangeOnce(m_port, "POST", "/cancel/r1");
+    EXPECT_EQ(json::parse(reply.body)["cancelled"], 1);
+    EXPECT_EQ(search.receive().status, 499);
+    EXPECT_EQ(stats()["inUse"], 1);
+}
+
+// Guards against a limit on connections that is only reported and not kept.
+TEST_F(BackendTest, ClosesConnectionsAboveTheLimit)
+{
+    start({{"connections", 2}});
+    loopback_client first(m_port);
+    loopback_client second(m_port);
+    ASSERT_EQ(first.exchange("GET", "/load", "").status, 200);
+    ASSERT_EQ(second.exchange("GET", "/load", "").status, 200);
+    loopback_client third(m_port);
+    third.send("GET", "/load", "");
+    EXPECT_TRUE(third.receive().closed);
+    EXPECT_EQ(stats()["connectionsRefused"], 1);
+    first.close();
+    ASSERT_TRUE(reaches("connections", 1));
+    EXPECT_EQ(exchangeOnce(m_port, "GET", "/load").status, 200);
+}
+
+// Guards against new connections that cost nothing, or that are set up at the same time.
+TEST_F(BackendTest, NewConnectionsCostTimeOneAfterTheOther)
+{
+    start({{"connectionCostMs", 30}});
+    const auto began = std::chrono::steady_clock::now();
+    std::vector<std::unique_ptr<loopback_client>> clients;
+    for (int index = 0; index < 4; ++index) {
+        clients.push_back(std::make_unique<loopback_client>(m_port));
+        clients.back()->send("GET", "/load", "");
+    }
+    EXPECT_EQ(clients.back()->receive().status, 200);
+    // Accepting may be as late as the first receive, so only three full costs are certain.
+    EXPECT_GE(std::chrono::steady_clock::now() - began, std::chrono::milliseconds{90});
+}
+
+// Guards against endpoints that always tell the truth, which would hide a router that trusts them.
+TEST_F(BackendTest, LoadEndpointLagsAndLies)
+{
+    start({{"loadLagMs", foreverMs}});
+    ASSERT_EQ(exchangeOnce(m_port, "POST", "/search", searchBody()).status, 200);
+    ASSERT_EQ(control({{"cold", true}}), 200);
+    EXPECT_EQ(json::parse(exchangeOnce(m_port, "GET", "/load").body)["state"], "warm");
+    EXPECT_EQ(json::parse(exchangeOnce(m_port, "GET", "/health").body)["healthy"], true);
+    EXPECT_EQ(exchangeOnce(m_port, "POST", "/search", searchBody()).headers.at("x-state"), "cold");
+    ASSERT_EQ(control({{"loadLagMs", 0}}), 200);
+    EXPECT_EQ(exchangeOnce(m_port, "GET", "/load").headers.at("x-state"), "cold");
+    ASSERT_EQ(control({{"loadLie", "healthy"}}), 200);
+    EXPECT_EQ(exchangeOnce(m_port, "GET", "/load").headers.at("x-state"), "warm");
+    ASSERT_EQ(control({{"loadLie", "unhealthy"}}), 200);
+    EXPECT_EQ(json::parse(exchangeOnce(m_port, "GET", "/health").body)["healthy"], false);
+}
+
+// Guards against a restart that keeps the instance id, the warmth or the connections.
+TEST_F(BackendTest, RestartGivesANewColdInstance)
+{
+    start();
+    loopback_client client(m_port);
+    const auto before = client.exchange("POST", "/search", searchBody());
+    ASSERT_EQ(control({{"restart", true}}), 200);
+    client.send("POST", "/search", searchBody());
+    EXPECT_TRUE(client.receive().closed);
+    const auto after = exchangeOnce(m_port, "GET", "/load");
+    EXPECT_EQ(after.headers.at("x-state"), "cold");
+    EXPECT_NE(after.headers.at("x-instance"), before.headers.at("x-instance"));
+    ASSERT_EQ(control({{"listen", false}, {"dropConnections", true}}), 200);
+    EXPECT_FALSE(loopback_client(m_port).connected());
+    ASSERT_EQ(control({{"listen", true}}), 200);
+    EXPECT_EQ(exchangeOnce(m_port, "GET", "/load").status, 200);
+}
+
+// Guards against a control request that is applied in part, and against unknown keys that are ignored.
+TEST_F(BackendTest, InvalidControlRequestsChangeNothing)
+{
+    start();
+    const json before = stats();
+    EXPECT_EQ(control({{"drain", true}, {"slowShare", 2}}), 400);
+    EXPECT_EQ(control({{"drain", true}, {"drian", true}}), 400);
+    EXPECT_EQ(control({{"cold", true}, {"dropSnapshot", 9}}), 400);
+    EXPECT_EQ(control({{"slots", "many"}}), 400);
+    EXPECT_EQ(exchangeOnce(m_controlPort, "POST", "/control/backend/b9", "{}").status, 404);
+    EXPECT_EQ(exchangeOnce(m_controlPort, "POST", "/control/backend/b0", "{").status, 400);
+    EXPECT_EQ(stats(), before);
+}
+
+// Guards against malformed requests that end the process or count as work.
+TEST_F(BackendTest, RefusesMalformedRequests)
+{
+    start();
+    EXPECT_EQ(exchangeOnce(m_port, "POST", "/search", "{").status, 400);
+    EXPECT_EQ(exchangeOnce(m_port, "POST", "/search", R"({"service":"archive"})").status, 400);
+    EXPECT_EQ(exchangeOnce(m_port, "POST", "/search", R"({"service":"x","shard":"s0","snapshot":1,"layout":1,"query":"q"})").status, 404);
+    EXPECT_EQ(exchangeOnce(m_port, "POST", "/order", "[]").status, 400);
+    EXPECT_EQ(exchangeOnce(m_port, "GET", "/nothing").status, 404);
+    EXPECT_EQ(exchangeOnce(m_port, "POST", "/search", std::string(1100000, ' ')).status, 413);
+    loopback_client client(m_port);
+    client.send("bad method", "/", "");
+    EXPECT_EQ(client.receive().status, 400);
+    EXPECT_EQ(stats()["inUse"], 0);
+}
+
+// Guards against a recording that a history checker cannot use.
+TEST_F(BackendTest, RecordsWhatItBore)
+{
+    const auto file = std::filesystem::path(testing::TempDir()) / ("standin_backend_" + std::to_string(getpid()) + ".jsonl");
+    start(json::object(), file.string());
+    loopback_client client(m_port);
+    client.exchange("POST", "/search", searchBody(), {{"X-Request-Id", "r1"}, {"X-Attempt-Id", "7"}, {"X-Deadline-Ms", "5000"}});
+    client.exchange("POST", "/order", R"({"service":"archive"})", {{"X-Order-Id", "t1"}});
+    m_fleet->stop();
+    m_events.flush();
+    std::ifstream input(file);
+    std::string line;
+    ASSERT_TRUE(std::getline(input, line));
+    const auto search = json::parse(line);
+    EXPECT_EQ(search["request"], "r1");
+    EXPECT_EQ(search["attempt"], "7");
+    EXPECT_EQ(search["outcome"], "answered");
+    EXPECT_EQ(search["concurrent"], 0);
+    EXPECT_EQ(search["bears"], 2);
+    EXPECT_EQ(search["state"], "warm");
+    EXPECT_EQ(search["snapshot"], 1);
+    EXPECT_GT(search["endUs"], search["arrivalUs"]);
+    ASSERT_TRUE(std::getline(input, line));
+    EXPECT_EQ(json::parse(line)["order"], "t1");
+    EXPECT_EQ(json::parse(line)["runs"], 1);
+    std::filesystem::remove(file);
+}
+
+// Guards against service times that do not follow the settings or that differ between runs with the same seed.
+TEST(ServiceTimes, FollowTheSettingsAndTheSeed)
+{
+    service_time_settings settings;
+    service_times first(5);
+    service_times second(5);
+    int never = 0;
+    int slow = 0;
+    std::vector<std::int64_t> body;
+    constexpr int count = 100000;
+    for (int index = 0; index < count; ++index) {
+        const auto time = first.draw(settings, false);
+        ASSERT_EQ(time, second.draw(settings, false));
+        if (!time) {
+            ++never;
+        } else if (*time == std::chrono::milliseconds{150}) {
+            ++slow;
+        } else {
+            body.push_back(time->count());
+        }
+    }
+    EXPECT_NEAR(never, 100, 40);
+    EXPECT_NEAR(slow, 1000, 130);
+    std::nth_element(body.begin(), body.begin() + static_cast<std::ptrdiff_t>(body.size() / 2), body.end());
+    EXPECT_NEAR(static_cast<double>(body[body.size() / 2]), 4000, 40);
+}
+
+// Guards against settings that are accepted although they contradict themselves.
+TEST(BackendSettings, RefusesInvalidSettings)
+{
+    const json valid = {{"id", "b0"}, {"service", "archive"}, {"shard", "s0"}};
+    EXPECT_TRUE(parseFleet(json::array({valid})));
+    const std::vector<json> changes = {
+        {{"slots", 0}}, {{"coldSlots", 9}}, {{"slowShare", 1.5}}, {{"unknown", 1}}, {{"port", "x"}}, {{"loadLie", "x"}}};
+    for (const auto &change : changes) {
+        json entry = valid;
+        entry.update(change);
+        EXPECT_FALSE(parseFleet(json::array({entry}))) << change;
+    }
+    EXPECT_FALSE(parseFleet(json::array({valid, valid})));
+    EXPECT_FALSE(parseFleet(json::array()));
+    EXPECT_FALSE(parseFleet(json::object()));
+}
