--- a/libs/entryhost/src/entry_host.cpp
+++ b/libs/entryhost/src/entry_host.cpp
@@ -7,8 +7,8 @@
 #include "peer_router.h"
 #include "worker.h"
 
-#include <logging/part_logger.h>
 #include <base/random_source.h>
+#include <logging/part_logger.h>
 #include <orders/ticket_store.h>
 #include <transport/http_server.h>
 #include <transport/peer_server.h>
--- a/libs/entryhost/src/root_searches.cpp
+++ b/libs/entryhost/src/root_searches.cpp
@@ -407,9 +407,12 @@
 {
     run->finished = true;
     run->timer.cancel();
-    for (const auto handle : run->streams) {
-        m_peers.cancel(handle); // No effect on streams that have ended.
-    }
+    // Cancelled later, because this may run inside a callback of one of the streams.
+    asio::post(m_context, [this, streams = std::move(run->streams), alive = m_alive] {
+        for (const auto handle : *alive ? streams : std::vector<peer_stream_handle>()) {
+            m_peers.cancel(handle); // No effect on streams that have ended.
+        }
+    });
     const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(monotonic_clock::now() - run->started);
     m_shared.metrics.searchFinished(run->query.service.str(), latency, result.coverage(), result.hedges, result.retries);
     m_shared.record(event_kind::searchFinished,
