Keep the deadline of a call within the lease it is checked against

Cause: the limiter got the end of the lease plus one nanosecond, so a call whose deadline was cut to the lease failed the check before the write. Every search with a deadline beyond the lease found no shard. Ruled out: wrong routes (the owner itself refused) and stale beliefs (the caller check passed). Change: the exact end is passed on.

--- a/libs/entryhost/src/backend_pool.cpp
+++ b/libs/entryhost/src/backend_pool.cpp
@@ -302,7 +302,7 @@
     const auto leases = m_shared.leases->read();
     if (const auto latest = leases->latestCallEnd(target.group, now, target.reachableSince)) {
         target.gate.setShare(1, now);
-        target.gate.setLeaseEnd(*latest + backend_limiter::grace + std::chrono::nanoseconds(1), now);
+        target.gate.setLeaseEnd(*latest + backend_limiter::grace, now);
         return true;
     }
     const auto divisor = leases->shareDivisor(target.group, now, target.reachableSince);
