Fix a use after free in the HTTP server and the linter's findings

Cause: RESTinio's connection limiter is used by connections that are destroyed after the server (address sanitizer, graceful stop tests).

--- a/libs/transport/include/transport/peer_client.h
+++ b/libs/transport/include/transport/peer_client.h
@@ -26,8 +26,8 @@
     std::chrono::milliseconds pingTimeout{1000}; ///< A connection with an older unanswered PING is closed and replaced.
     std::chrono::milliseconds backoffMin{50}; ///< Pause after the first failed connect; it doubles, with jitter.
     std::chrono::milliseconds backoffMax{1000};
-    std::size_t maxBodyBytes = 4 * 1024 * 1024; ///< A larger request fails with tooLarge.
-    std::size_t maxFrameBytes = 4 * 1024 * 1024; ///< A larger frame of a reply ends its stream with tooLarge.
+    std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024; ///< A larger request fails with tooLarge.
+    std::size_t maxFrameBytes = std::size_t{4} * 1024 * 1024; ///< A larger frame of a reply ends its stream with tooLarge.
     std::size_t maxStreams = 4096; ///< Open streams of one address; further ones fail with overloaded.
     std::uint64_t seed = 0; ///< Seed of the jitter; 0: from the system.
 };
--- a/libs/transport/include/transport/peer_server.h
+++ b/libs/transport/include/transport/peer_server.h
@@ -23,9 +23,9 @@
 struct peer_server_settings {
     std::string address = "127.0.0.1:0"; ///< "address:port"; port 0: the system chooses.
     bool reusePort = false; ///< SO_REUSEPORT: several servers, one for each thread, share the port.
-    std::size_t maxBodyBytes = 4 * 1024 * 1024; ///< A larger request is answered with tooLarge.
-    std::size_t maxFrameBytes = 4 * 1024 * 1024; ///< Largest frame of a reply.
-    std::size_t maxBufferedBytes = 16 * 1024 * 1024; ///< Frames of one reply that may wait to be sent.
+    std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024; ///< A larger request is answered with tooLarge.
+    std::size_t maxFrameBytes = std::size_t{4} * 1024 * 1024; ///< Largest frame of a reply.
+    std::size_t maxBufferedBytes = std::size_t{16} * 1024 * 1024; ///< Frames of one reply that may wait to be sent.
     std::uint32_t maxStreams = 4096; ///< Open streams of one connection; clients queue further ones.
     std::chrono::milliseconds idleTimeout{5000}; ///< A connection that sends nothing, not even a PING, is closed.
 };
--- a/libs/transport/src/client_connection.cpp
+++ b/libs/transport/src/client_connection.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstring>
 
 namespace orioledrum
 {
@@ -121,7 +120,7 @@
         }
         auto &stream = *found->second;
         const std::size_t copied = std::min(size, stream.body.size() - stream.bodySent);
-        std::memcpy(target, stream.body.data() + stream.bodySent, copied);
+        std::copy_n(stream.body.data() + stream.bodySent, copied, target);
         stream.bodySent += copied;
         if (stream.bodySent == stream.body.size()) {
             *flags |= NGHTTP2_DATA_FLAG_EOF;
--- a/libs/transport/src/h2_connection.cpp
+++ b/libs/transport/src/h2_connection.cpp
@@ -17,7 +17,7 @@
 constexpr std::int32_t streamWindowBytes = 4 * 1024 * 1024;
 constexpr std::int32_t connectionWindowBytes = 64 * 1024 * 1024;
 // Bytes collected for one write. Larger writes only delay a PING that is due.
-constexpr std::size_t writeBatchBytes = 256 * 1024;
+constexpr std::size_t writeBatchBytes = std::size_t{256} * 1024;
 // Keeps one busy connection from holding up the others of its thread.
 constexpr int readsPerEvent = 4;
 
--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -23,7 +23,7 @@
 namespace
 {
 
-constexpr std::size_t maxReplyHeaderBytes = 64 * 1024;
+constexpr std::size_t maxReplyHeaderBytes = std::size_t{64} * 1024;
 constexpr std::size_t maxPooledHandles = 1024;
 
 /// One call, from send() to its result, and on to the end of its transfer when it was cancelled without closing.
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -60,15 +60,36 @@
 namespace
 {
 
-constexpr std::size_t maxTargetBytes = 16 * 1024;
+constexpr std::size_t maxTargetBytes = std::size_t{16} * 1024;
 constexpr std::size_t maxHeaderNameBytes = 1024;
-constexpr std::size_t maxHeaderValueBytes = 16 * 1024;
+constexpr std::size_t maxHeaderValueBytes = std::size_t{16} * 1024;
 constexpr std::size_t maxHeaderCount = 200;
 
+/// Refuses connections over the limit. The limiter of RESTinio is not used: connections refer to it when they are
+/// destroyed, which may be after the server.
+class connection_limiter
+{
+public:
+    connection_limiter(asio::io_context &context, std::size_t most)
+        : m_registry(asio::use_service<socket_registry>(context))
+        , m_most(most)
+    {
+    }
+
+    [[nodiscard]] restinio::ip_blocker::inspection_result_t inspect(const restinio::ip_blocker::incoming_info_t &) const noexcept
+    {
+        return m_registry.open() < m_most ? restinio::ip_blocker::allow() : restinio::ip_blocker::deny();
+    }
+
+private:
+    socket_registry &m_registry;
+    std::size_t m_most;
+};
+
 struct server_traits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t> {
     using http_methods_mapper_t = limited_methods;
     using stream_socket_t = server_socket;
-    static constexpr bool use_connection_count_limiter = true; // NOLINT(readability-identifier-naming)
+    using ip_blocker_t = connection_limiter;
 };
 
 /// Number of requests without a written answer. Outlives the server in answers that are being written.
@@ -209,7 +230,7 @@
     bool m_close;
 };
 
-http_request toRequest(restinio::request_t &source)
+http_request toRequest(const restinio::request_t &source)
 {
     const auto &header = source.header();
     http_request request;
@@ -217,7 +238,7 @@
     request.path = std::string(header.path());
     request.query = std::string(header.query());
     header.for_each_field([&](const auto &field) { request.headers.push_back({field.name(), field.value()}); });
-    request.body = std::move(source.body());
+    request.body = source.body();
     const auto &remote = source.remote_endpoint();
     const auto address = remote.address().to_string();
     request.remote = (remote.address().is_v6() ? "[" + address + "]" : address) + ":" + std::to_string(remote.port());
@@ -312,7 +333,7 @@
         options.address(address)
             .protocol(address.is_v6() ? asio::ip::tcp::v6() : asio::ip::tcp::v4())
             .port(m_settings.port)
-            .max_parallel_connections(m_settings.maxConnections)
+            .ip_blocker(std::make_shared<connection_limiter>(m_core->context, m_settings.maxConnections))
             .read_next_http_message_timelimit(m_settings.idleTimeout)
             .handle_request_timeout(m_settings.handleTimeout)
             .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
--- a/libs/transport/src/peer_client.cpp
+++ b/libs/transport/src/peer_client.cpp
@@ -20,7 +20,7 @@
 namespace
 {
 
-constexpr std::size_t readBufferBytes = 256 * 1024;
+constexpr std::size_t readBufferBytes = std::size_t{256} * 1024;
 // Addresses that were not used for this long are forgotten when others are added.
 constexpr std::chrono::seconds linkRetention(60);
 constexpr std::size_t linkSweepSize = 64;
--- a/libs/transport/src/peer_server.cpp
+++ b/libs/transport/src/peer_server.cpp
@@ -18,7 +18,7 @@
 namespace
 {
 
-constexpr std::size_t readBufferBytes = 256 * 1024;
+constexpr std::size_t readBufferBytes = std::size_t{256} * 1024;
 // Time for a GOAWAY notice to arrive, so that streams that are on their way are still served.
 constexpr std::chrono::milliseconds goawayNotice(100);
 // Accepting fails when descriptors are short; it is tried again after this time.
--- a/libs/transport/src/server_stream.cpp
+++ b/libs/transport/src/server_stream.cpp
@@ -7,7 +7,6 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
-#include <cstring>
 #include <vector>
 
 namespace orioledrum
@@ -17,7 +16,7 @@
 {
 
 // Sent bytes are dropped from the buffer once there are this many, so that not every read moves the rest.
-constexpr std::size_t compactBytes = 256 * 1024;
+constexpr std::size_t compactBytes = std::size_t{256} * 1024;
 
 nghttp2_nv makeField(std::string_view name, std::string_view value)
 {
@@ -138,7 +137,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const std::size_t copied = std::min(size, m_waiting.size() - m_sent);
-    std::memcpy(target, m_waiting.data() + m_sent, copied);
+    std::copy_n(m_waiting.data() + m_sent, copied, target);
     m_sent += copied;
     if (m_sent == m_waiting.size()) {
         m_waiting.clear();
--- a/libs/transport/tests/test_http_client.cpp
+++ b/libs/transport/tests/test_http_client.cpp
@@ -285,6 +285,7 @@
     scripted_http_server server(
         [](const std::string &request) { return scripted_http_server::ok(request.substr(5, request.find(' ', 5) - 5)); });
     std::vector<started> calls;
+    calls.reserve(64);
     for (int i = 0; i < 64; ++i) {
         calls.push_back(start(makeCall(server.url("/" + std::to_string(i)))));
     }
--- a/libs/transport/tests/test_http_server.cpp
+++ b/libs/transport/tests/test_http_server.cpp
@@ -211,6 +211,25 @@
     EXPECT_TRUE(stopped.get());
 }
 
+// Guards against descriptors that run out because of too many connections.
+TEST_F(HttpServerTest, ConnectionsOverTheLimitAreClosed)
+{
+    settings.maxConnections = 1;
+    settings.threads = 1;
+    server = http_server::create(settings, handler).value();
+    auto held = std::async(std::launch::async, [&] { return exchangeBytes(server->port(), makeRequest("/hold", "")); });
+    const auto exchange = handler.take();
+    EXPECT_EQ(exchangeBytes(server->port(), makeRequest("/echo", "")), "");
+    exchange->respond({200, "text/plain", {}, ""});
+    EXPECT_THAT(held.get(), StartsWith("HTTP/1.1 200"));
+    // The server may count the first connection for a moment after the client has seen its end.
+    std::string response;
+    for (int i = 0; i < 5000 && response.empty(); ++i) {
+        response = exchangeBytes(server->port(), makeRequest("/echo", ""));
+    }
+    EXPECT_THAT(response, StartsWith("HTTP/1.1 200"));
+}
+
 // Guards against a stop that never ends, and against answers that come after it.
 TEST_F(HttpServerTest, StopIsBounded)
 {
--- a/libs/transport/tests/test_peer.cpp
+++ b/libs/transport/tests/test_peer.cpp
@@ -150,13 +150,13 @@
 // Guards against frames that are lost, merged, split or reordered, and against windows too small for 1 MB.
 TEST_F(PeerTest, FramesArriveWholeAndInOrder)
 {
-    const std::string large(1024 * 1024, 'x');
+    const std::string large(1'048'576, 'x');
     const auto result = send(address, "/frames", large + "!");
     const auto received = handler.take();
     EXPECT_EQ(received.request.path, "/frames");
     EXPECT_TRUE(received.request.body == large + "!");
     EXPECT_TRUE(received.request.remote.starts_with("127.0.0.1:"));
-    const std::vector<std::string> frames{"a", "", large, std::string(3 * 1024 * 1024, 'y'), "end"};
+    const std::vector<std::string> frames{"a", "", large, std::string(3'000'000, 'y'), "end"};
     for (const auto &frame : frames) {
         ASSERT_TRUE(received.reply->sendFrame(frame).has_value());
     }
@@ -175,6 +175,8 @@
     std::vector<std::shared_ptr<outcome>> results;
     std::vector<recording_peer::received> received;
     constexpr int streams = 200;
+    results.reserve(streams);
+    received.reserve(streams);
     for (int i = 0; i < streams; ++i) {
         results.push_back(send(address, "/cross", std::to_string(i)));
     }
@@ -356,6 +358,7 @@
     EXPECT_EQ(code(large->ended.get()), "tooLarge");
 
     std::vector<std::shared_ptr<outcome>> open;
+    open.reserve(3);
     for (int i = 0; i < 3; ++i) {
         open.push_back(send(address, "/hold", ""));
     }
