Measure the processor time of HTTP calls and peer streams

Cause: the design counts 90,000 backend calls and 390 peers for each node. Change: a Google Benchmark program that is not part of the tests.

--- /dev/null
+++ b/libs/transport/tests/transport_cost.cpp
@@ -0,0 +1,190 @@
+// Processor time of one http_client call and of one peer stream. The measured client runs on the benchmark's thread, so
+// the column "CPU" is its time; the other side runs on a thread of its own, whose time is in the counter "serverUs".
+
+#include <transport/http_client.h>
+#include <transport/peer_client.h>
+#include <transport/peer_handler.h>
+#include <transport/peer_reply.h>
+#include <transport/peer_server.h>
+
+#include <fakes/context_thread.h>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <benchmark/benchmark.h>
+
+#include <array>
+#include <ctime>
+
+using namespace orioledrum;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t requestBytes = 300;
+constexpr std::size_t replyBytes = 200;
+
+double threadMicroseconds()
+{
+    timespec now{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+    return static_cast<double>(now.tv_sec) * 1e6 + static_cast<double>(now.tv_nsec) / 1e3;
+}
+
+/// One connection of a server that answers every request with the same bytes.
+class fixed_connection : public std::enable_shared_from_this<fixed_connection>
+{
+public:
+    explicit fixed_connection(asio::ip::tcp::socket socket)
+        : m_socket(std::move(socket))
+    {
+        m_socket.set_option(asio::ip::tcp::no_delay(true));
+    }
+
+    void read()
+    {
+        m_socket.async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](const asio::error_code &code, std::size_t size) {
+            if (code) {
+                return;
+            }
+            self->m_input.append(self->m_buffer.data(), size);
+            const auto head = self->m_input.find("\r\n\r\n");
+            if (head == std::string::npos || self->m_input.size() < head + 4 + requestBytes) {
+                self->read();
+                return;
+            }
+            self->m_input.clear();
+            asio::async_write(self->m_socket, asio::buffer(reply()), [self](const asio::error_code &failure, std::size_t) {
+                if (!failure) {
+                    self->read();
+                }
+            });
+        });
+    }
+
+private:
+    static const std::string &reply()
+    {
+        static const std::string text = "HTTP/1.1 200 OK\r\nX-State: warm\r\nX-Instance: 1\r\nX-Load: 1/2\r\nContent-Length: "
+            + std::to_string(replyBytes) + "\r\n\r\n" + std::string(replyBytes, 'r');
+        return text;
+    }
+
+    asio::ip::tcp::socket m_socket;
+    std::array<char, 4096> m_buffer{};
+    std::string m_input;
+};
+
+void accept(asio::ip::tcp::acceptor &acceptor)
+{
+    acceptor.async_accept([&acceptor](const asio::error_code &code, asio::ip::tcp::socket socket) {
+        if (!code) {
+            std::make_shared<fixed_connection>(std::move(socket))->read();
+            accept(acceptor);
+        }
+    });
+}
+
+void httpCall(benchmark::State &state)
+{
+    context_thread server;
+    asio::ip::tcp::acceptor acceptor(server.context(), {asio::ip::address_v4::loopback(), 0});
+    server.run([&] { accept(acceptor); });
+    asio::io_context context;
+    const auto client = http_client::create(context, {}).value();
+    http_call call;
+    call.method = "POST";
+    call.url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/search";
+    call.headers = {{"X-Request-Id", "0123456789abcdef"}, {"X-Deadline-Ms", "79"}};
+    call.body.assign(requestBytes, 'q');
+    call.timeout = 30s;
+    std::size_t done = 0;
+    std::size_t failed = 0;
+    const std::function<void()> sendNext = [&] {
+        client->send(call, [&](const http_client::result &result) {
+            ++done;
+            failed += result.has_value() ? 0 : 1;
+            sendNext();
+        });
+    };
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        sendNext();
+    }
+    // The connections are opened before the measurement.
+    while (done < static_cast<std::size_t>(state.range(0)) * 10) {
+        context.run_one();
+    }
+    const double serverBegin = server.run(threadMicroseconds);
+    std::size_t target = done;
+    for ([[maybe_unused]] auto iteration : state) {
+        ++target;
+        while (done < target) {
+            context.run_one();
+        }
+    }
+    state.counters["serverUs"] = (server.run(threadMicroseconds) - serverBegin) / static_cast<double>(state.iterations());
+    state.counters["connections"] = static_cast<double>(client->connections());
+    state.counters["failed"] = static_cast<double>(failed);
+    server.run([&] { acceptor.close(); });
+}
+
+class answering_peer : public peer_handler
+{
+public:
+    void onRequest(peer_request, std::shared_ptr<peer_reply> reply) override
+    {
+        reply->sendFrame(std::string(replyBytes, 'r'));
+        reply->finish();
+    }
+};
+
+void peerStream(benchmark::State &state)
+{
+    context_thread thread;
+    answering_peer handler;
+    std::unique_ptr<peer_server> server = thread.run([&] { return peer_server::create(thread.context(), {}, handler).value(); });
+    asio::io_context context;
+    const auto client = peer_client::create(context, {}).value();
+    const std::string address = "127.0.0.1:" + std::to_string(server->port());
+    std::size_t done = 0;
+    std::size_t failed = 0;
+    const std::function<void()> sendNext = [&] {
+        client->send(
+            address,
+            "/search",
+            std::string(requestBytes, 'q'),
+            30s,
+            [](std::string_view) {},
+            [&](const peer_end &end) {
+                ++done;
+                failed += end.failure ? 1 : 0;
+                sendNext();
+            });
+    };
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        sendNext();
+    }
+    while (done < static_cast<std::size_t>(state.range(0)) * 10) {
+        context.run_one();
+    }
+    const double serverBegin = thread.run(threadMicroseconds);
+    std::size_t target = done;
+    for ([[maybe_unused]] auto iteration : state) {
+        ++target;
+        while (done < target) {
+            context.run_one();
+        }
+    }
+    state.counters["serverUs"] = (thread.run(threadMicroseconds) - serverBegin) / static_cast<double>(state.iterations());
+    state.counters["connections"] = static_cast<double>(client->connections());
+    state.counters["failed"] = static_cast<double>(failed);
+    thread.run([&] { server.reset(); });
+}
+
+} // namespace
+
+BENCHMARK(httpCall)->Arg(16)->Arg(64)->Arg(460)->Unit(benchmark::kMicrosecond);
+BENCHMARK(peerStream)->Arg(16)->Arg(64)->Arg(460)->Unit(benchmark::kMicrosecond);
+
+BENCHMARK_MAIN();
