Cut waiting calls off from the fake service too

Cause: FallbackReadsReplaceCutReaders passed with fallback reads disabled, since the fake answered calls that were already waiting when the readers were cut off. Change: such calls fail after their wait.

--- a/libs/spread/tests/fakes/fake_fleet.cpp
+++ b/libs/spread/tests/fakes/fake_fleet.cpp
@@ -212,16 +212,8 @@
 {
     ++m_serviceCalls;
     const auto incarnation = m_hosts[index].incarnation;
-    if (cutFromService.contains(index)) {
-        m_pending.emplace(m_now + action.wait + 1s, [this, index, incarnation, call = action.call] {
-            if (m_hosts[index].incarnation == incarnation) {
-                carryOut(index, m_hosts[index].machine->onServiceFailed(call, m_now));
-            }
-        });
-        return;
-    }
     const waiting_call call{index, incarnation, action.call, action.after, m_now + action.wait};
-    if (staleAt != 0 || m_latest > action.after || action.wait == 0ms) {
+    if (staleAt != 0 || m_latest > action.after || action.wait == 0ms || cutFromService.contains(index)) {
         answerCall(call);
     } else {
         m_waiting.push_back(call);
@@ -230,6 +222,14 @@
 
 void fake_fleet::answerCall(const waiting_call &call)
 {
+    if (cutFromService.contains(call.host)) {
+        m_pending.emplace(call.until + 1s, [this, call] {
+            if (m_hosts[call.host].incarnation == call.incarnation) {
+                carryOut(call.host, m_hosts[call.host].machine->onServiceFailed(call.call, m_now));
+            }
+        });
+        return;
+    }
     const auto number = staleAt != 0 ? staleAt : m_latest;
     const bool unchanged = staleAt == 0 && number <= call.after;
     later(call.host, call.incarnation, [this, call, number, unchanged](fleet_host &to) {
