Add orioledrumctl

Cause: operators need to check folders before they publish them, and to see what hosts did without reading logs of each. Conclusion: the token may come from a file or the environment, since other users of a machine can read command lines.

--- /dev/null
+++ b/tools/orioledrumctl/host_commands.cpp
@@ -0,0 +1,216 @@
+#include "host_commands.h"
+
+#include "admin_client.h"
+#include "command_line.h"
+#include "timeline.h"
+
+#include <nlohmann/json.hpp>
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+using nlohmann::json;
+namespace po = boost::program_options;
+
+constexpr const char *tokenVariable = "ORIOLEDRUM_ADMIN_TOKEN";
+
+bool validHost(const std::string &host)
+{
+    const auto colon = host.rfind(':');
+    if (colon == std::string::npos) {
+        return false;
+    }
+    std::uint16_t port = 0;
+    const char *end = host.data() + host.size();
+    const auto [parsed, failure] = std::from_chars(host.data() + colon + 1, end, port);
+    auto address = host.substr(0, colon);
+    int family = AF_INET;
+    if (address.size() > 2 && address.front() == '[' && address.back() == ']') {
+        address = address.substr(1, address.size() - 2);
+        family = AF_INET6;
+    }
+    in6_addr binary{};
+    return failure == std::errc() && parsed == end && port > 0 && inet_pton(family, address.c_str(), &binary) == 1;
+}
+
+void addHostOptions(po::options_description &options, bool several)
+{
+    options.add_options()("host",
+                          po::value<std::vector<std::string>>()->required(),
+                          several ? "ip:port of an entry host's admin address; may be repeated"
+                                  : "ip:port of the entry host's admin address")(
+        "token", po::value<std::string>(), "admin token; other users of this machine may see it, --token-file does not show it")(
+        "token-file", po::value<std::string>(), "file with the admin token")(
+        "timeout-ms", po::value<std::uint32_t>()->default_value(3000), "longest time for one call");
+}
+
+/// What the options about hosts say.
+struct host_options {
+    std::vector<std::string> hosts;
+    std::string token;
+    std::chrono::milliseconds timeout{0};
+};
+
+std::optional<std::string> readToken(const po::variables_map &values, std::string &problem)
+{
+    std::string token;
+    if (values.count("token") > 0) {
+        token = values["token"].as<std::string>();
+    } else if (values.count("token-file") > 0) {
+        const auto path = values["token-file"].as<std::string>();
+        std::ifstream stream(path);
+        if (!std::getline(stream, token)) {
+            problem = "the token file " + path + " cannot be read or is empty";
+            return std::nullopt;
+        }
+    } else if (const char *value = std::getenv(tokenVariable); value != nullptr) { // NOLINT(concurrency-mt-unsafe)
+        token = value;
+    } else {
+        problem = std::string("no token; use --token-file, --token or the environment variable ") + tokenVariable;
+        return std::nullopt;
+    }
+    if (token.empty()
+        || std::any_of(token.begin(), token.end(), [](unsigned char character) { return character < 0x21 || character > 0x7e; })) {
+        problem = "the token must consist of visible ASCII characters";
+        return std::nullopt;
+    }
+    return token;
+}
+
+std::optional<host_options> readHostOptions(const std::string &name, const po::variables_map &values)
+{
+    host_options options;
+    std::string problem;
+    options.hosts = values["host"].as<std::vector<std::string>>();
+    const auto wrong = std::find_if_not(options.hosts.begin(), options.hosts.end(), validHost);
+    if (wrong != options.hosts.end()) {
+        problem = "--host " + *wrong + " is not an IP address and a port";
+    } else if (auto token = readToken(values, problem)) {
+        options.token = std::move(*token);
+        options.timeout = std::chrono::milliseconds(values["timeout-ms"].as<std::uint32_t>());
+        if (options.timeout.count() > 0) {
+            return options;
+        }
+        problem = "--timeout-ms must be greater than 0";
+    }
+    std::cerr << "orioledrumctl " << name << ": " << problem << '\n';
+    return std::nullopt;
+}
+
+int exitCodeFor(const error &failure)
+{
+    return failure.code == error_code::unreachable ? exitUnreachable : exitWrong;
+}
+
+void printFlat(const json &value, const std::string &path)
+{
+    if (value.is_structured() && !value.empty()) {
+        for (const auto &[key, item] : value.items()) {
+            printFlat(item, path.empty() ? key : path + "/" + key);
+        }
+        return;
+    }
+    std::cout << path << ": " << (value.is_string() ? value.get<std::string>() : value.dump(-1, ' ', false, json::error_handler_t::replace))
+              << '\n';
+}
+
+} // namespace
+
+int runStatus(const std::vector<std::string> &arguments)
+{
+    int exitCode = exitOk;
+    po::options_description options;
+    addHostOptions(options, false);
+    const auto line = parseCommand("status", "Prints the status of an entry host.", arguments, options, 0, exitCode);
+    if (!line) {
+        return exitCode;
+    }
+    const auto hostOptions = readHostOptions("status", line->values);
+    if (!hostOptions) {
+        return exitUsage;
+    }
+    if (hostOptions->hosts.size() != 1) {
+        std::cerr << "orioledrumctl status: expected one --host\n";
+        return exitUsage;
+    }
+    const auto body = admin_client(hostOptions->token, hostOptions->timeout).get(hostOptions->hosts[0], "/admin/v1/status");
+    if (!body) {
+        std::cerr << "orioledrumctl: " << body.error().describe() << '\n';
+        return exitCodeFor(body.error());
+    }
+    const auto status = json::parse(*body, nullptr, false);
+    if (status.is_discarded()) {
+        std::cerr << "orioledrumctl: the status of " << hostOptions->hosts[0] << " is not JSON\n";
+        return exitWrong;
+    }
+    if (line->json()) {
+        std::cout << status.dump(2, ' ', false, json::error_handler_t::replace) << '\n';
+    } else {
+        printFlat(status, "");
+    }
+    return exitOk;
+}
+
+int runTimeline(const std::vector<std::string> &arguments)
+{
+    int exitCode = exitOk;
+    po::options_description options;
+    addHostOptions(options, true);
+    options.add_options()("request", po::value<std::string>(), "only events of this request")(
+        "svg", po::value<std::string>(), "write a picture to this file as well");
+    const auto line = parseCommand("timeline",
+                                   "Gathers the events of entry hosts and prints them in the order of their wall time. Hosts that do not "
+                                   "answer are named on standard error; the events of the others are still printed.",
+                                   arguments,
+                                   options,
+                                   0,
+                                   exitCode);
+    if (!line) {
+        return exitCode;
+    }
+    const auto hostOptions = readHostOptions("timeline", line->values);
+    if (!hostOptions) {
+        return exitUsage;
+    }
+    const admin_client client(hostOptions->token, hostOptions->timeout);
+    std::vector<timeline_entry> entries;
+    for (const auto &host : hostOptions->hosts) {
+        auto fetched = fetchTimeline(client, host);
+        if (!fetched) {
+            std::cerr << "orioledrumctl: " << fetched.error().describe() << '\n';
+            exitCode = std::max(exitCode, exitCodeFor(fetched.error()));
+            continue;
+        }
+        std::move(fetched->begin(), fetched->end(), std::back_inserter(entries));
+    }
+    if (line->values.count("request") > 0) {
+        const auto request = line->values["request"].as<std::string>();
+        std::erase_if(entries, [&request](const timeline_entry &entry) { return entry.request != request; });
+    }
+    orderTimeline(entries);
+    std::cout << (line->json() ? timelineJson(entries) + "\n" : timelineText(entries));
+    if (line->values.count("svg") > 0) {
+        const auto path = line->values["svg"].as<std::string>();
+        std::ofstream stream(path, std::ios::binary);
+        stream << timelineSvg(entries);
+        stream.close();
+        if (!stream) {
+            std::cerr << "orioledrumctl: cannot write " << path << '\n';
+            exitCode = std::max<int>(exitCode, exitWrong);
+        }
+    }
+    return exitCode;
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/tools/orioledrumctl/tests/test_orioledrumctl.cpp
@@ -0,0 +1,224 @@
+#include "tests/fakes/fake_admin_host.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <sys/wait.h>
+
+#include <array>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace orioledrum;
+using nlohmann::json;
+
+namespace
+{
+
+const std::string example = ORIOLEDRUM_EXAMPLE_CONFIG;
+
+struct result {
+    int exitCode = -1;
+    std::string output;
+};
+
+/// Runs the command; standard error is part of the output only when the arguments end in 2>&1.
+result run(const std::string &arguments)
+{
+    result outcome;
+    const auto command = std::string(ORIOLEDRUMCTL) + " " + arguments;
+    FILE *pipe = popen(command.c_str(), "r");
+    if (pipe == nullptr) {
+        return outcome;
+    }
+    std::array<char, 4096> buffer{};
+    for (std::size_t count = 0; (count = fread(buffer.data(), 1, buffer.size(), pipe)) > 0;) {
+        outcome.output.append(buffer.data(), count);
+    }
+    const int status = pclose(pipe);
+    outcome.exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return outcome;
+}
+
+class OrioledrumctlTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "orioledrumctl-XXXXXX").string();
+        ASSERT_NE(mkdtemp(pattern.data()), nullptr);
+        m_folder = pattern;
+        std::filesystem::copy(example, m_folder / "config");
+    }
+    void TearDown() override { std::filesystem::remove_all(m_folder); }
+
+    [[nodiscard]] std::string folder() const { return (m_folder / "config").string(); }
+    void write(const std::string &name, const std::string &text) const { std::ofstream(m_folder / "config" / name) << text; }
+
+    std::filesystem::path m_folder;
+};
+
+std::string eventJson(int sequence, std::int64_t time, const std::string &kind, const std::string &request)
+{
+    return json{{"sequence", sequence}, {"wallTimeUs", time}, {"kind", kind}, {"request", request}, {"peer", "p<1>"}, {"detail", ""}}
+        .dump();
+}
+
+const std::string northEvents = "[" + eventJson(1, 1000000, "searchStarted", "r1") + "," + eventJson(2, 1000300, "attemptSent", "r1") + ","
+    + eventJson(3, 1000900, "searchFinished", "r1") + "]";
+const std::string southEvents = "[" + eventJson(1, 1000500, "attemptSent", "r1") + "," + eventJson(2, 1000600, "leaseLost", "") + "]";
+
+} // namespace
+
+// Guards against a good folder being refused and against an output that scripts cannot read.
+TEST_F(OrioledrumctlTest, CheckAcceptsAGoodFolder)
+{
+    EXPECT_EQ(run("check " + folder()).exitCode, 0);
+    const auto outcome = run("check --json " + folder());
+    EXPECT_EQ(outcome.exitCode, 0);
+    const auto value = json::parse(outcome.output);
+    EXPECT_EQ(value["ok"], true);
+    EXPECT_EQ(value["services"], 2);
+}
+
+// Guards against a bad folder that passes or whose problems lack their place.
+TEST_F(OrioledrumctlTest, CheckNamesEveryProblem)
+{
+    write("90.json", R"({"availabilityZones": {"nroth": {"state": "out"}}, "customers": {"cabs": {"weight": "x"}}})");
+    const auto text = run("check " + folder());
+    EXPECT_EQ(text.exitCode, 1);
+    EXPECT_NE(text.output.find("90.json: customers/cabs/weight: found \"x\", allowed: a number"), std::string::npos) << text.output;
+    EXPECT_NE(text.output.find("90.json: availabilityZones/nroth"), std::string::npos) << text.output;
+    const auto outcome = run("check --json " + folder());
+    EXPECT_EQ(outcome.exitCode, 1);
+    EXPECT_EQ(json::parse(outcome.output)["problems"].size(), 2U);
+    write("90.json", "{");
+    EXPECT_EQ(run("check " + folder()).exitCode, 1);
+    EXPECT_EQ(run("merged " + folder()).exitCode, 1);
+    EXPECT_EQ(run("diff " + folder() + " " + example).exitCode, 1);
+}
+
+// Guards against a missing or empty folder that counts as correct.
+TEST_F(OrioledrumctlTest, CheckRefusesMissingAndEmptyFolders)
+{
+    EXPECT_EQ(run("check " + folder() + "/missing 2>/dev/null").exitCode, 1);
+    std::filesystem::create_directory(m_folder / "empty");
+    const auto outcome = run("check " + (m_folder / "empty").string() + " 2>&1");
+    EXPECT_EQ(outcome.exitCode, 1);
+    EXPECT_NE(outcome.output.find("no file"), std::string::npos) << outcome.output;
+}
+
+// Guards against values that are attributed to the wrong file and differences that are missed.
+TEST_F(OrioledrumctlTest, MergedAndDiffNameTheFiles)
+{
+    write("90-north-out.json", R"({"availabilityZones": {"north": {"state": "out"}}})");
+    const auto merged = run("merged " + folder());
+    EXPECT_EQ(merged.exitCode, 0);
+    EXPECT_NE(merged.output.find("availabilityZones/north/state = \"out\"  (90-north-out.json)\n"), std::string::npos);
+    EXPECT_EQ(json::parse(run("merged --json " + folder()).output)["customers/cabs/weight"]["file"], "40-customers.json");
+    const auto diff = run("diff " + example + " " + folder());
+    EXPECT_EQ(diff.exitCode, 0);
+    EXPECT_EQ(diff.output, "~ availabilityZones/north/state = \"in\"  (10-zones.json) -> \"out\"  (90-north-out.json)\n");
+    const auto value = json::parse(run("diff --json " + folder() + " " + example).output);
+    EXPECT_EQ(value["removedFiles"], json::array({"90-north-out.json"}));
+    EXPECT_EQ(value["changed"].size(), 1U);
+}
+
+// Guards against mistakes in the arguments that look like results.
+TEST_F(OrioledrumctlTest, UsageMistakesHaveTheirOwnExitCode)
+{
+    for (const std::string arguments : {"",
+                                        "chek x",
+                                        "check",
+                                        "check a b",
+                                        "diff a",
+                                        "check --no-such-option a",
+                                        "status --token x",
+                                        "status --token x --host localhost:1",
+                                        "status --token x --host 127.0.0.1:0",
+                                        "status --token x --host 127.0.0.1:1 --host 127.0.0.1:2",
+                                        "status --token 'a b' --host 127.0.0.1:1",
+                                        "status --token-file /nonexistent --host 127.0.0.1:1",
+                                        "timeline --token x"}) {
+        EXPECT_EQ(run(arguments + " 2>/dev/null").exitCode, 2) << arguments;
+    }
+    for (const std::string arguments : {"--help", "check --help", "merged --help", "diff --help", "status --help", "timeline --help"}) {
+        const auto outcome = run(arguments);
+        EXPECT_EQ(outcome.exitCode, 0) << arguments;
+        EXPECT_NE(outcome.output.find("Usage: orioledrumctl"), std::string::npos) << arguments;
+    }
+}
+
+// Guards against a status that needs the token on the command line, and against confusing a refusal with silence.
+TEST_F(OrioledrumctlTest, StatusReadsTheHost)
+{
+    std::string address;
+    {
+        const fake_admin_host host("north-1", "[]", 10);
+        address = host.address();
+        const auto text = run("status --token secret --host " + address);
+        EXPECT_EQ(text.exitCode, 0);
+        EXPECT_NE(text.output.find("config/revision: 7\n"), std::string::npos) << text.output;
+        std::ofstream(m_folder / "token") << "secret\n";
+        const auto outcome = run("status --json --token-file " + (m_folder / "token").string() + " --host " + address);
+        EXPECT_EQ(outcome.exitCode, 0);
+        EXPECT_EQ(json::parse(outcome.output)["host"], "north-1");
+        EXPECT_EQ(run("status --token wrong --host " + address + " 2>/dev/null").exitCode, 1);
+    }
+    EXPECT_EQ(run("status --token secret --host " + address + " 2>/dev/null").exitCode, 3);
+}
+
+// Guards against events that are lost between pages, wrongly ordered across hosts, or not filtered.
+TEST_F(OrioledrumctlTest, TimelineGathersAndOrders)
+{
+    const fake_admin_host north("north-1", northEvents, 2);
+    const fake_admin_host south("south-1", southEvents, 10);
+    const auto hosts = "timeline --token secret --host " + north.address() + " --host " + south.address();
+    const auto outcome = run(hosts + " --json");
+    EXPECT_EQ(outcome.exitCode, 0);
+    std::string order;
+    for (const auto &event : json::parse(outcome.output)) {
+        order += event["host"].get<std::string>()[0] + std::to_string(event["sequence"].get<int>()) + " ";
+    }
+    EXPECT_EQ(order, "n1 n2 s1 s2 n3 ");
+    const auto text = run(hosts + " --request r1");
+    EXPECT_EQ(std::count(text.output.begin(), text.output.end(), '\n'), 4);
+    EXPECT_EQ(text.output.substr(0, text.output.find('\n')), "1970-01-01T00:00:01.000000Z  north-1  searchStarted  request=r1  peer=p<1>");
+}
+
+// Guards against a picture that is no well-formed XML or lacks events, and against a file that is silently not written.
+TEST_F(OrioledrumctlTest, TimelineWritesAPicture)
+{
+    const fake_admin_host north("north-1", northEvents, 10);
+    const auto path = (m_folder / "timeline.svg").string();
+    const auto command = "timeline --token secret --host " + north.address() + " --svg ";
+    EXPECT_EQ(run(command + path).exitCode, 0);
+    std::ostringstream text;
+    text << std::ifstream(path).rdbuf();
+    const auto svg = text.str();
+    std::size_t circles = 0;
+    for (auto position = svg.find("<circle"); position != std::string::npos; position = svg.find("<circle", position + 1)) {
+        ++circles;
+    }
+    EXPECT_EQ(circles, 3U);
+    EXPECT_NE(svg.find("p&lt;1&gt;"), std::string::npos);
+    EXPECT_EQ(svg.find("p<1>"), std::string::npos);
+    EXPECT_NE(svg.find("searchFinished"), std::string::npos);
+    EXPECT_EQ(run(command + "/nonexistent/x.svg 2>/dev/null").exitCode, 1);
+}
+
+// Guards against one lost host hiding the events of the others, or going unnoticed.
+TEST_F(OrioledrumctlTest, TimelineGoesOnWithoutALostHost)
+{
+    std::string lost;
+    {
+        const fake_admin_host host("x", "[]", 1);
+        lost = host.address();
+    }
+    const fake_admin_host north("north-1", northEvents, 10);
+    const auto outcome = run("timeline --json --token secret --host " + lost + " --host " + north.address() + " 2>/dev/null");
+    EXPECT_EQ(outcome.exitCode, 3);
+    EXPECT_EQ(json::parse(outcome.output).size(), 3U);
+}
--- /dev/null
+++ b/tools/orioledrumctl/timeline.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "admin_client.h"
+
+#include <base/error.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace orioledrum
+{
+
+/// One event of one entry host.
+struct timeline_entry {
+    std::string host;
+    std::uint64_t sequence = 0;
+    std::int64_t wallTimeUs = 0;
+    std::string kind;
+    std::string request;
+    std::string peer;
+    std::string detail;
+};
+
+/// Reads all events that a host keeps.
+/// @param host "ip:port" of the admin address.
+expected<std::vector<timeline_entry>> fetchTimeline(const admin_client &client, const std::string &host);
+
+/// Orders events of several hosts by wall time. Events of one host keep their order when their times are equal.
+void orderTimeline(std::vector<timeline_entry> &entries);
+
+/// @return UTC date and time with microseconds.
+std::string formatWallTime(std::int64_t wallTimeUs);
+
+/// @return One line per event.
+std::string timelineText(const std::vector<timeline_entry> &entries);
+
+/// @return A JSON array of the events.
+std::string timelineJson(const std::vector<timeline_entry> &entries);
+
+/// @return A picture with one row per host and the time from left to right.
+std::string timelineSvg(const std::vector<timeline_entry> &entries);
+
+} // namespace orioledrum
