Follow clang-tidy in orioledrumctl

Cause: clang-tidy reported a widening multiplication and a concatenation. Change: both are written out. Result: clang-tidy reports nothing for libs/config, libs/spread and tools/orioledrumctl; all tests pass.

--- a/tools/orioledrumctl/admin_client.cpp
+++ b/tools/orioledrumctl/admin_client.cpp
@@ -11,7 +11,7 @@
 {
 
 /// An event ring of 64k events in one answer stays below this.
-constexpr std::size_t maxBody = 64U * 1024 * 1024;
+constexpr std::size_t maxBody = std::size_t{64} * 1024 * 1024;
 
 std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target)
 {
--- a/tools/orioledrumctl/host_commands.cpp
+++ b/tools/orioledrumctl/host_commands.cpp
@@ -117,7 +117,12 @@
 {
     if (value.is_structured() && !value.empty()) {
         for (const auto &[key, item] : value.items()) {
-            printFlat(item, path.empty() ? key : path + "/" + key);
+            auto itemPath = path;
+            if (!path.empty()) {
+                itemPath += '/';
+            }
+            itemPath += key;
+            printFlat(item, itemPath);
         }
         return;
     }
