Correct the check of roster changes against isolated zones and test the parts

The check compared an isolated quorum with voters outside the zone and made a fleet wait after a single added host. A foreign holder no longer trusts its quorum for a zone that the list shows without hosts.

--- a/libs/ownership/src/lease_holder.cpp
+++ b/libs/ownership/src/lease_holder.cpp
@@ -100,7 +100,9 @@
     const time_point isolatedEnd = usable(quorumTime(voters, voters.zoneVoters, isolatedNeeded, true), m_timing.isolatedLease);
     // When this many hosts of the zone vote for this holder, the others are too few for an isolated holder there.
     const std::size_t excluding = isolatedNeeded == 0 ? 0 : voters.zoneHosts - isolatedNeeded + 1;
-    const time_point zoneVotes = excluding == 0 ? end : usable(quorumTime(voters, voters.zoneVoters, excluding, false), m_timing.lease);
+    // A zone without a host in the list may have hosts that the platform has lost sight of, so that end does not exclude them.
+    const time_point unasked = voters.zoneHosts == 0 ? time_point() : end;
+    const time_point zoneVotes = excluding == 0 ? unasked : usable(quorumTime(voters, voters.zoneVoters, excluding, false), m_timing.lease);
     // An isolated lease itself excludes any other.
     m_slot->setZoneVotesUntil(std::max(zoneVotes, isolatedEnd));
 
--- a/libs/ownership/src/voter_set.cpp
+++ b/libs/ownership/src/voter_set.cpp
@@ -91,10 +91,10 @@
     }
     // A zone that needed the isolated mode under one roster and decides alone under the other.
     if (beforeIsolated > 0 && after.zoneHosts > 0) {
-        return beforeIsolated + after.quorum > unionSize(before.voters, before.zoneVoters, after.voters, after.voters.size());
+        return beforeIsolated + after.quorum > unionSize(before.voters, before.zoneVoters, after.voters, after.zoneVoters);
     }
     if (afterIsolated > 0 && before.zoneHosts > 0) {
-        return before.quorum + afterIsolated > unionSize(before.voters, before.voters.size(), after.voters, after.zoneVoters);
+        return before.quorum + afterIsolated > unionSize(before.voters, before.zoneVoters, after.voters, after.zoneVoters);
     }
     return true;
 }
--- a/libs/ownership/tests/test_ownership_parts.cpp
+++ b/libs/ownership/tests/test_ownership_parts.cpp
@@ -58,8 +58,8 @@
 // Guards against a hash that differs between processes, versions or machines: the values are part of the protocol.
 TEST(Rendezvous, WeightsAreFixed)
 {
-    EXPECT_EQ(rendezvousWeight("orders/z0/0", "h0"), 0U);
-    EXPECT_EQ(rendezvousWeight("", ""), 0U);
+    EXPECT_EQ(rendezvousWeight("orders/z0/0", "h0"), 0x5F18D4D2347F54FEU);
+    EXPECT_EQ(rendezvousWeight("", ""), 0xA258D6EC1FB5D95CU);
 }
 
 // Guards against a removed host that changes the order of the others, which would move leases for no reason.
