Add tests of the load generator

Cause: a load generator that waits for answers hides stalls. Change: tests against a caller address with one thread: a stall shows in the percentiles, arrivals do not wait, the caller protocol, error counts, unreachable and silent hosts, arrivals, percentiles, coverage. Conclusion: its percentiles count from the scheduled times.

--- /dev/null
+++ b/tools/load/tests/test_load.cpp
@@ -0,0 +1,327 @@
+#include <load/load_runner.h>
+#include <load/report.h>
+
+#include <standin/control_server.h>
+
+#include <nlohmann/json.hpp>
+
+#include <gtest/gtest.h>
+
+#include <numeric>
+#include <thread>
+
+using namespace orioledrum::load;
+using orioledrum::standin::control_server;
+using orioledrum::standin::errorResponse;
+using orioledrum::standin::http_request;
+using orioledrum::standin::http_response;
+using json = nlohmann::json;
+
+namespace
+{
+
+const std::string fullAnswer =
+    R"({"requestId":"r1","results":[{"id":"x","score":0.5,"text":"t"}],"snapshot":3,"layout":2,"coverage":{"shardsTotal":4,)"
+    R"("shardsAnswered":4,"fraction":1.0,"missing":[]},"complete":true,"elapsedMs":1})";
+const std::string partAnswer =
+    R"({"requestId":"r2","results":[],"snapshot":3,"layout":2,"coverage":{"shardsTotal":4,"shardsAnswered":2,"fraction":0.5,)"
+    R"("missing":[{"shard":"s1","reason":"timeout"},{"shard":"s2","reason":"timeout"}]},"complete":false,"elapsedMs":1})";
+
+/// A caller address that one thread serves, one request after the other.
+class tiny_server
+{
+public:
+    explicit tiny_server(control_server::route answer)
+        : m_server(m_context, std::move(answer))
+        , m_port(*m_server.listen(0))
+        , m_thread([this] { m_context.run(); })
+    {
+    }
+
+    ~tiny_server()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    tiny_server(const tiny_server &) = delete;
+    tiny_server &operator=(const tiny_server &) = delete;
+
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+
+private:
+    asio::io_context m_context;
+    control_server m_server;
+    std::uint16_t m_port;
+    std::thread m_thread;
+};
+
+arrival_settings arrivalsOf(double searches, double orders, std::chrono::milliseconds duration)
+{
+    arrival_settings settings;
+    settings.seed = 4;
+    settings.searchesPerSecond = searches;
+    settings.ordersPerSecond = orders;
+    settings.duration = duration;
+    settings.searchServices = {{"archive", 3}, {"roster", 1}};
+    settings.orderServices = {{"orders", 1}};
+    settings.customers = {{"cabs", 9}, {"desk", 1}};
+    return settings;
+}
+
+report_context contextOf(const arrival_settings &arriving, const load_settings &sending)
+{
+    report_context context;
+    context.searchesPerSecond = arriving.searchesPerSecond;
+    context.ordersPerSecond = arriving.ordersPerSecond;
+    context.duration = arriving.duration;
+    context.deadline = sending.deadline;
+    context.seed = arriving.seed;
+    return context;
+}
+
+} // namespace
+
+// Guards against coordinated omission: a stall must delay every request scheduled during it, not only the one in progress.
+TEST(LoadRunner, StallAppearsInThePercentiles)
+{
+    static constexpr std::chrono::milliseconds stall{400};
+    int requests = 0;
+    tiny_server server([&requests](const http_request &) -> http_response {
+        if (++requests == 50) {
+            std::this_thread::sleep_for(stall);
+        }
+        return {200, {}, fullAnswer};
+    });
+    const auto arriving = arrivalsOf(200, 0, std::chrono::seconds{1});
+    load_settings sending;
+    sending.hosts = {server.address()};
+    const auto arrivals = makeArrivals(arriving);
+    const auto samples = runLoad(sending, arrivals);
+    ASSERT_EQ(samples.size(), arrivals.size());
+    const auto report = json::parse(reportAsJson(samples, contextOf(arriving, sending)));
+    // 80 of 200 requests are scheduled in the stall; a closed loop with one request at a time would show one slow request.
+    EXPECT_GE(report["searches"]["latencyMs"]["p90"].get<double>(), 150) << report["searches"].dump(1);
+    EXPECT_GE(report["searches"]["latencyMs"]["max"].get<double>(), 390);
+    EXPECT_GE(report["searches"]["late"].get<int>(), 40);
+    EXPECT_EQ(report["searches"]["outcomes"]["answered"], samples.size());
+}
+
+// Guards against arrivals that wait for earlier answers when the caller address is slower than the load.
+TEST(LoadRunner, SendsWithoutWaitingForAnswers)
+{
+    tiny_server server([](const http_request &) -> http_response {
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+        return {200, {}, fullAnswer};
+    });
+    const auto arriving = arrivalsOf(200, 0, std::chrono::milliseconds{500});
+    load_settings sending;
+    sending.hosts = {server.address()};
+    sending.threads = 2;
+    sending.timeout = std::chrono::seconds{30};
+    const auto samples = runLoad(sending, makeArrivals(arriving));
+    ASSERT_GT(samples.size(), 60U);
+    std::chrono::microseconds lastEnd{0};
+    for (const auto &entry : samples) {
+        ASSERT_EQ(entry.outcome, "answered") << toJsonLine(entry);
+        EXPECT_GE(entry.sent, entry.scheduled);
+        lastEnd = std::max(lastEnd, entry.ended);
+    }
+    // The server needs 20 ms for each of about 100 requests, so the last answer comes long after the last sending.
+    EXPECT_GT(lastEnd - samples.back().sent, std::chrono::milliseconds{500});
+}
+
+// Guards against requests that entry hosts would not accept, and against tickets that are not used.
+TEST(LoadRunner, SendsTheCallerProtocol)
+{
+    std::vector<http_request> seen;
+    auto server = std::make_unique<tiny_server>([&seen](const http_request &request) -> http_response {
+        seen.push_back(request);
+        if (request.path == "/v1/search") {
+            return {200, {}, fullAnswer};
+        }
+        if (request.path == "/v1/orders/tickets") {
+            return {200, {}, R"({"ticket":"t-1","expiresInMs":60000})"};
+        }
+        return {200, {}, R"({"outcome":"ran","result":{}})"};
+    });
+    const auto arriving = arrivalsOf(50, 50, std::chrono::milliseconds{400});
+    load_settings sending;
+    sending.hosts = {server->address()};
+    sending.priority = 2;
+    sending.keepResults = true;
+    const auto samples = runLoad(sending, makeArrivals(arriving));
+    server.reset(); // Ends the thread that writes to seen.
+    std::size_t searches = 0;
+    std::size_t orders = 0;
+    for (const auto &entry : samples) {
+        EXPECT_TRUE(entry.good()) << toJsonLine(entry);
+        EXPECT_EQ(entry.ticket, entry.order ? "t-1" : "");
+        EXPECT_EQ(entry.results.size(), entry.order ? 0U : 1U);
+        ++(entry.order ? orders : searches);
+    }
+    EXPECT_GT(searches, 5U);
+    EXPECT_GT(orders, 5U);
+    EXPECT_EQ(seen.size(), searches + 2 * orders);
+    for (const auto &request : seen) {
+        const auto body = json::parse(request.body);
+        if (request.path == "/v1/search") {
+            EXPECT_EQ(request.method, "POST");
+            EXPECT_EQ(body.size(), 7U);
+            EXPECT_EQ(body["deadlineMs"], 79);
+            EXPECT_EQ(body["minCoverage"], 0.99);
+            EXPECT_EQ(body["limit"], 10);
+            EXPECT_EQ(body["priority"], 2);
+        } else if (request.path == "/v1/orders/tickets") {
+            EXPECT_EQ(request.method, "POST");
+            EXPECT_EQ(body.size(), 2U);
+        } else {
+            EXPECT_EQ(request.method, "PUT");
+            EXPECT_EQ(request.path, "/v1/orders/t-1");
+            EXPECT_TRUE(body["order"].is_object());
+        }
+    }
+}
+
+// Guards against errors that are counted as answers, and against an order without an answer that is counted as not run.
+TEST(LoadRunner, CountsErrorsByCode)
+{
+    tiny_server server([](const http_request &request) -> http_response {
+        if (request.path == "/v1/search") {
+            return errorResponse(503, "overloaded", "full");
+        }
+        if (request.path == "/v1/orders/tickets") {
+            return {200, {}, R"({"ticket":"t-1","expiresInMs":60000})"};
+        }
+        return {504, {}, R"({"outcome":"unknown","code":"deadlineExceeded","message":"late"})"};
+    });
+    const auto arriving = arrivalsOf(50, 50, std::chrono::milliseconds{300});
+    load_settings sending;
+    sending.hosts = {server.address()};
+    const auto samples = runLoad(sending, makeArrivals(arriving));
+    const auto report = json::parse(reportAsJson(samples, contextOf(arriving, sending)));
+    const auto &searches = report["searches"];
+    const auto &orders = report["orders"];
+    EXPECT_EQ(searches["outcomes"], (json{{"refused", searches["count"]}}));
+    EXPECT_EQ(searches["errorsByCode"], (json{{"overloaded", searches["count"]}}));
+    EXPECT_TRUE(searches["latencyMs"].is_null());
+    EXPECT_EQ(orders["outcomes"], (json{{"unknown", orders["count"]}}));
+    EXPECT_EQ(orders["errorsByCode"], (json{{"deadlineExceeded", orders["count"]}}));
+}
+
+// Guards against a run that hangs or reports success when no entry host listens.
+TEST(LoadRunner, ReportsUnreachableHosts)
+{
+    std::string address;
+    {
+        const tiny_server gone([](const http_request &) { return http_response{}; });
+        address = gone.address();
+    }
+    const auto arriving = arrivalsOf(50, 20, std::chrono::milliseconds{200});
+    load_settings sending;
+    sending.hosts = {address};
+    for (const auto &entry : runLoad(sending, makeArrivals(arriving))) {
+        EXPECT_EQ(entry.outcome, entry.order ? "notRun" : "failed");
+        EXPECT_EQ(entry.code, "noAnswer");
+    }
+}
+
+// Guards against answers that never come: the wait must end after the time-out.
+TEST(LoadRunner, SilentHostEndsInATimeout)
+{
+    asio::io_context context;
+    const asio::ip::tcp::acceptor silent(context, {asio::ip::address_v4::loopback(), 0});
+    const auto arriving = arrivalsOf(50, 0, std::chrono::milliseconds{100});
+    load_settings sending;
+    sending.hosts = {"127.0.0.1:" + std::to_string(silent.local_endpoint().port())};
+    sending.timeout = std::chrono::milliseconds{150};
+    for (const auto &entry : runLoad(sending, makeArrivals(arriving))) {
+        EXPECT_EQ(entry.outcome, "failed");
+        EXPECT_GE(entry.latency(), std::chrono::milliseconds{149});
+    }
+}
+
+// Guards against arrivals that differ between runs, or whose rates and shares are wrong.
+TEST(Arrivals, FollowTheSettingsAndTheSeed)
+{
+    const auto settings = arrivalsOf(1000, 100, std::chrono::seconds{20});
+    const auto first = makeArrivals(settings);
+    const auto second = makeArrivals(settings);
+    ASSERT_EQ(first.size(), second.size());
+    double orders = 0;
+    double cabs = 0;
+    double archive = 0;
+    for (std::size_t index = 0; index < first.size(); ++index) {
+        ASSERT_EQ(first[index].at, second[index].at);
+        ASSERT_EQ(first[index].query, second[index].query);
+        ASSERT_TRUE(index == 0 || first[index - 1].at <= first[index].at);
+        orders += first[index].order ? 1 : 0;
+        cabs += first[index].customer == "cabs" ? 1 : 0;
+        archive += first[index].service == "archive" ? 1 : 0;
+    }
+    const auto total = static_cast<double>(first.size());
+    EXPECT_NEAR(total, 22000, 600);
+    EXPECT_NEAR(orders, 2000, 180);
+    EXPECT_NEAR(cabs / total, 0.9, 0.01);
+    EXPECT_NEAR(archive / (total - orders), 0.75, 0.015);
+}
+
+// Guards against percentiles that are off by one.
+TEST(Report, PercentilesAreNearestRank)
+{
+    std::vector<double> values(1000);
+    std::iota(values.begin(), values.end(), 1);
+    EXPECT_EQ(percentile(values, 0.5), 500);
+    EXPECT_EQ(percentile(values, 0.99), 990);
+    EXPECT_EQ(percentile(values, 0.999), 999);
+    EXPECT_EQ(percentile(values, 1), 1000);
+    EXPECT_EQ(percentile({7}, 0.001), 7);
+}
+
+// Guards against a report that hides low coverage, late answers or the warm-up.
+TEST(Report, ShowsCoverageLatenessAndWarmup)
+{
+    std::vector<sample> samples(4);
+    for (std::size_t index = 0; index < samples.size(); ++index) {
+        samples[index].customer = "desk";
+        samples[index].scheduled = std::chrono::milliseconds(1000 * index);
+        samples[index].sent = samples[index].scheduled + std::chrono::milliseconds{60};
+        samples[index].ended = samples[index].scheduled + std::chrono::milliseconds{100};
+        readSearchAnswer(200, index == 3 ? partAnswer : fullAnswer, false, samples[index]);
+    }
+    report_context context;
+    context.duration = std::chrono::seconds{4};
+    context.warmup = std::chrono::seconds{1};
+    context.deadline = std::chrono::milliseconds{79};
+    const auto report = json::parse(reportAsJson(samples, context));
+    const auto &searches = report["searches"];
+    EXPECT_EQ(searches["count"], 3);
+    EXPECT_EQ(searches["goodPerSecond"], 1.0);
+    EXPECT_EQ(searches["late"], 3);
+    EXPECT_EQ(searches["lateAfterSending"], 0);
+    EXPECT_EQ(searches["coverage"]["min"], 0.5);
+    EXPECT_EQ(searches["coverage"]["full"], 2);
+    EXPECT_EQ(searches["coverage"]["below0.99"], 1);
+    EXPECT_EQ(searches["coverage"]["missingShardsByReason"]["timeout"], 2);
+    EXPECT_EQ(report["perSecond"].size(), 3U);
+    const auto text = reportAsText(samples, context);
+    EXPECT_NE(text.find("min 0.5000"), std::string::npos) << text;
+}
+
+// Guards against unreadable answers that count as good ones.
+TEST(Sample, UnreadableAnswersAreErrors)
+{
+    for (const char *body : {"", "[]", "{}", R"({"requestId":"r"})", R"({"requestId":1,"results":[],"coverage":{}})"}) {
+        sample search;
+        readSearchAnswer(200, body, false, search);
+        EXPECT_EQ(search.outcome, "failed") << body;
+        EXPECT_EQ(search.code, "malformedAnswer") << body;
+        sample order;
+        readOrderAnswer(200, body, order);
+        EXPECT_EQ(order.outcome, "unknown") << body;
+    }
+    sample order;
+    readOrderAnswer(200, R"({"outcome":"perhaps"})", order);
+    EXPECT_EQ(order.outcome, "unknown");
+    EXPECT_EQ(order.code, "malformedAnswer");
+}
