--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -150,3 +150,45 @@
 
     def log(self, name):
         return (self.folder / f"{name}.log").read_text(errors="replace")
+
+    def start_load(self, hosts=None, **options):
+        """Starts orioledrum-load against some hosts; finish_load() returns its report."""
+        arguments = ["--service", self.plan["searchService"], "--samples", self.folder / "samples.jsonl", "--json"]
+        for name in hosts or self.hosts:
+            arguments += ["--host", self.hosts[name]["caller"]]
+        for name, value in options.items():
+            arguments += ["--" + name.replace("_", "-"), value]
+        for old in ("load.out", "load.log"):
+            (self.folder / old).unlink(missing_ok=True)
+        self.start("load", "orioledrum-load", *arguments)
+
+    def finish_load(self, seconds=60):
+        """Returns the report and the samples of the load."""
+        code = self.processes["load"].wait(seconds)
+        assert code == 0, (code, self.log("load"))
+        samples = [json.loads(line) for line in (self.folder / "samples.jsonl").read_text().splitlines()]
+        return json.loads((self.folder / "load.out").read_text()), samples
+
+    def change_backends(self, path, **change):
+        """Changes the stand-ins of backend servers: path is all, zone/ZONE or backend/ID."""
+        status, answer = call("POST", self.backends, f"/control/{path}", change)
+        assert status == 200, answer
+
+    def change_host(self, name, **change):
+        status, answer = call("POST", self.host_list, f"/control/host/{name}", change)
+        assert status == 200, answer
+
+    def change_platform(self, service, **change):
+        """Changes the configuration service ("config") or the host list ("hosts"): outage, serveRevision, delayMs, lagMs."""
+        status, answer = call("POST", self.config if service == "config" else self.host_list, "/control/service", change)
+        assert status == 200, answer
+
+    def stop_stand_in(self):
+        """Ends the backend stand-ins in order and returns the calls that they recorded."""
+        self.terminate("backends")
+        return [json.loads(line) for line in (self.folder / "backends.jsonl").read_text().splitlines()]
+
+
+def now_us():
+    """The clock that the stand-ins record with."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
--- /dev/null
+++ b/tests/process/test_cold.py
@@ -0,0 +1,56 @@
+"""A cold backend server never gets more than it bears."""
+import pathlib
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
+from fleet import Fleet, wait_until  # noqa: E402
+
+
+class ColdTest(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory(prefix="orioledrum-test-", ignore_cleanup_errors=True)
+        self.fleet = Fleet(self.folder.name, zones=2, shards=12, replicas=2, entry_hosts=5, start_cold=True, ramp_work_ms=1500,
+                           never_share=0, slow_share=0.05, median_ms=10, seed=11)
+        self.fleet.__enter__()
+        self.fleet.start_all()
+
+    def tearDown(self):
+        self.fleet.__exit__()
+        self.folder.cleanup()
+
+    def assert_never_above(self):
+        totals = self.fleet.backend_stats()["totals"]
+        self.assertGreater(totals["answered"], 100)
+        self.assertEqual(totals["aboveBorneCold"], 0, totals)
+
+    def test_from_all_hosts_at_once(self):
+        """Guards against several entry hosts that each use the whole limit of a cold backend server."""
+        self.fleet.start_load(rate=60, duration_s=8, deadline_ms=300, min_coverage=1, seed=2)
+        self.fleet.finish_load()
+        self.assert_never_above()
+
+    def test_paused_and_killed_owners(self):
+        """Guards against an owner that wakes up after its successor has taken over, and against one that was replaced."""
+        self.fleet.start_load(hosts=["e1", "e2", "e3"], rate=40, duration_s=24, deadline_ms=300, min_coverage=0.5, seed=2)
+        time.sleep(2)
+        self.fleet.pause("e0")
+        time.sleep(1)
+        self.fleet.kill("e4")
+        time.sleep(3)
+        self.fleet.change_backends("all", restart=True, cold=True)
+        self.fleet.start_host("e4")
+        time.sleep(6)
+        self.fleet.change_backends("all", restart=True, cold=True)
+        self.fleet.resume("e0")
+        self.fleet.finish_load()
+        self.assert_never_above()
+        wait_until("e0 ready again", lambda: self.fleet.admin("e0", "status")["ready"], 5)
+        events = self.fleet.admin("e0", "timeline")["events"]
+        self.assertIn("pauseDetected", {event["kind"] for event in events})
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
--- /dev/null
+++ b/tests/process/test_shutdown.py
@@ -0,0 +1,50 @@
+"""A planned stop cuts no request."""
+import pathlib
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
+from fleet import Fleet  # noqa: E402
+
+
+class ShutdownTest(unittest.TestCase):
+    def test_rolling_restart_under_load(self):
+        """Guards against requests that are cut, refused or left incomplete while entry hosts are restarted in turn.
+
+        The load goes to e0, which plays the host that the balancer keeps; the others own groups and are restarted.
+        """
+        with tempfile.TemporaryDirectory(prefix="orioledrum-test-", ignore_cleanup_errors=True) as folder, \
+                Fleet(folder, zones=2, shards=24, replicas=2, entry_hosts=4, never_share=0, slow_share=0, median_ms=2, seed=1) as fleet:
+            fleet.start_all()
+            fleet.start_load(hosts=["e0"], rate=30, order_rate=3, order_service="orders", duration_s=40, deadline_ms=1000, min_coverage=1,
+                             seed=6)
+            for name in ("e1", "e2", "e3"):
+                time.sleep(1)
+                began = time.monotonic()
+                self.assertEqual(fleet.terminate(name), 0, fleet.log(name)[-800:])
+                self.assertLess(time.monotonic() - began, 15)
+                fleet.start_host(name)
+                fleet.wait_ready(names=[name])
+            report, samples = fleet.finish_load()
+            bad = [sample for sample in samples if sample.get("outcome") not in ("answered", "ran")]
+            self.assertEqual(bad, [], report)
+            incomplete = [sample for sample in samples if sample.get("coverage", 1) < 1]
+            self.assertEqual(incomplete[:3], [], f"{len(incomplete)} of {len(samples)} incomplete")
+
+    def test_keep_alive_callers_are_let_go_in_order(self):
+        """Guards against a stop that resets the connection of a caller while its request runs."""
+        with tempfile.TemporaryDirectory(prefix="orioledrum-test-", ignore_cleanup_errors=True) as folder, \
+                Fleet(folder, zones=2, shards=24, replicas=2, entry_hosts=3, never_share=0, slow_share=0, median_ms=50, seed=1,
+                      balancer_delay_ms=2000) as fleet:
+            fleet.start_all()
+            fleet.start_load(hosts=["e0"], rate=20, duration_s=4, deadline_ms=1000, min_coverage=1, seed=6)
+            time.sleep(3)
+            self.assertEqual(fleet.terminate("e0"), 0, fleet.log("e0")[-800:])
+            report, samples = fleet.finish_load()
+            self.assertEqual([sample for sample in samples if sample.get("outcome") != "answered"], [], report)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
