Never close a descriptor that libcurl has already closed

Cause: libcurl 7.88 closes a socket whose connect timed out or was cancelled without the close callback. The client then counted the connection for ever and closed the descriptor number a second time, which in a process with several threads may belong to another file by then (seen as EBADF). Change: only libcurl and its close callback close; an unconnected socket is forgotten when its call ends. The HTTP server takes at most half of the descriptors, because RESTinio stops accepting when they run out.

--- a/libs/transport/src/curl_socket.h
+++ b/libs/transport/src/curl_socket.h
@@ -7,7 +7,7 @@
 namespace orioledrum
 {
 
-/// A socket of libcurl and what libcurl waits for on it.
+/// A socket of libcurl and what libcurl waits for on it. Only libcurl, or its close callback, closes the descriptor.
 struct curl_socket {
     explicit curl_socket(asio::io_context &context)
         : descriptor(context)
@@ -17,6 +17,7 @@
     asio::posix::stream_descriptor descriptor;
     std::string address; ///< "address:port" of the server.
     bool owned = true; ///< False for a descriptor that libcurl opened itself.
+    bool connected = false; ///< A request was about to be written to it.
     bool wantRead = false;
     bool wantWrite = false;
     bool readPending = false;
--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -36,6 +36,8 @@
     std::string server; ///< "address:port" from the URL.
     std::chrono::steady_clock::time_point deadline;
     curl_slist *headers = nullptr;
+    void *owner = nullptr; ///< The client.
+    std::shared_ptr<curl_socket> opened; ///< Socket that was last opened for this call.
     std::size_t headerBytes = 0;
     std::size_t maxReplyBytes = 0;
     bool handedOver = false; ///< libcurl was allowed to write the request.
@@ -145,6 +147,9 @@
 int onBeforeSend(void *user, char *, char *, int, int)
 {
     auto &running = *static_cast<transfer *>(user);
+    if (running.opened) {
+        running.opened->connected = true;
+    }
     if (running.call.beforeSend && !running.call.beforeSend()) {
         running.stopped = true;
         return CURL_PREREQFUNC_ABORT;
@@ -226,6 +231,7 @@
         started->done = std::move(done);
         started->server = serverOf(started->call.url);
         started->deadline = std::chrono::steady_clock::now() + started->call.timeout;
+        started->owner = this;
         started->maxReplyBytes = m_settings.maxReplyBytes;
         started->easy = takeHandle();
         if (started->easy == nullptr) {
@@ -347,7 +353,7 @@
         curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, started.message.data());
         curl_easy_setopt(easy, CURLOPT_PRIVATE, &started);
         curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &impl::onOpenSocket);
-        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &started);
         curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &impl::onCloseSocket);
         curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
@@ -422,6 +428,7 @@
             const curl_scope scope(*this);
             curl_multi_remove_handle(m_multi, ended->easy);
         }
+        forgetUnconnected(ended->opened);
         giveBack(ended->easy);
     }
 
@@ -478,6 +485,7 @@
             const curl_scope scope(*this);
             curl_multi_remove_handle(m_multi, easy);
         }
+        forgetUnconnected(ended->opened);
         giveBack(easy);
         if (!ended->done) {
             return;
@@ -548,7 +556,8 @@
 
     static curl_socket_t onOpenSocket(void *user, curlsocktype, curl_sockaddr *address)
     {
-        auto &self = *static_cast<impl *>(user);
+        auto &running = *static_cast<transfer *>(user);
+        auto &self = *static_cast<impl *>(running.owner);
         const int descriptor = ::socket(address->family, address->socktype | SOCK_CLOEXEC | SOCK_NONBLOCK, address->protocol);
         if (descriptor < 0) {
             return CURL_SOCKET_BAD;
@@ -562,6 +571,7 @@
         }
         socket->address = describeAddress(address->addr);
         ++self.m_connections[socket->address];
+        running.opened = socket;
         self.m_sockets[descriptor] = std::move(socket);
         return descriptor;
     }
@@ -570,27 +580,32 @@
     {
         auto &self = *static_cast<impl *>(user);
         const auto found = self.m_sockets.find(descriptor);
-        if (found == self.m_sockets.end()) {
-            return ::close(descriptor);
+        if (found != self.m_sockets.end()) {
+            const auto socket = std::move(found->second);
+            self.m_sockets.erase(found);
+            self.forgetSocket(*socket);
         }
-        const auto socket = std::move(found->second);
-        self.m_sockets.erase(found);
-        self.forgetSocket(*socket);
-        return 0;
+        return ::close(descriptor);
     }
 
-    void forgetSocket(curl_socket &socket)
+    /// libcurl 7.88 closes a socket whose connect has failed or was given up without calling onCloseSocket(). The
+    /// descriptor must not be closed or used here any more, since its number may already belong to another file.
+    void forgetUnconnected(const std::shared_ptr<curl_socket> &socket)
     {
-        socket.closed = true;
-        if (!socket.owned) {
-            socket.descriptor.release();
+        if (!socket || socket->connected || socket->closed) {
             return;
         }
-        if (!socket.retired) {
+        m_sockets.erase(socket->descriptor.native_handle());
+        forgetSocket(*socket);
+    }
+
+    void forgetSocket(curl_socket &socket)
+    {
+        socket.closed = true;
+        if (socket.owned && !socket.retired) {
             countDown(socket.address);
         }
-        asio::error_code ignored;
-        socket.descriptor.close(ignored);
+        socket.descriptor.release();
     }
 
     void countDown(const std::string &address)
@@ -633,6 +648,10 @@
             self.forgetSocket(*socket);
             return 0;
         }
+        if (what == CURL_POLL_REMOVE && !socket->connected) {
+            self.forgetUnconnected(socket);
+            return 0;
+        }
         self.wait(socket);
         return 0;
     }
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -6,6 +6,8 @@
 
 #include <restinio/all.hpp>
 
+#include <sys/resource.h>
+
 #include <atomic>
 #include <future>
 #include <thread>
@@ -65,6 +67,17 @@
 constexpr std::size_t maxHeaderValueBytes = std::size_t{16} * 1024;
 constexpr std::size_t maxHeaderCount = 200;
 
+/// RESTinio stops accepting for good when a connection cannot be accepted for lack of descriptors, so at most half of
+/// the descriptors of the process go to these connections.
+std::size_t limitByDescriptors(std::size_t wanted)
+{
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
+        return wanted;
+    }
+    return std::min<std::size_t>(wanted, limit.rlim_cur / 2);
+}
+
 /// Refuses connections over the limit. The limiter of RESTinio is not used: connections refer to it when they are
 /// destroyed, which may be after the server.
 class connection_limiter
@@ -333,7 +346,7 @@
         options.address(address)
             .protocol(address.is_v6() ? asio::ip::tcp::v6() : asio::ip::tcp::v4())
             .port(m_settings.port)
-            .ip_blocker(std::make_shared<connection_limiter>(m_core->context, m_settings.maxConnections))
+            .ip_blocker(std::make_shared<connection_limiter>(m_core->context, limitByDescriptors(m_settings.maxConnections)))
             .read_next_http_message_timelimit(m_settings.idleTimeout)
             .handle_request_timeout(m_settings.handleTimeout)
             .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
--- /dev/null
+++ b/libs/transport/tests/fakes/full_listener.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <sys/socket.h>
+
+#include <string>
+#include <vector>
+
+namespace orioledrum
+{
+
+/// A listening port on loopback whose queue is full: connecting to it hangs until it times out.
+class full_listener
+{
+public:
+    full_listener()
+        : m_acceptor(m_context, asio::ip::tcp::v4())
+    {
+        m_acceptor.bind({asio::ip::address_v4::loopback(), 0});
+        m_acceptor.listen(0);
+        // Linux queues one connection more than asked for; the others keep the queue full.
+        for (int i = 0; i < 4; ++i) {
+            auto &socket = m_sockets.emplace_back(m_context, asio::ip::tcp::v4());
+            socket.native_non_blocking(true);
+            // Asio's connect() would wait for the result.
+            const auto endpoint = m_acceptor.local_endpoint();
+            ::connect(socket.native_handle(), endpoint.data(), static_cast<socklen_t>(endpoint.size()));
+        }
+    }
+
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+
+private:
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::vector<asio::ip::tcp::socket> m_sockets;
+};
+
+} // namespace orioledrum
--- a/libs/transport/tests/test_http_client.cpp
+++ b/libs/transport/tests/test_http_client.cpp
@@ -1,6 +1,7 @@
 #include <transport/http_client.h>
 
 #include <fakes/context_thread.h>
+#include <fakes/full_listener.h>
 #include <fakes/scripted_http_server.h>
 
 #include <gtest/gtest.h>
@@ -154,6 +155,22 @@
     EXPECT_EQ(result.error().failure.peer, url.substr(7, url.size() - 8));
 }
 
+// Guards against "unknown" outcomes for requests to a host that does not answer at all.
+TEST_F(HttpClientTest, ConnectTimeoutWasNotSent)
+{
+    http_client_settings settings;
+    settings.connectTimeout = 100ms;
+    restart(settings);
+    const full_listener listener;
+    for (const auto timeout : {10'000ms, 30ms}) {
+        const auto result = send(makeCall("http://" + listener.address() + "/", timeout));
+        ASSERT_FALSE(result.has_value());
+        EXPECT_EQ(result.error().failure.code, timeout == 30ms ? error_code::deadlineExceeded : error_code::unreachable);
+        EXPECT_FALSE(result.error().mayHaveBeenSent);
+    }
+    EXPECT_EQ(connections(listener.address()), 0U);
+}
+
 // Guards against a connection that waits for a late answer and gives it to a later call.
 TEST_F(HttpClientTest, TimeoutClosesTheConnection)
 {
--- a/libs/transport/tests/test_peer.cpp
+++ b/libs/transport/tests/test_peer.cpp
@@ -4,6 +4,7 @@
 #include <transport/peer_server.h>
 
 #include <fakes/context_thread.h>
+#include <fakes/full_listener.h>
 #include <fakes/scripted_http_server.h>
 #include <fakes/tcp_forwarder.h>
 
@@ -331,13 +332,29 @@
     EXPECT_TRUE(eventually([&] { return echo(at, "3") == "3"; }));
 }
 
+// Guards against "may have run" for requests to a host that does not answer at all.
+TEST_F(PeerTest, ConnectTimeoutDidNotReachThePeer)
+{
+    clientSettings.connectTimeout = 100ms;
+    restartClient();
+    const full_listener listener;
+    const auto early = send(listener.address(), "/echo", "", 30ms);
+    const auto waiting = send(listener.address(), "/echo", "");
+    auto end = early->ended.get();
+    EXPECT_EQ(code(end), "deadlineExceeded");
+    EXPECT_FALSE(end.mayHaveReachedPeer);
+    end = waiting->ended.get();
+    EXPECT_EQ(code(end), "unreachable");
+    EXPECT_FALSE(end.mayHaveReachedPeer);
+}
+
 // Guards against limits that cut a connection or hang instead of giving an error.
 TEST_F(PeerTest, LimitsGiveClearErrors)
 {
     stopServer();
     serverSettings.maxBodyBytes = 100'000;
     serverSettings.maxFrameBytes = 100'000;
-    serverSettings.maxBufferedBytes = 10'000'000;
+    serverSettings.maxStreams = 2; // Further streams wait in the client.
     startServer("127.0.0.1:0");
     clientSettings.maxBodyBytes = 1'000'000;
     clientSettings.maxFrameBytes = 1000;
@@ -466,6 +483,16 @@
     EXPECT_EQ(result.code, error_code::conflict);
     EXPECT_EQ(result.step, "listen for peers");
     EXPECT_EQ(result.peer, address);
+
+    // Servers of several threads may share a port when all of them ask for it.
+    serverSettings.reusePort = true;
+    serverSettings.address = "127.0.0.1:0";
+    const auto shared = serverThread.run([&] {
+        auto first = peer_server::create(serverThread.context(), serverSettings, handler).value();
+        serverSettings.address = "127.0.0.1:" + std::to_string(first->port());
+        return peer_server::create(serverThread.context(), serverSettings, handler).has_value();
+    });
+    EXPECT_TRUE(shared);
 }
 
 // Guards against use of a destroyed client or server whose callback is running.
