Rebuild the membership view once a tick and visit only own candidates

A zone of 390 hosts rebuilt views of 3,900 members for each digest, and lease_manager visited all groups each tick.

--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -59,7 +59,8 @@
     /// Announces that this host leaves. @param now The time. @return Digests to send at once, and the new view.
     membership_actions leave(time_point now);
 
-    /// @return The present view; a new object after each change.
+    /// @return The present view; a new object after each change. Changes by digests appear with the next tick, because a view of
+    /// thousands of hosts is too costly to rebuild for each message.
     [[nodiscard]] std::shared_ptr<const membership_view> view() const { return m_view; }
     /// @return Peers whose digest or answer arrived within the last period and a half. @param now The time.
     [[nodiscard]] std::size_t heardRecently(time_point now) const;
@@ -90,6 +91,7 @@
     member_entry m_own;
     std::unordered_map<entry_host_id, record> m_hosts;
     host_list m_list;
+    roster m_roster; ///< Entry hosts of m_list.
     std::shared_ptr<const membership_view> m_view;
     revision_number m_configRevision = 0;
     std::uint64_t m_configHash = 0;
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -39,6 +39,7 @@
         return actions;
     }
     m_list = list;
+    m_roster = makeRoster(m_list);
     for (auto &[id, host] : m_hosts) {
         host.listed = false;
     }
@@ -135,7 +136,7 @@
     }
     std::sort(view->members.begin(), view->members.end(), [](const member &left, const member &right) { return left.host < right.host; });
     view->platform = m_list;
-    view->hosts = makeRoster(m_list);
+    view->hosts = m_roster;
     m_view = std::move(view);
     actions.emplace_back(view_changed{});
 }
@@ -198,7 +199,6 @@
     if (raised && !message.sender.address.empty()) {
         actions.emplace_back(send_digest{message.sender.address, makeDigest(message.sender.host, now)});
     }
-    rebuildViewIfChanged(actions);
 }
 
 digest membership::receive(const digest &message, time_point now, membership_actions &actions)
--- a/libs/membership/tests/test_membership.cpp
+++ b/libs/membership/tests/test_membership.cpp
@@ -196,5 +196,8 @@
     };
     EXPECT_TRUE(has(host_list_behind()));
     EXPECT_TRUE(has(config_differs()));
+    EXPECT_TRUE(has(host_state_changed()));
+    actions = one.tick(time_point{1001s});
     EXPECT_TRUE(has(view_changed()));
+    EXPECT_NE(one.view()->find(entry_host_id("h1")), nullptr);
 }
--- a/libs/ownership/include/ownership/lease_manager.h
+++ b/libs/ownership/include/ownership/lease_manager.h
@@ -134,6 +134,7 @@
     lease_voter m_voter;
     cutoff_tracker m_cutoff;
     std::unordered_map<group_id, group_entry> m_groups;
+    std::vector<group_entry *> m_candidates; ///< The entries of m_groups that have a holder.
     std::unordered_map<entry_host_id, host_state> m_peers;
     std::unordered_map<zone_id, std::vector<std::shared_ptr<lease_slot>>> m_foreignSlots; ///< By the zone of the group.
     std::vector<std::shared_ptr<lease_slot>> m_homeSlots; ///< Groups of the own zone, when it can be cut off and decide alone.
--- a/libs/ownership/src/lease_manager.cpp
+++ b/libs/ownership/src/lease_manager.cpp
@@ -48,10 +48,8 @@
         }
         updateHomeSlots();
         updateShares(now, actions);
-        for (auto &[id, entry] : m_groups) {
-            if (entry.holder) {
-                entry.holder->expire(now, actions);
-            }
+        for (group_entry *entry : m_candidates) {
+            entry->holder->expire(now, actions);
         }
     }
     m_lastEvent = std::max(m_lastEvent, now);
@@ -128,6 +126,7 @@
 {
     m_foreignSlots.clear();
     m_homeSlots.clear();
+    m_candidates.clear();
     for (auto &[id, entry] : m_groups) {
         entry.voters = votersOf(m_roster.current(), id);
         entry.settledAt = m_roster.settledAt(id, entry.voters, now);
@@ -143,6 +142,9 @@
                                                           m_timing,
                                                           removed == m_removed.end() ? time_point{} : removed->second);
         }
+        if (entry.holder) {
+            m_candidates.push_back(&entry);
+        }
         if (entry.holder && entry.rank >= entry.voters.voters.size()) {
             entry.holder->beginHandover(now, actions);
         }
@@ -175,8 +177,8 @@
     noteTime(now, actions);
     m_peers[host] = state;
     outbox out;
-    for (auto &[id, entry] : m_groups) {
-        askIfDue(entry, now, out);
+    for (group_entry *entry : m_candidates) {
+        askIfDue(*entry, now, out);
     }
     flush(std::move(out), now, actions);
     return actions;
@@ -392,18 +394,15 @@
     m_voter.expire(now);
     updateShares(now, actions);
     outbox out;
-    for (auto &[id, entry] : m_groups) {
-        if (!entry.holder) {
-            continue;
-        }
-        entry.holder->expire(now, actions);
-        if (entry.holder->heldIsolated() && !m_cutoff.isolated(now)) {
-            entry.holder->revoke(lease_loss::notIsolated, now, actions);
+    for (group_entry *entry : m_candidates) {
+        entry->holder->expire(now, actions);
+        if (entry->holder->heldIsolated() && !m_cutoff.isolated(now)) {
+            entry->holder->revoke(lease_loss::notIsolated, now, actions);
         }
-        if (entry.holder->handingOver() && now >= entry.holder->promisedUntil()) {
-            giveBack(entry, now, out);
+        if (entry->holder->handingOver() && now >= entry->holder->promisedUntil()) {
+            giveBack(*entry, now, out);
         }
-        askIfDue(entry, now, out);
+        askIfDue(*entry, now, out);
     }
     handBack(now, actions);
     flush(std::move(out), now, actions);
@@ -412,8 +411,8 @@
 
 void lease_manager::updateShares(time_point now, lease_actions &actions)
 {
-    const bool leasesEnded = std::all_of(m_groups.begin(), m_groups.end(), [&](const auto &entry) {
-        return !entry.second.holder || (!entry.second.holder->held() && now >= entry.second.holder->promisedUntil());
+    const bool leasesEnded = std::all_of(m_candidates.begin(), m_candidates.end(), [&](const group_entry *entry) {
+        return !entry->holder->held() && now >= entry->holder->promisedUntil();
     });
     const bool allowed = m_cutoff.sharesAllowed(now) && !m_cutoff.isolated(now) && !m_leaving && m_asking && leasesEnded
         && !m_voter.grantedToOthers(now) && !m_roster.changing(now);
@@ -441,12 +440,12 @@
     if (m_leaving || now - m_lastHandBack < handBackInterval) {
         return;
     }
-    for (auto &[id, entry] : m_groups) {
-        if (entry.holder && entry.holder->held() && !entry.holder->heldIsolated() && now - entry.wantedAt <= wantExpires
-            && now - entry.wantedSince >= m_timing.handBackAfter) {
+    for (group_entry *entry : m_candidates) {
+        if (entry->holder->held() && !entry->holder->heldIsolated() && now - entry->wantedAt <= wantExpires
+            && now - entry->wantedSince >= m_timing.handBackAfter) {
             m_lastHandBack = now;
-            entry.wantedSince = now;
-            entry.holder->beginHandover(now, actions);
+            entry->wantedSince = now;
+            entry->holder->beginHandover(now, actions);
             return;
         }
     }
