--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+/// Time between two looks at the age of all entries; shorter ones cost processor time in fleets of thousands of hosts.
+constexpr std::chrono::milliseconds scanInterval{250};
 /// Hosts that are down and not in the list are forgotten after this time. It exceeds the age up to which other hosts pass
 /// their entries on, so that an entry does not return from a peer.
 constexpr std::chrono::seconds forgetAfter{120};
@@ -37,6 +39,7 @@
         return actions;
     }
     m_list = list;
+    m_roster = makeRoster(m_list);
     for (auto &[id, host] : m_hosts) {
         host.listed = false;
     }
@@ -133,7 +136,7 @@
     }
     std::sort(view->members.begin(), view->members.end(), [](const member &left, const member &right) { return left.host < right.host; });
     view->platform = m_list;
-    view->hosts = makeRoster(m_list);
+    view->hosts = m_roster;
     m_view = std::move(view);
     actions.emplace_back(view_changed{});
 }
@@ -196,7 +199,6 @@
     if (raised && !message.sender.address.empty()) {
         actions.emplace_back(send_digest{message.sender.address, makeDigest(message.sender.host, now)});
     }
-    rebuildViewIfChanged(actions);
 }
 
 digest membership::receive(const digest &message, time_point now, membership_actions &actions)
@@ -279,7 +281,10 @@
 membership_actions membership::tick(time_point now)
 {
     membership_actions actions;
-    updateStates(now, actions);
+    if (now >= m_nextScan) {
+        m_nextScan = now + scanInterval;
+        updateStates(now, actions);
+    }
     if (now >= m_nextPeriod) {
         ++m_own.heartbeat;
         // After a pause the periods start again from now; missed ones are not made up for.
