Probe ejected replicas one by one and repeat lost attempts

Cause: a test that takes a zone away without notice showed missing shards: all ejections ended at the same time, and every query then spent its retries on the dead zone. A shard whose two replicas are both slow waited for 150 ms. Change: an ejected replica stays ejected until it answers a probe, probes are bounded per query, refused connections weigh more, a query may retry up to three calls, and a hedge may ask a replica again when all were asked.

--- a/libs/search/include/search/search_action.h
+++ b/libs/search/include/search/search_action.h
@@ -16,7 +16,7 @@
 /// Why an attempt is sent.
 enum class attempt_kind : std::uint8_t {
     first, ///< First attempt for the shard.
-    hedge, ///< A further replica is asked because the first is slow.
+    hedge, ///< A further replica is asked because the first is slow, or one again when all were asked.
     retry, ///< An earlier attempt was refused or failed.
     discovery, ///< Asks what the backend server holds; see send_attempt::snapshot.
 };
--- a/libs/search/include/search/search_run.h
+++ b/libs/search/include/search/search_run.h
@@ -123,9 +123,10 @@
     std::uint32_t m_outstanding = 0;
     std::uint32_t m_overloads = 0;
     std::uint32_t m_retriesLeft = 0;
+    std::uint32_t m_probesLeft = 0;
     std::chrono::microseconds m_hedgeDelay{0};
     std::uint32_t m_hedgeCursor = 0; // Attempts before it have been considered for a hedge.
-    std::vector<std::uint32_t> m_hedgeWaiting; // Attempts that wait for budget.
+    std::vector<std::uint32_t> m_hedgeWaiting; // Attempts whose hedge waits for budget or time.
     time_point m_nextHedgeCheck;
     std::vector<std::uint32_t> m_retryWaiting; // Shards whose retry waits for its time.
     time_point m_coverageTime; // When the policy's coverage was reached.
--- a/libs/search/include/search/service_stats.h
+++ b/libs/search/include/search/service_stats.h
@@ -28,8 +28,9 @@
     float refusals = 0; ///< Decaying share of refused attempts.
     float queueMicros = 0; ///< Decaying mean of the wait at the owner.
     std::uint32_t consecutiveFailures = 0;
-    std::uint32_t ejections = 0; ///< In a row, for the back-off.
-    time_point ejectedUntil;
+    bool ejected = false; ///< Gets only probes until it answers one.
+    std::uint32_t failedProbes = 0; ///< Since the ejection, for the back-off.
+    time_point ejectedSince;
     time_point drainingUntil; ///< No attempts before this time.
     time_point updated; ///< Latest outcome.
     time_point reported; ///< Latest news of the snapshots held.
@@ -97,6 +98,12 @@
 private:
     friend class search_run;
 
+    // Weights of evidence against a backend server without an answer between; it is ejected at the threshold.
+    static constexpr std::uint32_t slowWeight = 1; // A hedge was faster; a fifth one in a row is unlikely by chance.
+    static constexpr std::uint32_t failureWeight = 2;
+    static constexpr std::uint32_t unreachableWeight = 3;
+    static constexpr std::uint32_t ejectionThreshold = 5;
+
     struct pin_choice {
         snapshot_ref pin;
         double share = 0; // Share of the layout's shards with a replica that holds it.
--- a/libs/search/src/search_run.cpp
+++ b/libs/search/src/search_run.cpp
@@ -15,9 +15,13 @@
 
 constexpr std::size_t maxAttemptsPerShard = 8;
 constexpr double retryShareOfQuery = 0.10;
+constexpr std::uint32_t minRetriesOfQuery = 3; // A share of a few shards is none; the bucket of the service bounds these.
+// Probes are first attempts, and failed ones need retries. When a whole zone is ejected its probes fall due together.
+constexpr double probeShareOfQuery = 0.02;
 constexpr auto retryJitter = 1000us;
 constexpr auto repeatBackoff = 10ms; // Before the same backend server is asked again; doubles.
-constexpr auto hedgeCheckInterval = 2ms; // Between checks for budget while hedges wait for it.
+constexpr int repeatedHedgeFactor = 2;
+constexpr auto hedgeCheckInterval = 2ms; // Between checks while hedges wait for budget or time.
 constexpr auto restartCheckInterval = 1ms;
 constexpr auto discoveryTime = 50ms;
 constexpr auto probeInterval = 1s;
@@ -160,7 +164,8 @@
     m_hedgeCursor = 0;
     m_hedgeWaiting.clear();
     m_retryWaiting.clear();
-    m_retriesLeft = std::max(1U, static_cast<std::uint32_t>(total * retryShareOfQuery));
+    m_retriesLeft = std::max(std::min(total, minRetriesOfQuery), static_cast<std::uint32_t>(total * retryShareOfQuery));
+    m_probesLeft = std::max(1U, static_cast<std::uint32_t>(total * probeShareOfQuery));
     m_hedgeDelay = m_stats.hedgeDelay(m_input.policy.minHedgeDelay);
     m_nextRestartCheck = now + restartCheckInterval;
     if (now >= finishAt()) {
@@ -330,8 +335,7 @@
             continue;
         }
         ++inService;
-        const bool isEjected = now < record.ejectedUntil;
-        ejectedCount += isEjected ? 1 : 0;
+        ejectedCount += record.ejected ? 1 : 0;
         if (!allowRepeat && ((state.tried >> index) & 1U) != 0) {
             continue;
         }
@@ -339,7 +343,7 @@
         if (!holds && record.heldKnown && now - record.reported < heldStaleAfter) {
             continue;
         }
-        if (isEjected) {
+        if (record.ejected) {
             ranks[index] = rank::ejected;
         } else if (record.state == backend_state::draining) {
             ranks[index] = rank::staleHeld;
@@ -360,16 +364,16 @@
         }
         best = std::min(best, ranks[index]);
     }
-    // At most half of the replicas, rounded down, stay ejected; the ones whose ejection ends first come back.
+    // At most half of the replicas, rounded down, stay ejected; the ones ejected first come back.
     const std::uint32_t floor = inService / 2;
     while (ejectedCount > floor) {
         std::uint32_t earliest = count;
-        time_point earliestEnd = time_point::max();
+        time_point earliestSince = time_point::max();
         for (std::uint32_t index = 0; index < count; ++index) {
             const auto &record = m_table->records[m_table->topology->backendNumber(m_layoutIndex, shard, index)];
-            if (ranks[index] == rank::ejected && record.ejectedUntil < earliestEnd) {
+            if (ranks[index] == rank::ejected && record.ejectedSince < earliestSince) {
                 earliest = index;
-                earliestEnd = record.ejectedUntil;
+                earliestSince = record.ejectedSince;
             }
         }
         --ejectedCount;
@@ -382,7 +386,7 @@
     if (best == rank::unusable) {
         return std::nullopt;
     }
-    if (first && best < rank::unknownHeld) {
+    if (first && m_probesLeft != 0 && best < rank::unknownHeld) {
         // A replica that is not used gives no news about itself, so it gets one first attempt per interval.
         for (std::uint32_t index = 0; index < count; ++index) {
             if (ranks[index] < rank::unknownHeld || ranks[index] == rank::unusable) {
@@ -391,6 +395,7 @@
             auto &record = m_table->records[m_table->topology->backendNumber(m_layoutIndex, shard, index)];
             if (now >= record.nextProbe) {
                 record.nextProbe = now + probeInterval;
+                --m_probesLeft;
                 return index;
             }
         }
@@ -505,7 +510,7 @@
     auto &record = m_table->records[found->backend];
     attemptEnded(*found);
     if (code == error_code::unreachable) {
-        m_stats.noteFailure(*m_table, record, 2, now);
+        m_stats.noteFailure(*m_table, record, service_stats::unreachableWeight, now);
     }
     if (discovery) {
         discoveryLost(*found, code, now);
@@ -577,7 +582,7 @@
         if (elapsed >= m_hedgeDelay) {
             // The latency is at least this; leaving such attempts out would lower the percentile that starts hedges.
             m_stats.m_latency.record(elapsed);
-            m_stats.noteFailure(*m_table, m_table->records[state.backend], 1, now);
+            m_stats.noteFailure(*m_table, m_table->records[state.backend], service_stats::slowWeight, now);
         }
     }
     m_actions.emplace_back(cancel_attempt{m_firstAttemptId + attempt,
@@ -660,7 +665,7 @@
     }
 }
 
-// Returns false when the attempt should be hedged but the budget does not allow it now.
+// Returns false when the attempt has to be looked at again, since the budget or its time does not allow a hedge yet.
 bool search_run::hedge(std::uint32_t attempt, time_point now)
 {
     const auto shard = m_attempts[attempt].shard;
@@ -668,9 +673,17 @@
     if (!m_attempts[attempt].outstanding || state.answered || state.attempts >= m_input.policy.maxAttempts) {
         return true;
     }
-    const auto replica = chooseReplica(shard, false, false, now);
+    auto replica = chooseReplica(shard, false, false, now);
     if (!replica) {
-        return true;
+        // Every replica was asked. A single call may still be lost, for example on a connection that went silent, so
+        // after a longer wait one of them is asked again.
+        if (now - m_attempts[attempt].sent < repeatedHedgeFactor * m_hedgeDelay) {
+            return false;
+        }
+        replica = chooseReplica(shard, false, true, now);
+        if (!replica) {
+            return true;
+        }
     }
     if (!m_stats.takeHedgeToken()) {
         return false;
--- a/libs/search/src/service_stats.cpp
+++ b/libs/search/src/service_stats.cpp
@@ -16,11 +16,10 @@
 constexpr double retryCapacity = 100;
 constexpr std::uint32_t minSamples = 100;
 constexpr auto unknownHedgeDelay = 20ms; // Used before there are enough samples.
-constexpr auto pinCacheTime = 100ms; // Ejections and draining states end by time without a change of the version.
+constexpr auto pinCacheTime = 100ms; // Draining states end by time without a change of the version.
 constexpr auto drainingTime = 1s; // The owner refuses calls while the backend server drains; this bounds the refusals.
-constexpr std::uint32_t ejectionThreshold = 5;
-constexpr auto ejectionTime = 1s;
-constexpr std::uint32_t maxEjectionDoublings = 4;
+constexpr auto probeBackoff = 1s; // Doubles with each failed probe.
+constexpr std::uint32_t maxBackoffDoublings = 2;
 constexpr float outcomeWeight = 0.1F;
 
 } // namespace
@@ -145,7 +144,7 @@
         for (std::size_t shard = 0; shard < definition.shards.size(); ++shard) {
             for (std::size_t replica = 0; replica < definition.shards[shard].replicas.size(); ++replica) {
                 const auto &record = table.records[table.topology->backendNumber(layout, shard, replica)];
-                if (record.excluded || now < record.drainingUntil || now < record.ejectedUntil) {
+                if (record.excluded || now < record.drainingUntil || record.ejected) {
                     continue;
                 }
                 for (const auto &held : record.held) {
@@ -240,28 +239,30 @@
     record.updated = now;
     if (answer.status == shard_status::answered || answer.status == shard_status::partial) {
         record.consecutiveFailures = 0;
-        record.ejections = 0;
-        if (record.ejectedUntil > now) {
-            record.ejectedUntil = now;
+        record.failedProbes = 0;
+        if (record.ejected) {
+            record.ejected = false;
             ++table.version;
         }
     } else if (answer.status == shard_status::failed || answer.code == error_code::unreachable) {
-        noteFailure(table, record, 2, now);
+        noteFailure(table, record, answer.code == error_code::unreachable ? unreachableWeight : failureWeight, now);
     }
 }
 
 void service_stats::noteFailure(backend_table &table, backend_record &record, std::uint32_t weight, time_point now)
 {
     record.consecutiveFailures += weight;
-    if (record.consecutiveFailures < ejectionThreshold || now < record.ejectedUntil) {
+    if (record.ejected) {
+        ++record.failedProbes;
+    } else if (record.consecutiveFailures >= ejectionThreshold) {
+        record.ejected = true;
+        record.ejectedSince = now;
+        ++m_counts.ejections;
+        ++table.version;
+    } else {
         return;
     }
-    record.ejectedUntil = now + ejectionTime * (1U << std::min(record.ejections, maxEjectionDoublings));
-    record.nextProbe = now + ejectionTime;
-    ++record.ejections;
-    record.consecutiveFailures = 0;
-    ++m_counts.ejections;
-    ++table.version;
+    record.nextProbe = now + probeBackoff * (1U << std::min(record.failedProbes, maxBackoffDoublings));
 }
 
 void service_stats::noteFirstAttempts(std::uint32_t count)
