--- a/tools/load/src/load_runner.cpp
+++ b/tools/load/src/load_runner.cpp
@@ -161,6 +161,7 @@
     // The short wait lets every thread be ready before the first arrival.
     const time_point start = monotonic_clock::now() + std::chrono::milliseconds{50};
     std::vector<std::unique_ptr<sender>> senders;
+    senders.reserve(count);
     std::vector<std::thread> threads;
     for (auto &part : parts) {
         senders.push_back(std::make_unique<sender>(settings, start, std::move(part)));
