--- a/libs/transport/include/transport/peer_reply.h
+++ b/libs/transport/include/transport/peer_reply.h
@@ -9,7 +9,7 @@
 {
 
 /// The open end of one request at a peer_server: a stream of frames, then an end. All functions may be called on
-/// any thread. A reply that is destroyed before its end fails with the code `internal`.
+/// any thread, as long as the server's io_context exists. A reply that is destroyed before its end fails with the code `internal`.
 class peer_reply
 {
 public:
--- a/libs/transport/tests/fakes/full_listener.h
+++ b/libs/transport/tests/fakes/full_listener.h
@@ -5,7 +5,9 @@
 
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <string>
+#include <system_error>
 #include <vector>
 
 namespace orioledrum
@@ -26,7 +28,9 @@
             socket.native_non_blocking(true);
             // Asio's connect() would wait for the result.
             const auto endpoint = m_acceptor.local_endpoint();
-            ::connect(socket.native_handle(), endpoint.data(), static_cast<socklen_t>(endpoint.size()));
+            if (::connect(socket.native_handle(), endpoint.data(), static_cast<socklen_t>(endpoint.size())) != 0 && errno != EINPROGRESS) {
+                throw std::system_error(errno, std::generic_category());
+            }
         }
     }
 
