--- a/libs/membership/tests/test_freshness.cpp
+++ b/libs/membership/tests/test_freshness.cpp
@@ -136,6 +136,7 @@
     freshness state;
     std::atomic<bool> stop{false};
     std::vector<std::thread> threads;
+    threads.reserve(3);
     for (int thread = 0; thread < 3; ++thread) {
         threads.emplace_back([&] {
             for (time_point now = start; !stop; now += 1ms) {
--- a/libs/ownership/include/ownership/roster.h
+++ b/libs/ownership/include/ownership/roster.h
@@ -12,7 +12,7 @@
 struct roster_member {
     entry_host_id host;
     zone_id zone;
-    auto operator<=>(const roster_member &other) const = default;
+    bool operator==(const roster_member &other) const = default;
 };
 
 /// The entry hosts of the platform's host list at one revision, leaving ones included, ordered by id.
--- a/libs/ownership/src/roster.cpp
+++ b/libs/ownership/src/roster.cpp
@@ -27,7 +27,9 @@
             result.members.push_back({entry_host_id(host.id), host.zone});
         }
     }
-    std::sort(result.members.begin(), result.members.end());
+    std::sort(result.members.begin(), result.members.end(), [](const roster_member &left, const roster_member &right) {
+        return left.host < right.host;
+    });
     const auto sameHost = [](const roster_member &left, const roster_member &right) { return left.host == right.host; };
     result.members.erase(std::unique(result.members.begin(), result.members.end(), sameHost), result.members.end());
     return result;
--- a/libs/ownership/tests/test_ownership_parts.cpp
+++ b/libs/ownership/tests/test_ownership_parts.cpp
@@ -66,6 +66,7 @@
 RC_GTEST_PROP(Rendezvous, RemovalKeepsTheOrder, (const std::string &key))
 {
     std::vector<entry_host_id> hosts;
+    hosts.reserve(9);
     for (int host = 0; host < 9; ++host) {
         hosts.emplace_back("h" + std::to_string(host));
     }
@@ -81,6 +82,7 @@
 {
     const std::size_t count = *rc::gen::inRange<std::size_t>(0, 60);
     std::vector<backend_id> backends;
+    backends.reserve(count);
     for (std::size_t index = 0; index < count; ++index) {
         backends.emplace_back("b" + std::to_string(index));
     }
@@ -244,6 +246,7 @@
     slot->extend(start + 10s);
     std::atomic<int> seen{0};
     std::vector<std::thread> threads;
+    threads.reserve(3);
     for (int thread = 0; thread < 3; ++thread) {
         threads.emplace_back([&] {
             while (!table.maySend(home, start + 1ms, start)) {
