Test admission with threads and free tickets whose run was lost

Cause: admission claims to be thread-safe without a test, and a ticket whose run was lost would have blocked the memory of the store for good. Change: both are tested; a ticket is forgotten by time alone.

--- a/libs/orders/src/ticket_store.cpp
+++ b/libs/orders/src/ticket_store.cpp
@@ -173,7 +173,8 @@
             continue;
         }
         const auto &entry = found->second;
-        if (entry.phase == state::running || now - entry.minted < m_settings.ticketLife + m_settings.memory) {
+        // An order still in progress by then has lost its run; keeping it would block the memory for good.
+        if (now - entry.minted < m_settings.ticketLife + m_settings.memory) {
             return;
         }
         if (entry.answer) {
--- a/libs/orders/tests/test_orders.cpp
+++ b/libs/orders/tests/test_orders.cpp
@@ -211,6 +211,11 @@
     EXPECT_FALSE(store->mint(begin + 659s).has_value());
     EXPECT_TRUE(store->mint(begin + 660s).has_value());
 
+    // An order whose run was lost must not keep its place for ever.
+    ASSERT_EQ(store->submit(*store->mint(begin + 661s), makeRequest(), {}, begin + 661s).state, submission_state::accepted);
+    store->expire(begin + 1321s);
+    EXPECT_EQ(store->size(), 0U);
+
     settings.maxTickets = 10;
     settings.maxAnswerBytes = 8;
     store = makeStore(settings);
--- a/libs/search/tests/test_admission.cpp
+++ b/libs/search/tests/test_admission.cpp
@@ -3,6 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <thread>
+#include <vector>
+
 using namespace orioledrum;
 using namespace std::chrono_literals;
 
@@ -94,6 +98,29 @@
     EXPECT_EQ(gate.inProgress(), 0U);
 }
 
+// Guards against data races and against places that are lost when threads admit and finish at the same time.
+TEST(Admission, ThreadsLeaveNothingBehind)
+{
+    admission gate({8, 8, 8});
+    std::vector<std::thread> threads;
+    threads.reserve(4);
+    for (int index = 0; index < 4; ++index) {
+        threads.emplace_back([&gate, index] {
+            const customer_id customer("c" + std::to_string(index % 2));
+            for (int round = 0; round < 2000; ++round) {
+                const auto now = begin + std::chrono::milliseconds(round);
+                if (gate.admit(customer, {}, now)) {
+                    gate.finished(customer, round % 7 == 0, now);
+                }
+            }
+        });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    EXPECT_EQ(gate.inProgress(), 0U);
+}
+
 // Guards against a weight that would make shares meaningless.
 TEST(Admission, RejectsAWeightOfZero)
 {
