Let hedgeBudget and waitForMore.elapsedFactor take effect

Cause: both settings were checked and documented but never read; hedges used a constant and the extra wait had no bound by elapsed time. Change: search_policy.elapsedFactor, service_stats::setHedgeShare; orders get the highest priority in limits, which count 0 as the highest. Conclusion: none.

--- a/libs/entryhost/src/backend_call.h
+++ b/libs/entryhost/src/backend_call.h
@@ -39,7 +39,7 @@
 struct backend_call {
     backend_id backend;
     time_point deadline;
-    std::uint8_t priority = 0;
+    std::uint8_t priority = 1; ///< 0 is the highest.
     bool freshConnection = false; ///< For orders: a connection that no other call uses.
     std::string path;
     http_headers headers;
--- a/libs/entryhost/src/order_executor.cpp
+++ b/libs/entryhost/src/order_executor.cpp
@@ -59,7 +59,7 @@
     backend_call call;
     call.backend = request.backend;
     call.deadline = monotonic_clock::now() + request.remaining;
-    call.priority = 1; // Before searches with the same deadline.
+    call.priority = 0; // The highest: before searches with the same deadline.
     call.freshConnection = true;
     call.path = "/order";
     call.headers = {{"X-Order-Id", request.ticket}};
--- a/libs/entryhost/src/root_searches.cpp
+++ b/libs/entryhost/src/root_searches.cpp
@@ -138,6 +138,9 @@
     } else if (stats->topology() != topology) {
         stats->setTopology(topology, now);
     }
+    if (const auto *config = routing->config->findService(service)) {
+        stats->setHedgeShare(config->policy.hedgeBudget);
+    }
     return *stats;
 }
 
--- a/libs/search/include/search/search_run.h
+++ b/libs/search/include/search/search_run.h
@@ -100,6 +100,7 @@
     void cancelAll(time_point now);
     bool tryRestart(time_point now);
     void settle(time_point now);
+    [[nodiscard]] time_point extraWaitEnd() const;
     void finish(time_point now);
     [[nodiscard]] attempt_state *findAttempt(std::uint64_t attempt);
     [[nodiscard]] const search_layout &layout() const;
@@ -129,6 +130,7 @@
     std::vector<std::uint32_t> m_hedgeWaiting; // Attempts whose hedge waits for budget or time.
     time_point m_nextHedgeCheck;
     std::vector<std::uint32_t> m_retryWaiting; // Shards whose retry waits for its time.
+    time_point m_startTime;
     time_point m_coverageTime; // When the policy's coverage was reached.
     time_point m_nextRestartCheck;
     time_point m_discoveryEnd;
--- a/libs/search/include/search/service_stats.h
+++ b/libs/search/include/search/service_stats.h
@@ -49,7 +49,7 @@
 class service_stats
 {
 public:
-    /// Budget of hedges as a share of first attempts.
+    /// Budget of hedges as a share of first attempts until setHedgeShare is called.
     static constexpr double hedgeShare = 0.04;
     /// Service-wide budget of retries as a share of first attempts, on top of the bound per query.
     static constexpr double retryShare = 0.10;
@@ -63,6 +63,9 @@
     /// send nothing more to backend servers that the new topology excludes or no longer has.
     void setTopology(std::shared_ptr<const search_topology> topology, time_point now);
 
+    /// @param share Budget of hedges as a share of first attempts, 0 to 1.
+    void setHedgeShare(double share) { m_hedgeTokens.setShare(share); }
+
     /// Takes in what a backend server said about itself, also from late answers.
     void observe(const backend_id &backend, const backend_report &report, time_point now);
 
--- a/libs/search/include/search/token_bucket.h
+++ b/libs/search/include/search/token_bucket.h
@@ -19,6 +19,9 @@
     {
     }
 
+    /// @param share Tokens added by each later ordinary call.
+    void setShare(double share) { m_share = share; }
+
     /// Adds the tokens of some ordinary calls.
     void add(double calls) { m_tokens = std::min(m_capacity, m_tokens + calls * m_share); }
 
--- a/libs/search/src/search_run.cpp
+++ b/libs/search/src/search_run.cpp
@@ -131,6 +131,7 @@
 
 void search_run::start(time_point now)
 {
+    m_startTime = now;
     const auto choice = m_stats.choosePinIn(*m_table, m_input.policy.minCoverage, std::nullopt, now);
     if (choice) {
         pin(choice->pin, now);
@@ -749,11 +750,24 @@
         }
         return;
     }
-    if (allSettled || (m_coverageMet && now >= m_coverageTime + m_input.policy.maxExtraWait)) {
+    if (allSettled || (m_coverageMet && now >= extraWaitEnd())) {
         finish(now);
     }
 }
 
+time_point search_run::extraWaitEnd() const
+{
+    const auto &policy = m_input.policy;
+    monotonic_clock::duration wait = policy.maxExtraWait;
+    if (policy.elapsedFactor) {
+        const std::chrono::duration<double, std::nano> share = (m_coverageTime - m_startTime) * *policy.elapsedFactor;
+        if (share < wait) {
+            wait = std::chrono::duration_cast<monotonic_clock::duration>(share);
+        }
+    }
+    return m_coverageTime + wait;
+}
+
 void search_run::wakeup(time_point now)
 {
     if (m_finished) {
@@ -783,7 +797,7 @@
         return std::min(next, m_discoveryEnd);
     }
     if (m_coverageMet) {
-        next = std::min(next, time_point(m_coverageTime + m_input.policy.maxExtraWait));
+        next = std::min(next, extraWaitEnd());
     }
     if (m_hedgeCursor < m_attempts.size()) {
         next = std::min(next, time_point(m_attempts[m_hedgeCursor].sent + m_hedgeDelay));
--- a/libs/search/tests/test_search_run.cpp
+++ b/libs/search/tests/test_search_run.cpp
@@ -580,6 +580,30 @@
     EXPECT_EQ(takeResult(run)->shardsAnswered, 1U);
 }
 
+// Guards against a policy whose bound on the extra wait by elapsed time has no effect.
+TEST(SearchRun, ExtraWaitIsBoundedByTheElapsedTime)
+{
+    const auto layout = makeLayout(1, 10, 1, "a");
+    const auto topology = makeTopology({layout});
+    fake_fanout fanout(5, {});
+    service_stats stats(topology, zone_id("z0"), begin);
+    holdAll(fanout, &stats, layout, {{7, 1}});
+    random_source random(3);
+    auto input = makeInput(500ms, 0.8);
+    input.policy.maxExtraWait = 15ms;
+    input.policy.elapsedFactor = 0.5;
+    search_run run(input, stats, random);
+    run.start(begin);
+    const auto sends = takeSends(run);
+    for (std::size_t index = 0; index < 8; ++index) {
+        run.answered(request_id("r1"), fullAnswer(sends[index]), begin + 10ms);
+    }
+    run.wakeup(begin + 14ms);
+    EXPECT_FALSE(run.finished());
+    run.wakeup(begin + 15ms);
+    EXPECT_TRUE(run.finished());
+}
+
 // Guards against an early answer below the policy's coverage and against waiting longer than the policy allows.
 TEST(SearchRun, AnswersEarlyByPolicy)
 {
