Shorten the test of the load time

Cause: with the thread sanitizer the test took 20 s. Change: 8,000 and 1,000 backend servers, the shortest of three runs, and a closer limit of 20 times instead of 30. Conclusion: the check is stricter than before.

--- a/libs/config/tests/test_configuration.cpp
+++ b/libs/config/tests/test_configuration.cpp
@@ -285,13 +285,17 @@
                             {"b.json", R"({"services": {"s": {"kind": "search", "layouts": {"1": {"shards": {)" + shards + "}}}}}}"}};
     };
     const auto processorTime = [](const config_files &files) {
-        const auto before = std::clock();
-        const auto result = loadConfiguration(files, 1);
-        EXPECT_TRUE(result) << describe(result.error());
-        return static_cast<double>(std::clock() - before);
+        // The shortest of three runs, since other programs disturb caches.
+        double shortest = 0;
+        for (int run = 0; run < 3; ++run) {
+            const auto before = std::clock();
+            const auto result = loadConfiguration(files, 1);
+            const auto time = static_cast<double>(std::clock() - before);
+            EXPECT_TRUE(result) << describe(result.error());
+            shortest = run == 0 ? time : std::min(shortest, time);
+        }
+        return shortest;
     };
-    const auto large = filesOf(24000);
-    const auto small = filesOf(3000);
-    // Eight times as many take about 8 times as long when the time is linear and 64 times when it is quadratic.
-    EXPECT_LT(processorTime(large), 30 * processorTime(small));
+    // Eight times as many take about 8 times as long when the time is linear; the quadratic parser took 28 to 37 times as long.
+    EXPECT_LT(processorTime(filesOf(8000)), 20 * processorTime(filesOf(1000)));
 }
