--- a/libs/entryhost/src/caller_api.cpp
+++ b/libs/entryhost/src/caller_api.cpp
@@ -75,6 +75,7 @@
 {
     search_policy policy;
     policy.minCoverage = request.minCoverage.value_or(service.policy.minimumCoverage);
+    policy.pinCoverage = service.policy.minimumCoverage;
     policy.maxExtraWait = service.policy.waitForMore.maximum;
     policy.elapsedFactor = service.policy.waitForMore.elapsedFactor;
     return policy;
--- a/libs/search/include/search/service_stats.h
+++ b/libs/search/include/search/service_stats.h
@@ -122,6 +122,8 @@
     static std::shared_ptr<backend_table> makeTable(std::shared_ptr<const search_topology> topology, const zone_id &ownZone);
     std::optional<pin_choice>
     choosePinIn(const backend_table &table, double minCoverage, std::optional<snapshot_ref> newerThan, time_point now);
+    static std::vector<pin_choice> collectPins(const backend_table &table, std::optional<snapshot_ref> newerThan, time_point now);
+    static std::optional<pin_choice> selectPin(const std::vector<pin_choice> &choices, double minCoverage);
     static void applyReport(backend_table &table, backend_record &record, const backend_report &report, time_point now);
     void noteOutcome(backend_table &table, backend_record &record, const shard_answer &answer, time_point now);
     static void noteNotHeld(backend_table &table, backend_record &record, snapshot_ref snapshot, time_point now);
--- a/libs/search/src/search_run.cpp
+++ b/libs/search/src/search_run.cpp
@@ -25,7 +25,8 @@
 constexpr auto restartCheckInterval = 1ms;
 constexpr auto discoveryTime = 50ms;
 constexpr auto probeInterval = 1s;
-constexpr auto heldStaleAfter = 2s; // A backend server that did not hold the snapshot may hold it after this time.
+// A backend server that did not hold the snapshot is asked again after this time; until then its shard counts as missing.
+constexpr auto heldStaleAfter = 100ms;
 constexpr auto outcomeStaleAfter = 1s; // Refusals and queue times older than this do not count.
 constexpr float refusalBound = 0.1F;
 constexpr float queueBoundMicros = 5000;
@@ -132,7 +133,7 @@
 void search_run::start(time_point now)
 {
     m_startTime = now;
-    const auto choice = m_stats.choosePinIn(*m_table, m_input.policy.minCoverage, std::nullopt, now);
+    const auto choice = m_stats.choosePinIn(*m_table, m_input.policy.pinCoverage.value_or(m_input.policy.minCoverage), std::nullopt, now);
     if (choice) {
         pin(choice->pin, now);
     } else {
@@ -241,7 +242,7 @@
         return;
     }
     m_nextRestartCheck = now + restartCheckInterval;
-    const auto choice = m_stats.choosePinIn(*m_table, m_input.policy.minCoverage, std::nullopt, now);
+    const auto choice = m_stats.choosePinIn(*m_table, m_input.policy.pinCoverage.value_or(m_input.policy.minCoverage), std::nullopt, now);
     const bool suffices = choice && choice->share + 1e-9 >= m_input.policy.minCoverage;
     if (suffices || (choice && (m_outstanding == 0 || timeIsUp))) {
         cancelAll(now);
@@ -759,7 +760,8 @@
 {
     const auto &policy = m_input.policy;
     monotonic_clock::duration wait = policy.maxExtraWait;
-    if (policy.elapsedFactor) {
+    // A policy that accepts an empty answer reaches its coverage at once; a share of no time would never wait for a shard.
+    if (policy.elapsedFactor && m_coverageTime > m_startTime) {
         const std::chrono::duration<double, std::nano> share = (m_coverageTime - m_startTime) * *policy.elapsedFactor;
         if (share < wait) {
             wait = std::chrono::duration_cast<monotonic_clock::duration>(share);
--- a/libs/search/src/service_stats.cpp
+++ b/libs/search/src/service_stats.cpp
@@ -130,13 +130,22 @@
     if (cacheable && m_pinCache.version == table.version && m_pinCache.minCoverage == minCoverage && now < m_pinCache.until) {
         return m_pinCache.choice;
     }
+    const auto best = selectPin(collectPins(table, newerThan, now), minCoverage);
+    if (cacheable) {
+        m_pinCache = {table.version, minCoverage, now + pinCacheTime, best};
+    }
+    return best;
+}
+
+std::vector<service_stats::pin_choice>
+service_stats::collectPins(const backend_table &table, std::optional<snapshot_ref> newerThan, time_point now)
+{
     struct holding {
         std::uint64_t snapshot = 0;
         std::size_t shards = 0;
         std::size_t lastShard = 0;
     };
-    std::optional<pin_choice> best;
-    bool bestSuffices = false;
+    std::vector<pin_choice> choices;
     std::vector<holding> holdings;
     for (std::size_t layout = 0; layout < table.topology->layouts().size(); ++layout) {
         const auto &definition = table.topology->layouts()[layout];
@@ -163,25 +172,25 @@
             }
         }
         for (const auto &entry : holdings) {
-            const pin_choice choice{{entry.snapshot, definition.layout},
-                                    static_cast<double>(entry.shards) / static_cast<double>(definition.shards.size())};
-            const bool suffices = choice.share + 1e-9 >= minCoverage;
-            bool better = !best;
-            if (best && suffices != bestSuffices) {
-                better = suffices;
-            } else if (best && suffices) {
-                better = choice.pin > best->pin;
-            } else if (best) {
-                better = choice.share > best->share || (choice.share == best->share && choice.pin > best->pin);
-            }
-            if (better) {
-                best = choice;
-                bestSuffices = suffices;
-            }
+            choices.push_back(
+                {{entry.snapshot, definition.layout}, static_cast<double>(entry.shards) / static_cast<double>(definition.shards.size())});
         }
     }
-    if (cacheable) {
-        m_pinCache = {table.version, minCoverage, now + pinCacheTime, best};
+    return choices;
+}
+
+std::optional<service_stats::pin_choice> service_stats::selectPin(const std::vector<pin_choice> &choices, double minCoverage)
+{
+    double greatest = 0;
+    for (const auto &choice : choices) {
+        greatest = std::max(greatest, choice.share);
+    }
+    const double enough = std::min(greatest, minCoverage);
+    std::optional<pin_choice> best;
+    for (const auto &choice : choices) {
+        if (choice.share + 1e-9 >= enough && (!best || choice.pin > best->pin)) {
+            best = choice;
+        }
     }
     return best;
 }
--- a/libs/search/tests/test_search_run.cpp
+++ b/libs/search/tests/test_search_run.cpp
@@ -604,6 +604,51 @@
     EXPECT_TRUE(run.finished());
 }
 
+// Guards against a policy that accepts any coverage and therefore always gets an empty answer.
+TEST(SearchRun, AnyCoverageStillWaitsForShards)
+{
+    const auto layout = makeLayout(1, 10, 1, "a");
+    const auto topology = makeTopology({layout});
+    fake_fanout fanout(5, {});
+    service_stats stats(topology, zone_id("z0"), begin);
+    holdAll(fanout, &stats, layout, {{7, 1}});
+    random_source random(3);
+    auto input = makeInput(500ms, 0);
+    input.policy.maxExtraWait = 15ms;
+    input.policy.elapsedFactor = 1;
+    search_run run(input, stats, random);
+    run.start(begin);
+    EXPECT_EQ(takeSends(run).size(), 10U);
+    run.wakeup(begin + 14ms);
+    EXPECT_FALSE(run.finished());
+    run.wakeup(begin + 15ms);
+    EXPECT_TRUE(run.finished());
+}
+
+// Guards against a caller that accepts any coverage and then gets a snapshot that has only begun to arrive.
+TEST(SearchRun, PinFollowsItsOwnCoverage)
+{
+    const auto layout = makeLayout(1, 10, 1, "a");
+    const auto topology = makeTopology({layout});
+    fake_fanout fanout(5, {});
+    service_stats stats(topology, zone_id("z0"), begin);
+    holdAll(fanout, &stats, layout, {{7, 1}});
+    backend_report report;
+    report.state = backend_state::warm;
+    report.slots = 2;
+    report.instance = "i";
+    report.held = {{7, 1}, {8, 1}};
+    for (std::size_t shard = 0; shard < 9; ++shard) {
+        stats.observe(layout.shards[shard].replicas[0].backend, report, begin);
+    }
+    random_source random(3);
+    auto input = makeInput(500ms, 0);
+    input.policy.pinCoverage = 0.95;
+    search_run run(input, stats, random);
+    run.start(begin);
+    EXPECT_EQ(run.pinned(), (snapshot_ref{7, 1}));
+}
+
 // Guards against an early answer below the policy's coverage and against waiting longer than the policy allows.
 TEST(SearchRun, AnswersEarlyByPolicy)
 {
--- /dev/null
+++ b/tests/process/test_snapshots.py
@@ -0,0 +1,105 @@
+"""One snapshot and true coverage while snapshots and layouts change under running queries."""
+import pathlib
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
+from fleet import Fleet, call  # noqa: E402
+
+
+class SnapshotTest(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory(prefix="orioledrum-test-", ignore_cleanup_errors=True)
+        self.fleet = Fleet(self.folder.name, zones=2, shards=12, replicas=2, entry_hosts=3, never_share=0, slow_share=0.02, seed=21)
+        self.fleet.__enter__()
+        self.fleet.start_all()
+
+    def tearDown(self):
+        self.fleet.__exit__()
+        self.folder.cleanup()
+
+    def search_while(self, change):
+        """Searches from every host while `change` runs, and checks each answer against what the shards hold."""
+        answers = []
+        stop = threading.Event()
+
+        def search(name):
+            while not stop.is_set():
+                answers.append(self.fleet.search(name, deadlineMs=2000, minCoverage=0, limit=1000))
+
+        threads = [threading.Thread(target=search, args=(name,)) for name in self.fleet.hosts]
+        for thread in threads:
+            thread.start()
+        try:
+            change()
+        finally:
+            stop.set()
+            for thread in threads:
+                thread.join()
+        self.assertGreater(len(answers), 20)
+        known = {}
+        for status, answer in answers:
+            self.assertEqual(status, 200, answer)
+            coverage = answer["coverage"]
+            self.assertEqual(coverage["shardsAnswered"] + len(coverage["missing"]), coverage["shardsTotal"], coverage)
+            for shard, ids in self.ids_by_shard(answer["snapshot"], known).items():
+                found = {hit["id"] for hit in answer["results"]} & ids
+                listed_missing = shard in {entry["shard"] for entry in coverage["missing"]}
+                self.assertEqual(found, set() if listed_missing else ids, f"shard {shard} of snapshot {answer['snapshot']}")
+            every = set().union(*self.ids_by_shard(answer["snapshot"], known).values())
+            self.assertLessEqual({hit["id"] for hit in answer["results"]}, every, "hits of another snapshot")
+        return [answer for _, answer in answers]
+
+    def ids_by_shard(self, snapshot, known):
+        if snapshot not in known:
+            known[snapshot] = {}
+            for shard in range(self.fleet.plan["shards"]):
+                path = f"/control/expected?shard=s{shard}&snapshot={snapshot}&query=bridge&limit=1000"
+                known[snapshot][f"s{shard}"] = {hit["id"] for hit in call("GET", self.fleet.backends, path)[1]["hits"]}
+        return known[snapshot]
+
+    def test_snapshots_arrive_and_are_dropped_under_load(self):
+        """Guards against answers that mix snapshots, and against coverage that counts shards of another snapshot."""
+        def change():
+            for number in (2, 3, 4):
+                for shard in range(self.fleet.plan["shards"]):  # Replicas get the snapshot one after the other.
+                    for replica in range(2):
+                        self.fleet.change_backends(f"backend/b{shard}-{replica}", addSnapshot={"snapshot": number, "layout": 1})
+                        time.sleep(0.02)
+                time.sleep(0.5)
+                for shard in range(self.fleet.plan["shards"]):
+                    for replica in range(2):
+                        self.fleet.change_backends(f"backend/b{shard}-{replica}", dropSnapshot=number - 1)
+                time.sleep(1)
+
+        answers = self.search_while(change)
+        self.assertEqual({answer["snapshot"] for answer in answers} & {4}, {4}, "the newest snapshot was never served")
+        complete = sum(answer["complete"] for answer in answers)
+        self.assertGreater(complete / len(answers), 0.9)
+
+    def test_partial_answers_of_backend_servers_count_as_missing(self):
+        """Guards against a partially searched shard that is counted as answered."""
+        self.fleet.change_backends("backend/b0-0", partialShare=1)
+        self.fleet.change_backends("backend/b0-1", partialShare=1)
+        status, answer = self.fleet.search("e0", deadlineMs=2000, minCoverage=1, limit=1000)
+        self.assertEqual(status, 200, answer)
+        self.assertEqual([entry["shard"] for entry in answer["coverage"]["missing"]], ["s0"])
+        self.assertEqual(answer["coverage"]["missing"][0]["reason"], "partial")
+        self.assertFalse(answer["complete"])
+
+    def test_lost_replicas_are_named(self):
+        """Guards against a shard without replicas that is counted as answered."""
+        self.fleet.change_backends("backend/b3-0", listen=False, dropConnections=True)
+        self.fleet.change_backends("backend/b3-1", listen=False, dropConnections=True)
+        for name in self.fleet.hosts:
+            status, answer = self.fleet.search(name, deadlineMs=500, minCoverage=1)
+            self.assertEqual(status, 200, answer)
+            self.assertEqual([entry["shard"] for entry in answer["coverage"]["missing"]], ["s3"])
+            self.assertLess(answer["elapsedMs"], 500)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
