load: state the absolute times, deadline and limit of each sample

Samples counted from the start of the run, so they could not be lined up with the recording of the backend stand-ins. Each sample now also gives its times on CLOCK_BOOTTIME, its deadline and the number of results asked for.

--- a/tools/load/include/load/sample.h
+++ b/tools/load/include/load/sample.h
@@ -9,7 +9,7 @@
 namespace orioledrum::load
 {
 
-/// What one request experienced. Times count from the start of the run.
+/// What one request experienced. Times count from the start of the run unless stated otherwise.
 struct sample {
     bool order = false;
     std::string service;
@@ -19,6 +19,10 @@
     std::chrono::microseconds scheduled{0};
     std::chrono::microseconds sent{0};
     std::chrono::microseconds ended{0};
+    std::chrono::microseconds orderSent{0}; ///< When the order itself was sent, after its ticket; 0 without one.
+    std::chrono::microseconds runStart{0}; ///< Start of the run on CLOCK_BOOTTIME, the clock of other recordings.
+    std::chrono::microseconds deadline{0}; ///< Time allowed from the sending of the search or order.
+    std::uint32_t limit = 0; ///< Results asked for; 0 for orders.
     int status = 0; ///< HTTP status of the last answer; 0 without one.
     std::string outcome; ///< Searches: answered, refused, failed. Orders: ran, notRun, unknown.
     std::string code; ///< Error code; empty when answered or ran.
--- a/tools/load/src/load_runner.cpp
+++ b/tools/load/src/load_runner.cpp
@@ -58,6 +58,9 @@
         result.host = m_settings.hosts[next.host];
         result.scheduled = next.at;
         result.sent = sinceStart();
+        result.runStart = std::chrono::duration_cast<std::chrono::microseconds>(m_start.time_since_epoch());
+        result.deadline = m_settings.deadline;
+        result.limit = next.order ? 0 : m_settings.limit;
         if (next.order) {
             askTicket(result);
         } else {
@@ -120,6 +123,7 @@
                            {"customer", result.customer},
                            {"deadlineMs", m_settings.deadline.count()},
                            {"order", {{"item", result.query}, {"quantity", 1}}}};
+        result.orderSent = sinceStart();
         m_engine.send("PUT",
                       "http://" + result.host + "/v1/orders/" + result.ticket,
                       body.dump(),
--- a/tools/load/src/sample.cpp
+++ b/tools/load/src/sample.cpp
@@ -94,6 +94,9 @@
                  {"sentUs", entry.sent.count()},
                  {"endedUs", entry.ended.count()},
                  {"latencyUs", entry.latency().count()},
+                 {"sentAtUs", (entry.runStart + entry.sent).count()},
+                 {"endedAtUs", (entry.runStart + entry.ended).count()},
+                 {"deadlineUs", entry.deadline.count()},
                  {"status", entry.status},
                  {"outcome", entry.outcome}};
     if (!entry.code.empty()) {
@@ -102,8 +105,12 @@
     }
     if (entry.order) {
         line["ticket"] = entry.ticket;
+        if (entry.orderSent.count() != 0) {
+            line["orderSentAtUs"] = (entry.runStart + entry.orderSent).count();
+        }
     } else {
         line["query"] = entry.query;
+        line["limit"] = entry.limit;
     }
     if (!entry.order && entry.outcome == "answered") {
         line["requestId"] = entry.requestId;
