--- /dev/null
+++ b/tools/history/src/check.cpp
@@ -0,0 +1,109 @@
+#include "checks.h"
+
+#include <algorithm>
+
+namespace orioledrum::history
+{
+
+check_context::check_context(const recorded_history &source, const check_settings &chosen)
+    : events(source)
+    , settings(chosen)
+{
+    for (const auto &record : source.records) {
+        (record.order ? ordersOf : searchesOf)[record.request].push_back(&record);
+        lastUs = std::max(lastUs, record.endUs);
+    }
+    for (const auto &sample : source.samples) {
+        lastUs = std::max(lastUs, sample.endedAtUs.value_or(0));
+    }
+    for (const auto &event : source.operators) {
+        lastUs = std::max(lastUs, event.atUs);
+    }
+}
+
+bool check_context::disturbed(const std::string &process, std::int64_t fromUs, std::int64_t toUs) const
+{
+    bool away = false;
+    for (const auto &event : events.operators) {
+        if (event.process != process || event.atUs > toUs) {
+            continue;
+        }
+        if (event.event == "kill" || event.event == "pause") {
+            away = true;
+        } else if (event.event == "resume" || event.event == "start") {
+            if (away && event.atUs >= fromUs) {
+                return true;
+            }
+            away = false;
+        }
+    }
+    return away;
+}
+
+std::string check_context::hostAt(const std::string &address) const
+{
+    const auto found = events.hostOfAddress.find(address);
+    return found == events.hostOfAddress.end() ? address : found->second;
+}
+
+std::string_view toString(verdict value)
+{
+    switch (value) {
+    case verdict::held:
+        return "held";
+    case verdict::violated:
+        return "violated";
+    case verdict::notDecidable:
+        break;
+    }
+    return "notDecidable";
+}
+
+verdict promise_result::decision() const
+{
+    if (!violations.empty()) {
+        return verdict::violated;
+    }
+    return checked > 0 && missing.empty() ? verdict::held : verdict::notDecidable;
+}
+
+std::vector<promise_result> checkHistory(const recorded_history &events, const check_settings &settings)
+{
+    const check_context context(events, settings);
+    std::vector<promise_result> results;
+    for (const auto check : {checkSnapshot,
+                             checkCoverage,
+                             checkCold,
+                             checkZones,
+                             checkAnswers,
+                             checkNotRun,
+                             checkAtMostOnce,
+                             checkLeaving,
+                             checkPlannedStops,
+                             checkConfiguration}) {
+        results.push_back(check(context));
+        results.back().number = static_cast<int>(results.size());
+    }
+    return results;
+}
+
+std::vector<std::string> compareStated(const recorded_history &events, const std::vector<promise_result> &results)
+{
+    std::vector<std::string> differences;
+    for (const auto &event : events.operators) {
+        if (event.event != "expect") {
+            continue;
+        }
+        const auto found =
+            std::find_if(results.begin(), results.end(), [&event](const promise_result &one) { return one.name == event.promise; });
+        if (found == results.end()) {
+            differences.push_back(event.source.place + ": there is no promise " + event.promise);
+        } else if (event.verdict != toString(found->decision())) {
+            differences.push_back(event.source.place + ": " + event.promise + " is " + std::string(toString(found->decision()))
+                                  + ", stated " + event.verdict);
+        }
+    }
+    return differences;
+}
+
+} // namespace orioledrum::history
--- /dev/null
+++ b/tools/history/src/check_orders.cpp
@@ -0,0 +1,68 @@
+#include "checks.h"
+
+#include <algorithm>
+
+namespace orioledrum::history
+{
+
+promise_result checkNotRun(const check_context &context)
+{
+    promise_result result{0, "notRun", "A refusal that says \"not run\" is true.", 0, {}, {}, {}};
+    for (const auto &sample : context.events.samples) {
+        if (!sample.order || sample.outcome != "notRun" || sample.ticket.empty()) {
+            continue;
+        }
+        if (sample.code == "ticketConflict") {
+            // The ticket's first order may have run; the recording does not tell the bodies apart.
+            ++result.counts["ticketConflicts"];
+            continue;
+        }
+        ++result.checked;
+        const auto found = context.ordersOf.find(sample.ticket);
+        if (found == context.ordersOf.end()) {
+            continue;
+        }
+        for (const auto *record : found->second) {
+            if (record->runs > 0) {
+                result.violations.push_back({"order " + sample.ticket + " is reported as not run, but " + record->backend + " ran it",
+                                             {sample.source, record->source}});
+            }
+        }
+    }
+    if (context.events.records.empty()) {
+        result.missing.emplace_back("calls recorded by the backend servers");
+    }
+    if (result.checked == 0) {
+        result.missing.emplace_back("samples of orders with a ticket that were reported as not run");
+    }
+    return result;
+}
+
+promise_result checkAtMostOnce(const check_context &context)
+{
+    promise_result result{0, "atMostOnce", "A non-idempotent request runs at most once.", 0, {}, {}, {}};
+    for (const auto &[ticket, records] : context.ordersOf) {
+        ++result.checked;
+        std::uint64_t runs = 0;
+        std::vector<line_source> shown;
+        for (const auto *record : records) {
+            if (record->runs > 0) {
+                ++runs;
+                shown.push_back(record->source);
+            }
+            // A number above one shows an earlier run even when its own line is lost.
+            if (record->runs > 1) {
+                runs = std::max(runs, record->runs);
+            }
+        }
+        if (runs > 1) {
+            result.violations.push_back({"order " + ticket + " ran " + std::to_string(runs) + " times", std::move(shown)});
+        }
+    }
+    if (result.checked == 0) {
+        result.missing.emplace_back("orders recorded by the backend servers");
+    }
+    return result;
+}
+
+} // namespace orioledrum::history
--- /dev/null
+++ b/tools/history/src/render.cpp
@@ -0,0 +1,63 @@
+#include <history/render.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace orioledrum::history
+{
+
+using json = nlohmann::json;
+
+std::string renderText(const std::vector<promise_result> &results, std::size_t most)
+{
+    std::string text;
+    for (const auto &result : results) {
+        text += std::to_string(result.number) + " " + result.name + ": " + std::string(toString(result.decision())) + ", "
+            + std::to_string(result.checked) + " checked";
+        for (const auto &[name, number] : result.counts) {
+            text += ", " + name + " " + std::to_string(number);
+        }
+        text += "\n";
+        for (const auto &what : result.missing) {
+            text += "  missing: " + what + "\n";
+        }
+        if (!result.violations.empty()) {
+            text += "  violations: " + std::to_string(result.violations.size()) + "\n";
+        }
+        for (std::size_t index = 0; index < std::min(most, result.violations.size()); ++index) {
+            text += "  - " + result.violations[index].text + "\n";
+            for (const auto &event : result.violations[index].events) {
+                text += "      " + event.place + ": " + event.text + "\n";
+            }
+        }
+    }
+    return text;
+}
+
+std::string renderJson(const std::vector<promise_result> &results, std::size_t most)
+{
+    json promises = json::array();
+    for (const auto &result : results) {
+        json violations = json::array();
+        for (std::size_t index = 0; index < std::min(most, result.violations.size()); ++index) {
+            json shown = json::array();
+            for (const auto &event : result.violations[index].events) {
+                shown.push_back({{"place", event.place}, {"line", event.text}});
+            }
+            violations.push_back({{"text", result.violations[index].text}, {"events", std::move(shown)}});
+        }
+        promises.push_back({{"number", result.number},
+                            {"promise", result.name},
+                            {"statement", result.statement},
+                            {"verdict", toString(result.decision())},
+                            {"checked", result.checked},
+                            {"violationCount", result.violations.size()},
+                            {"violations", std::move(violations)},
+                            {"missing", result.missing},
+                            {"counts", result.counts}});
+    }
+    return json{{"promises", std::move(promises)}}.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
+}
+
+} // namespace orioledrum::history
