history: let the process tests check their history

Fleet records what it does to the deployment and what callers saw, gathers time lines, and lets orioledrum-history decide the promises at the end of the process tests, in addition to their own assertions. A published revision names all zones that are out, so a rejected revision changes no zone.

--- a/tests/process/test_config.py
+++ b/tests/process/test_config.py
@@ -36,6 +36,7 @@
             self.wait_for_revision(revision)
             for name in self.fleet.hosts:
                 self.assertEqual(self.fleet.admin(name, "status")["availabilityZones"]["b"], state)
+        self.fleet.check_history()
 
     def test_an_older_revision_is_never_applied(self):
         """Guards against a service that answers an older revision, also to a host that starts with an empty memory."""
@@ -54,6 +55,7 @@
             time.sleep(0.1)
         self.assertEqual(seen, [])
         self.assertEqual(set(self.revisions().values()), {revision})
+        self.fleet.check_history()
 
     def test_peers_carry_on_without_the_service(self):
         """Guards against a host that stays without configuration because the service is down when it starts."""
@@ -67,6 +69,7 @@
         self.assertEqual(set(self.revisions().values()), {revision})
         status, answer = self.fleet.search("e2", deadlineMs=3000, minCoverage=0)
         self.assertEqual(status, 200, answer)
+        self.fleet.check_history()
 
     def test_a_wrong_revision_is_rejected_whole(self):
         """Guards against files of a rejected revision that take effect in part."""
@@ -86,6 +89,7 @@
             self.assertIn("90-bad.json", " ".join(status["config"]["rejected"]["problems"]))
         good = self.fleet.publish({"90-bad.json": None})
         self.wait_for_revision(good)
+        self.fleet.check_history()
 
     def test_two_operators_publish_at_once(self):
         """Guards against hosts that end with different configurations after a race of two publications."""
@@ -102,6 +106,7 @@
         self.wait_for_revision(last)
         hashes = {self.fleet.admin(name, "status")["config"]["hash"] for name in self.fleet.hosts}
         self.assertEqual(len(hashes), 1)
+        self.fleet.check_history()
 
 
 if __name__ == "__main__":
--- a/tests/process/test_orders.py
+++ b/tests/process/test_orders.py
@@ -28,6 +28,7 @@
             status, conflict = self.fleet.order("e0", ticket, item="coal")
             self.assertEqual((status, conflict["outcome"], conflict["code"]), (200, "notRun", "ticketConflict"))
             self.assertEqual(self.fleet.order_runs()[ticket]["runs"], 1)
+        self.fleet.check_history(held=("atMostOnce",))
 
     def test_bad_tickets_are_refused(self):
         """Guards against an order that runs under a ticket that nobody issued."""
@@ -36,6 +37,7 @@
         forged = self.fleet.ticket("e0").rsplit(".", 1)[0] + ".999999"
         self.assertNotEqual(self.fleet.order("e1", forged)[1]["outcome"], "ran")
         self.assertEqual(self.fleet.order_runs(), {})
+        self.fleet.check_history()
 
     def test_lost_minting_host_gives_unknown_and_never_runs(self):
         """Guards against an order that another incarnation runs again after the issuing host was replaced."""
@@ -52,6 +54,7 @@
         runs = self.fleet.order_runs()
         self.assertEqual(runs[used]["runs"], 1)
         self.assertNotIn(unused, runs)
+        self.fleet.check_history(held=("atMostOnce",))
 
     def test_lost_owner_is_replaced(self):
         """Guards against orders that stay without an owner after the lease holder was killed."""
@@ -62,6 +65,7 @@
 
         wait_until("orders run again", lambda: all(runs() for _ in range(8)), 10)
         self.assertTrue(all(count["runs"] == 1 for count in self.fleet.order_runs().values()))
+        self.fleet.check_history(held=("atMostOnce",))
 
 
 if __name__ == "__main__":
--- a/tests/process/test_searches.py
+++ b/tests/process/test_searches.py
@@ -18,8 +18,11 @@
 
     @classmethod
     def tearDownClass(cls):
-        cls.fleet.__exit__()
-        cls.folder.cleanup()
+        try:
+            cls.fleet.check_history(held=("snapshot", "coverage", "answers"))
+        finally:
+            cls.fleet.__exit__()
+            cls.folder.cleanup()
 
     def test_deadline_longer_than_the_lease(self):
         """Guards against calls that are refused because their deadline was cut to just after the end of the lease."""
--- a/tests/process/test_zones.py
+++ b/tests/process/test_zones.py
@@ -48,6 +48,7 @@
         again = [call for call in calls if zones[call["backend"]] == "b" and call["arrivalUs"] > returned + 6 * 1000000]
         self.assertGreater(len(again), 0)
         self.assertEqual([sample for sample in samples if sample.get("outcome") != "answered"], [], report)
+        self.fleet.check_history(held=("zoneOut", "snapshot", "coverage", "answers", "configuration"))
 
     def test_a_leaving_backend_server_gets_no_new_work(self):
         """Guards against a host that goes on sending to a backend server after the list or itself says that it leaves."""
@@ -61,6 +62,7 @@
         late = [call for call in calls if call["backend"] in ("b3-0", "b5-0") and call["arrivalUs"] > since + NO_NEW_WORK_SECONDS * 1000000]
         self.assertEqual(late, [])
         self.assertEqual([sample for sample in samples if sample.get("outcome") != "answered"], [], report)
+        self.fleet.check_history(held=("leaving", "snapshot", "coverage", "answers"))
 
 
 if __name__ == "__main__":
--- a/tools/history/src/check_hosts.cpp
+++ b/tools/history/src/check_hosts.cpp
@@ -184,6 +184,15 @@
         0, "configuration", "An accepted configuration is in force everywhere within seconds and never reverts.", 0, {}, {}, {}};
     checkOrder(context, result);
     const bool timeLines = result.checked > 0;
+    const host_event *previous = nullptr;
+    for (const auto &event : context.events.hostEvents) {
+        const bool same = previous != nullptr && previous->host == event.host && previous->incarnation == event.incarnation;
+        if (event.sequence != (same ? previous->sequence + 1 : 1)) {
+            // The ring of a process drops its oldest events.
+            result.missing.push_back("events of " + event.host + " before sequence " + std::to_string(event.sequence));
+        }
+        previous = &event;
+    }
     std::map<std::string, std::map<std::string, process_line>> hosts;
     for (const auto &event : context.events.hostEvents) {
         auto &line = hosts[event.host][event.incarnation];
--- a/tools/history/src/read_history.cpp
+++ b/tools/history/src/read_history.cpp
@@ -228,6 +228,10 @@
     }
     if (name == "publish") {
         event.revision = count(line, "revision");
+        event.beganUs = line.contains("beganUs") ? time(line, "beganUs") : event.atUs;
+        if (line.contains("zonesOut")) {
+            event.zonesOut = line["zonesOut"].get<std::set<std::string>>();
+        }
     } else if (name == "zoneOut" || name == "zoneIn") {
         text(line, "zone");
     } else if (name.starts_with("backend") || name == "coldTurn") {
@@ -263,6 +267,45 @@
     }
 }
 
+/// Adds the events zoneOut and zoneIn that the published revisions imply. A revision that a host rejected changes nothing.
+void addZoneChanges(recorded_history &result)
+{
+    std::set<std::string> rejected;
+    for (const auto &event : result.hostEvents) {
+        if (event.kind == "configRejected") {
+            rejected.insert(event.detail.substr(0, event.detail.find(' ')));
+        }
+    }
+    std::map<std::uint64_t, operator_event> publications;
+    for (const auto &event : result.operators) {
+        if (event.event == "publish" && event.zonesOut && !rejected.contains(std::to_string(event.revision))) {
+            publications.emplace(event.revision, event);
+        }
+    }
+    std::set<std::string> out;
+    for (auto &[revision, published] : publications) {
+        operator_event change;
+        change.source = published.source;
+        change.event = "zoneOut";
+        change.atUs = published.atUs;
+        for (const auto &zone : *published.zonesOut) {
+            if (!out.contains(zone)) {
+                change.zone = zone;
+                result.operators.push_back(change);
+            }
+        }
+        change.event = "zoneIn";
+        change.atUs = published.beganUs;
+        for (const auto &zone : out) {
+            if (!published.zonesOut->contains(zone)) {
+                change.zone = zone;
+                result.operators.push_back(change);
+            }
+        }
+        out = std::move(*published.zonesOut);
+    }
+}
+
 } // namespace
 
 tl::expected<void, std::string> readHistory(std::istream &input, const std::string &name, recorded_history &result)
@@ -296,6 +339,7 @@
 
 tl::expected<void, std::string> completeHistory(recorded_history &result)
 {
+    addZoneChanges(result);
     std::stable_sort(result.operators.begin(), result.operators.end(), [](const operator_event &left, const operator_event &right) {
         return left.atUs < right.atUs;
     });
