Count traffic between entry hosts in the metrics

The control-plane budget of a node is stated in bytes, and no counter showed what peer connections send.

--- a/libs/entryhost/src/control_plane.cpp
+++ b/libs/entryhost/src/control_plane.cpp
@@ -14,6 +14,7 @@
 #include <spread/spread_machine.h>
 #include <transport/http_client.h>
 #include <transport/peer_client.h>
+#include <transport/peer_traffic.h>
 #include <wire/codec.h>
 
 #include <asio/executor_work_guard.hpp>
@@ -480,6 +481,18 @@
                      status.confirmationAge ? std::chrono::duration<double>(*status.confirmationAge).count() : -1);
     metrics.setGauge(
         "orioledrum_leases_held", "Groups of backend servers that this host owns.", static_cast<double>(leases.held(now).size()));
+    const auto traffic = readPeerTraffic();
+    metrics.setGauge("orioledrum_peer_bytes_sent",
+                     "Bytes sent to entry hosts so far, without TCP and IP headers.",
+                     static_cast<double>(traffic.bytesSent));
+    metrics.setGauge("orioledrum_peer_bytes_received",
+                     "Bytes received from entry hosts so far, without TCP and IP headers.",
+                     static_cast<double>(traffic.bytesReceived));
+    metrics.setGauge("orioledrum_peer_requests_sent", "Requests sent to entry hosts so far.", static_cast<double>(traffic.requestsSent));
+    metrics.setGauge(
+        "orioledrum_peer_requests_received", "Requests received from entry hosts so far.", static_cast<double>(traffic.requestsReceived));
+    metrics.setGauge(
+        "orioledrum_peer_connections", "Open connections with entry hosts, in both directions.", static_cast<double>(traffic.connections));
     metrics.setGauge("orioledrum_ready", "1 when the host accepts callers.", shared.ready.load() ? 1 : 0);
 }
 
--- a/libs/transport/src/client_connection.cpp
+++ b/libs/transport/src/client_connection.cpp
@@ -1,5 +1,7 @@
 #include <client_connection.h>
 
+#include <peer_traffic_counters.h>
+
 #include <peer_status.h>
 
 #include <algorithm>
@@ -195,6 +197,7 @@
         }
         return;
     }
+    peer_traffic_counters::add(peer_traffic_counters::ofProcess().requestsSent, 1);
     stream->id = id;
     stream->connection = std::static_pointer_cast<client_connection>(shared_from_this());
     m_streams[id] = stream;
