history: tell closed idle connections from answers in cold turns

An idle connection closed by a restart tells only a sender that watches it, while an answer or a cut call tells every sender, so the two are counted apart. A planned stop that makes a search lose shards counts as a cut request.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -211,9 +211,9 @@
         if change.get("restart") or change.get("drain") is False:
             self.note("backendUndrained", atUs=began, backend=backend)
         if change.get("restart"):
-            self.note("backendRestart", backend=backend)
+            self.note("backendRestart", beganUs=began, backend=backend)
         elif change.get("cold"):
-            self.note("coldTurn", backend=backend)
+            self.note("coldTurn", beganUs=began, backend=backend)
         if change.get("drain"):
             self.note("backendDraining", backend=backend)
         if set(change) - {"restart", "cold", "drain"}:
--- a/tools/history/include/history/history.h
+++ b/tools/history/include/history/history.h
@@ -54,6 +54,7 @@
     std::uint64_t shardsTotal = 0;
     std::uint64_t shardsAnswered = 0;
     std::uint64_t missing = 0; ///< Sum over all reasons.
+    std::uint64_t lost = 0; ///< Missing because the call failed or was refused.
     double coverage = 0;
     bool complete = false;
     std::uint64_t limit = 0; ///< Results asked for; 0 when unknown.
@@ -86,9 +87,8 @@
     std::string process; ///< Killed, paused, resumed or started process.
     std::string service;
     std::uint64_t revision = 0;
-    std::int64_t beganUs = 0; ///< When a publication was sent; atUs is when it was acknowledged.
+    std::int64_t beganUs = 0; ///< When the action was asked for; atUs is when it was acknowledged.
     std::optional<std::set<std::string>> zonesOut; ///< All zones out in a published revision.
-    std::int64_t wallUs = 0;
     std::int64_t balancerDelayUs = 0;
     int exitCode = 0;
     std::string promise;
@@ -106,7 +106,6 @@
     std::map<std::pair<std::string, std::uint64_t>, std::set<std::string>> shardsOfLayout; ///< By service and layout.
     std::map<std::string, std::string> serviceOfBackend;
     std::optional<std::int64_t> wallMinusBootUs;
-    bool operatorFile = false;
 };
 
 } // namespace orioledrum::history
--- a/tools/history/src/check_backend_servers.cpp
+++ b/tools/history/src/check_backend_servers.cpp
@@ -78,52 +78,75 @@
     return calls;
 }
 
-/// The time from which the senders could know that a backend server had turned cold.
-class cold_word
+/// When the senders could know of a cold turn.
+struct cold_turn {
+    std::int64_t closedUs = never; ///< Connections closed by a restart; an idle one shows it only to a sender that watches it.
+    std::int64_t callUs = never; ///< First answer, refusal or cut call.
+};
+
+/// The cold turns of one backend server.
+class cold_turns
 {
 public:
-    cold_word(const check_context &context, const std::string &backend, const std::vector<const backend_record *> &calls)
+    cold_turns(const check_context &context, const std::string &backend, const std::vector<const backend_record *> &calls)
     {
         for (const auto &event : context.events.operators) {
             if (event.backend == backend && (event.event == "coldTurn" || event.event == "backendRestart")) {
-                // A restart closes every connection, which is itself the word.
-                m_turns[event.atUs] = event.event == "backendRestart" ? event.atUs : never;
+                const bool restart = event.event == "backendRestart";
+                const std::int64_t turnUs = exactTime(event, restart, calls);
+                m_turns[turnUs].closedUs = restart ? turnUs : never;
             }
         }
-        // Without an operator's event, a new instance or the first cold call after a warm one shows the turn.
+        // A new instance or the first cold call after a warm one shows a turn that no operator's event states.
         const backend_record *previous = nullptr;
         for (const auto *call : calls) {
             const bool turned = previous == nullptr || previous->instance != call->instance || previous->state != "cold";
             if (call->state == "cold" && turned) {
-                const auto earlier = m_turns.upper_bound(call->arrivalUs);
-                const bool stated = earlier != m_turns.begin() && (previous == nullptr || std::prev(earlier)->first >= previous->arrivalUs);
+                const auto next = m_turns.upper_bound(call->arrivalUs);
+                const bool stated = next != m_turns.begin() && (previous == nullptr || std::prev(next)->first >= previous->arrivalUs);
                 if (!stated) {
-                    m_turns[call->arrivalUs] = never;
+                    m_turns.try_emplace(call->arrivalUs);
                 }
             }
             previous = call;
         }
         for (const auto *call : calls) {
-            if (!givesWord(*call)) {
-                continue;
-            }
             const auto next = m_turns.upper_bound(call->endUs);
-            if (next != m_turns.begin()) {
-                auto &word = std::prev(next)->second;
+            if (givesWord(*call) && next != m_turns.begin()) {
+                auto &word = std::prev(next)->second.callUs;
                 word = std::min(word, call->endUs);
             }
         }
     }
 
-    /// @return The first word of the turn that was in force at that time.
-    [[nodiscard]] std::int64_t at(std::int64_t whenUs) const
+    /// @return The latest turn before that time.
+    [[nodiscard]] cold_turn at(std::int64_t whenUs) const
     {
         const auto next = m_turns.upper_bound(whenUs);
-        return next == m_turns.begin() ? never : std::prev(next)->second;
+        return next == m_turns.begin() ? cold_turn() : std::prev(next)->second;
     }
 
 private:
-    std::map<std::int64_t, std::int64_t> m_turns; ///< Time of the first word by time of the turn.
+    /// The event states a span of time; the first recorded call that shows the turn in it is more exact.
+    static std::int64_t exactTime(const operator_event &event, bool restart, const std::vector<const backend_record *> &calls)
+    {
+        std::int64_t turnUs = event.atUs;
+        const auto consider = [&](std::int64_t whenUs) { turnUs = whenUs >= event.beganUs ? std::min(turnUs, whenUs) : turnUs; };
+        const backend_record *previous = nullptr;
+        for (const auto *call : calls) {
+            if (restart && call->outcome == "restarted") {
+                consider(call->endUs);
+            }
+            const bool shows = restart ? previous != nullptr && previous->instance != call->instance : call->state == "cold";
+            if (shows) {
+                consider(call->arrivalUs);
+            }
+            previous = call;
+        }
+        return turnUs;
+    }
+
+    std::map<std::int64_t, cold_turn> m_turns; ///< By time.
 };
 
 } // namespace
@@ -132,9 +155,10 @@
 {
     promise_result result{0, "cold", "A backend server in a cold start never gets more than it bears.", 0, {}, {}, {}};
     result.counts["beforeFirstWord"] = 0;
+    result.counts["afterClosedConnection"] = 0;
     result.counts["afterFirstWord"] = 0;
     for (const auto &[backend, calls] : byBackend(context)) {
-        const cold_word words(context, backend, calls);
+        const cold_turns turns(context, backend, calls);
         for (const auto *call : calls) {
             if (call->state != "cold") {
                 continue;
@@ -143,12 +167,17 @@
             if (call->concurrent < call->bears) {
                 continue;
             }
-            const auto word = words.at(call->arrivalUs);
-            const bool after = word != never && call->arrivalUs > word + context.settings.transit.count();
-            ++result.counts[after ? "afterFirstWord" : "beforeFirstWord"];
-            if (!after && context.settings.allowColdBeforeWord) {
+            const auto turn = turns.at(call->arrivalUs);
+            const std::int64_t sentUs = call->arrivalUs - context.settings.transit.count(); // At the earliest.
+            const bool afterCall = turn.callUs < sentUs;
+            const bool afterClosed = !afterCall && turn.closedUs < sentUs;
+            ++result.counts[afterCall ? "afterFirstWord" : (afterClosed ? "afterClosedConnection" : "beforeFirstWord")];
+            if (!afterCall && !afterClosed && context.settings.allowColdBeforeWord) {
                 continue;
             }
+            const std::string when = afterCall
+                ? "after the first answer or cut call of the turn"
+                : (afterClosed ? "after the restart closed the connections, before any answer" : "before the first word of the turn");
             std::vector<line_source> shown{call->source};
             for (const auto *other : calls) {
                 const bool overlaps = other != call && other->arrivalUs <= call->arrivalUs && other->endUs > call->arrivalUs;
@@ -156,11 +185,9 @@
                     shown.push_back(other->source);
                 }
             }
-            result.violations.push_back(
-                {backend + " got a call with " + std::to_string(call->concurrent) + " running, cold and bearing "
-                     + std::to_string(call->bears)
-                     + (after ? ", sent after the first word of the turn" : ", sent before the first word of the turn"),
-                 std::move(shown)});
+            result.violations.push_back({backend + " got a call with " + std::to_string(call->concurrent) + " running, cold and bearing "
+                                             + std::to_string(call->bears) + ", sent " + when,
+                                         std::move(shown)});
         }
     }
     if (result.checked == 0) {
--- a/tools/history/src/check_hosts.cpp
+++ b/tools/history/src/check_hosts.cpp
@@ -52,9 +52,12 @@
 {
     const std::int64_t began = stop.began->atUs;
     const std::int64_t ended = stop.ended->atUs;
-    if (sample.outcome == "answered" || sample.outcome == "ran" || *sample.endedAtUs < began || *sample.sentAtUs > ended) {
+    if (sample.outcome == "ran" || *sample.endedAtUs < began || *sample.sentAtUs > ended) {
         return {};
     }
+    if (sample.outcome == "answered") {
+        return sample.lost > 0 && !other ? std::to_string(sample.lost) + " shards were lost, without any other cause in the history" : "";
+    }
     if (context.hostAt(sample.host) == stop.began->host) {
         // Later requests are kept away by the balancer.
         const bool accepted = *sample.sentAtUs <= began + stop.began->balancerDelayUs;
--- a/tools/history/src/read_history.cpp
+++ b/tools/history/src/read_history.cpp
@@ -153,6 +153,7 @@
     result.complete = line.at("complete").get<bool>();
     for (const auto &[reason, number] : line.at("missing").items()) {
         result.missing += number.get<std::uint64_t>();
+        result.lost += reason == "failed" || reason == "refused" ? number.get<std::uint64_t>() : 0;
     }
     if (line.contains("results")) {
         result.results = line["results"].get<std::vector<std::string>>();
@@ -221,14 +222,16 @@
         return;
     }
     event.atUs = time(line, "atUs");
-    result.operatorFile = true;
+    event.beganUs = line.contains("beganUs") ? time(line, "beganUs") : event.atUs;
+    if (event.beganUs > event.atUs) {
+        throw std::invalid_argument("beganUs is after atUs");
+    }
     if (name == "clock") {
         result.wallMinusBootUs = time(line, "wallUs") - event.atUs;
         return;
     }
     if (name == "publish") {
         event.revision = count(line, "revision");
-        event.beganUs = line.contains("beganUs") ? time(line, "beganUs") : event.atUs;
         if (line.contains("zonesOut")) {
             event.zonesOut = line["zonesOut"].get<std::set<std::string>>();
         }
--- a/tools/history/tests/test_history.cpp
+++ b/tools/history/tests/test_history.cpp
@@ -128,11 +128,16 @@
     const auto paused = load(fixture("cold-broken-paused-owner"));
     EXPECT_EQ(named(checkHistory(before, {}), "cold").counts.at("beforeFirstWord"), 1U);
     EXPECT_EQ(named(checkHistory(after, {}), "cold").counts.at("afterFirstWord"), 1U);
-    EXPECT_EQ(named(checkHistory(paused, {}), "cold").counts.at("afterFirstWord"), 1U);
+    EXPECT_EQ(named(checkHistory(paused, {}), "cold").counts.at("afterClosedConnection"), 1U);
+    const auto idle = load(fixture("cold-broken-closed-idle"));
+    EXPECT_EQ(named(checkHistory(idle, {}), "cold").counts.at("afterClosedConnection"), 1U);
+    const auto cut = load(fixture("cold-broken-after-cut-call"));
+    EXPECT_EQ(named(checkHistory(cut, {}), "cold").counts.at("afterFirstWord"), 1U);
     check_settings tolerant;
     tolerant.allowColdBeforeWord = true;
     EXPECT_EQ(named(checkHistory(before, tolerant), "cold").decision(), verdict::held);
     EXPECT_EQ(named(checkHistory(after, tolerant), "cold").decision(), verdict::violated);
+    EXPECT_EQ(named(checkHistory(idle, tolerant), "cold").decision(), verdict::violated);
 }
 
 // Guards against malformed input that is skipped, which would hide a violation.
@@ -161,6 +166,7 @@
         changed("\"layout\":1", "\"layout\":1.5"),
         R"({"event":"publish","atUs":5})",
         R"({"event":"zoneOut","atUs":5})",
+        R"({"event":"zoneOut","zone":"b","atUs":5,"beganUs":6})",
         R"({"event":"zoneOut","zone":"b"})",
         R"({"event":"stopped","host":"e0","atUs":5})",
         R"({"kind":"serch","host":"h","outcome":"answered","status":200})",
