--- a/tools/history/src/check_backend_servers.cpp
+++ b/tools/history/src/check_backend_servers.cpp
@@ -185,9 +185,10 @@
                     shown.push_back(other->source);
                 }
             }
-            result.violations.push_back({backend + " got a call with " + std::to_string(call->concurrent) + " running, cold and bearing "
-                                             + std::to_string(call->bears) + ", sent " + when,
-                                         std::move(shown)});
+            std::string text = backend;
+            text.append(" got a call with ").append(std::to_string(call->concurrent)).append(" running, cold and bearing ");
+            text.append(std::to_string(call->bears)).append(", sent ").append(when);
+            result.violations.push_back({std::move(text), std::move(shown)});
         }
     }
     if (result.checked == 0) {
