--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -9,6 +9,8 @@
 import urllib.error
 import urllib.request
 
+# Default of orioledrum-history.
+IN_FORCE_SECONDS = 6
 # Default of scripts/generate-deployment.
 BALANCER_DELAY_MS = 200
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -66,6 +68,7 @@
         self.backend_zones = {server["id"]: server["zone"] for server in
                               json.loads((self.folder / "backends.json").read_text())["backendServers"]}
         self.history_lock = threading.Lock()
+        self.last_publication = 0
         self.describe()
 
     def __enter__(self):
@@ -165,6 +168,7 @@
         status, answer = call("POST", self.config, "/control/publish", {"files": files})
         assert status == 200, answer
         self.note("publish", revision=answer["revision"], beganUs=began, **zones_out(files))
+        self.last_publication = now_us()
         return answer["revision"]
 
     def backend_stats(self):
@@ -308,6 +312,9 @@
 
         Fails when one is violated, or one of those named in held is not decided. Returns the decisions by name.
         """
+        if "configuration" in held:
+            # A publication can be judged only after the time that it has to come into force.
+            time.sleep(max(0, self.last_publication / 1e6 + IN_FORCE_SECONDS + 0.2 - now_us() / 1e6))
         for name in self.hosts:
             self.gather_time_line(name)
         self.note("clock", wallUs=time.time_ns() // 1000)
