Lose no shards when an owner stops, and never let libcurl send a call twice

Cause: an entry host that stops gave its leases back and closed its peer streams at once. Hosts that had not seen the handover lost all calls of a group, more than the retry budget of a small query allows. Separately libcurl sent a call again on a new connection when a reused one was dead, so the owner never learnt that the backend server had closed it, which is its sign of a restart. Change: a stopping host answers notOwner for 1 s more; a call that reached no backend server is rerouted outside the retry budget; a second write of a call is stopped and counts as a closed connection.

--- a/libs/entryhost/src/backend_pool.cpp
+++ b/libs/entryhost/src/backend_pool.cpp
@@ -87,6 +87,8 @@
     time_point sent;
     time_point sendDeadline;
     bool wanted = true;
+    bool written = false; // The request was handed to a connection.
+    bool resendStopped = false;
     std::string remoteId; // X-Request-Id or X-Order-Id, for the cancellation.
 };
 
@@ -375,10 +377,16 @@
         if (!*alive || current == m_calls.end()) {
             return false;
         }
+        if (current->second->written) {
+            // libcurl sends again when a reused connection turns out to be dead. The owner has to know of the loss first.
+            current->second->resendStopped = true;
+            return false;
+        }
         if (opened) {
             target->gate.connectionOpened(number, monotonic_clock::now());
         }
-        return checkBeforeWrite(*target, current->second->call, deadline);
+        current->second->written = checkBeforeWrite(*target, current->second->call, deadline);
+        return current->second->written;
     };
     pending.handle = m_client.send(std::move(call), [this, alive = m_alive, number](http_client::result result) {
         if (!*alive) {
@@ -431,7 +439,12 @@
         result.kind = mayHaveBeenSent ? backend_result_kind::failed : backend_result_kind::refused;
         result.code = code;
         result.mayHaveBeenSent = mayHaveBeenSent;
-        if (code == error_code::cancelled) {
+        if (pending.resendStopped) {
+            target.gate.connectionClosed(number, now);
+            result.kind = backend_result_kind::failed;
+            result.mayHaveBeenSent = true;
+            result.code = error_code::unreachable;
+        } else if (code == error_code::cancelled) {
             target.gate.abandon(number, now);
             result.code = error_code::notOwner;
         } else if (code == error_code::deadlineExceeded && mayHaveBeenSent) {
--- a/libs/entryhost/src/entry_host.cpp
+++ b/libs/entryhost/src/entry_host.cpp
@@ -30,7 +30,10 @@
 const part_logger logger("host");
 
 /// Time of a planned stop that is kept for giving leases back and closing peer streams.
-constexpr std::chrono::milliseconds handoverTime{3000};
+constexpr std::chrono::milliseconds handoverTime{4000};
+
+/// Time in which the other entry hosts learn the new holders; they refresh their routes every 250 ms.
+constexpr std::chrono::milliseconds routeLinger{1000};
 
 std::pair<std::string, std::uint16_t> splitAddress(const std::string &address)
 {
@@ -196,6 +199,9 @@
     asio::post(state.control->context(), [&state, &left] { state.control->leave([&left] { left.set_value(); }); });
     const bool leasesReleased = leftFuture.wait_for(remaining()) == std::future_status::ready;
 
+    // Hosts that have not seen the handover yet still route calls here; each is refused with a hint to the new holder.
+    std::this_thread::sleep_for(std::min(remaining(), routeLinger));
+
     std::promise<bool> streams;
     auto streamsFuture = streams.get_future();
     asio::post(state.peerContext, [&state, &streams, atMost = remaining()] {
--- a/libs/entryhost/src/root_searches.cpp
+++ b/libs/entryhost/src/root_searches.cpp
@@ -262,7 +262,7 @@
     if (address.empty()) {
         asio::post(m_context, [this, run, attempts, alive = m_alive] {
             if (*alive) {
-                streamEnded(run, attempts, error_code::unreachable);
+                streamEnded(run, attempts, error_code::notOwner);
             }
         });
         return;
@@ -282,7 +282,9 @@
             }
         },
         [this, run, attempts](const peer_end &end) {
-            streamEnded(run, attempts, end.failure ? end.failure->code : error_code::protocolError);
+            // When nothing reached the owner, it is the owner that is missing and not the backend servers.
+            const auto lost = end.failure ? end.failure->code : error_code::protocolError;
+            streamEnded(run, attempts, end.mayHaveReachedPeer ? lost : error_code::notOwner);
         });
     run->streams.push_back(handle);
 }
--- a/libs/search/include/search/search_action.h
+++ b/libs/search/include/search/search_action.h
@@ -69,6 +69,7 @@
     std::uint32_t firstAttempts = 0;
     std::uint32_t hedges = 0;
     std::uint32_t retries = 0;
+    std::uint32_t reroutes = 0; ///< Repeated calls that had not reached a backend server; they cost it nothing.
     bool restarted = false; ///< The query was restarted at a newer snapshot.
     bool early = false; ///< Answered by policy before all shards had been settled.
     bool overloaded = false; ///< A notable share of the calls was refused because of load; input for admission.
--- a/libs/search/include/search/search_run.h
+++ b/libs/search/include/search/search_run.h
@@ -92,6 +92,7 @@
     void useAnswer(std::uint32_t shard, std::vector<hit> &&hits, time_point now);
     void attemptEnded(attempt_state &attempt);
     void attemptLost(std::uint32_t shard, missing_reason reason, error_code code, time_point now);
+    [[nodiscard]] static bool neverSent(error_code code);
     void scheduleRetry(std::uint32_t shard, time_point now);
     void sendRetries(time_point now);
     void sendHedges(time_point now);
--- a/libs/search/src/search_run.cpp
+++ b/libs/search/src/search_run.cpp
@@ -614,17 +614,31 @@
     }
 }
 
+bool search_run::neverSent(error_code code)
+{
+    return code == error_code::notOwner || code == error_code::notReady;
+}
+
 void search_run::scheduleRetry(std::uint32_t shard, time_point now)
 {
     auto &state = m_shards[shard];
     const bool another = chooseReplica(shard, false, false, now).has_value();
     const bool repeat = !another && mayRepeat(state.code);
-    if ((!another && !repeat) || state.attempts >= m_input.policy.maxAttempts || m_retriesLeft == 0 || !m_stats.takeRetryToken()) {
+    if ((!another && !repeat) || state.attempts >= m_input.policy.maxAttempts) {
         giveUp(shard, state.reason, state.code);
         return;
     }
-    --m_retriesLeft;
-    ++m_result.retries;
+    // The budget bounds the extra load on backend servers; a call that no owner sent on has caused none.
+    if (neverSent(state.code)) {
+        ++m_result.reroutes;
+    } else {
+        if (m_retriesLeft == 0 || !m_stats.takeRetryToken()) {
+            giveUp(shard, state.reason, state.code);
+            return;
+        }
+        --m_retriesLeft;
+        ++m_result.retries;
+    }
     const std::chrono::microseconds jitter(m_random.below(retryJitter.count()));
     state.repeatAllowed = repeat;
     state.retryAt = now + jitter + (repeat ? repeatBackoff * (1U << (state.attempts - 1U)) : 0ms);
--- a/libs/search/tests/test_search_run.cpp
+++ b/libs/search/tests/test_search_run.cpp
@@ -649,6 +649,31 @@
     EXPECT_EQ(run.pinned(), (snapshot_ref{7, 1}));
 }
 
+// Guards against shards that are lost when an owner hands over a whole group: its refusals used up the retry budget,
+// although nothing had reached a backend server.
+TEST(SearchRun, RefusalsOfAFormerOwnerDoNotUseTheRetryBudget)
+{
+    const auto layout = makeLayout(1, 10, 2, "a");
+    const auto topology = makeTopology({layout});
+    fake_fanout fanout(5, {});
+    service_stats stats(topology, zone_id("z0"), begin);
+    holdAll(fanout, &stats, layout, {{7, 1}});
+    random_source random(3);
+    search_run run(makeInput(500ms, 1), stats, random);
+    run.start(begin);
+    const auto sends = takeSends(run);
+    ASSERT_EQ(sends.size(), 10U);
+    for (std::size_t index = 0; index < 8; ++index) {
+        run.attemptFailed(sends[index].attempt, error_code::notOwner, begin + 1ms);
+    }
+    run.wakeup(begin + 10ms);
+    std::size_t retries = 0;
+    for (const auto &send : takeSends(run)) {
+        retries += send.kind == attempt_kind::retry ? 1 : 0;
+    }
+    EXPECT_EQ(retries, 8U);
+}
+
 // Guards against an early answer below the policy's coverage and against waiting longer than the policy allows.
 TEST(SearchRun, AnswersEarlyByPolicy)
 {
--- a/tools/load/tests/test_load.cpp
+++ b/tools/load/tests/test_load.cpp
@@ -1,3 +1,4 @@
+#include <base/monotonic_clock.h>
 #include <load/load_runner.h>
 #include <load/report.h>
 
@@ -11,6 +12,7 @@
 #include <thread>
 
 using namespace orioledrum::load;
+using orioledrum::monotonic_clock;
 using orioledrum::standin::control_server;
 using orioledrum::standin::errorResponse;
 using orioledrum::standin::http_request;
