--- a/tools/load/tests/test_load.cpp
+++ b/tools/load/tests/test_load.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <base/monotonic_clock.h>
+
 #include <gtest/gtest.h>
 
 #include <numeric>
@@ -157,6 +159,14 @@
     for (const auto &entry : samples) {
         EXPECT_TRUE(entry.good()) << toJsonLine(entry);
         EXPECT_EQ(entry.ticket, entry.order ? "t-1" : "");
+        // Guards against samples that cannot be lined up with recordings on CLOCK_BOOTTIME.
+        const auto now = std::chrono::duration_cast<std::chrono::microseconds>(orioledrum::monotonic_clock::now().time_since_epoch());
+        EXPECT_GT(entry.runStart, now - std::chrono::seconds{60});
+        EXPECT_LE(entry.runStart + entry.ended, now);
+        EXPECT_EQ(entry.deadline, sending.deadline);
+        EXPECT_EQ(entry.limit, entry.order ? 0 : sending.limit);
+        EXPECT_EQ(entry.orderSent >= entry.sent && entry.orderSent <= entry.ended, entry.order);
+        EXPECT_NE(toJsonLine(entry).find("\"sentAtUs\":" + std::to_string((entry.runStart + entry.sent).count())), std::string::npos);
         EXPECT_EQ(entry.results.size(), entry.order ? 0U : 1U);
         ++(entry.order ? orders : searches);
     }
