--- a/tools/load/tests/test_load.cpp
+++ b/tools/load/tests/test_load.cpp
@@ -1,4 +1,3 @@
-#include <base/monotonic_clock.h>
 #include <load/load_runner.h>
 #include <load/report.h>
 
@@ -6,13 +5,14 @@
 
 #include <nlohmann/json.hpp>
 
+#include <base/monotonic_clock.h>
+
 #include <gtest/gtest.h>
 
 #include <numeric>
 #include <thread>
 
 using namespace orioledrum::load;
-using orioledrum::monotonic_clock;
 using orioledrum::standin::control_server;
 using orioledrum::standin::errorResponse;
 using orioledrum::standin::http_request;
@@ -160,7 +160,7 @@
         EXPECT_TRUE(entry.good()) << toJsonLine(entry);
         EXPECT_EQ(entry.ticket, entry.order ? "t-1" : "");
         // Guards against samples that cannot be lined up with recordings on CLOCK_BOOTTIME.
-        const auto now = std::chrono::duration_cast<std::chrono::microseconds>(monotonic_clock::now().time_since_epoch());
+        const auto now = std::chrono::duration_cast<std::chrono::microseconds>(orioledrum::monotonic_clock::now().time_since_epoch());
         EXPECT_GT(entry.runStart, now - std::chrono::seconds{60});
         EXPECT_LE(entry.runStart + entry.ended, now);
         EXPECT_EQ(entry.deadline, sending.deadline);
