Count a voter as present while its lease messages arrive

Cause: after a common start of a zone of 390 hosts the membership needs tens of seconds to report every host. Voters took each other for absent, asked all at once and split their votes.

--- a/libs/ownership/include/ownership/cutoff_tracker.h
+++ b/libs/ownership/include/ownership/cutoff_tracker.h
@@ -17,6 +17,8 @@
 
     /// Notes a message from an entry host. @param host The host. @param now Time of receipt.
     void heardFrom(const entry_host_id &host, time_point now);
+    /// @param host A host of the roster. @param now The time. @return Whether it was heard from within lease_timing::reachable.
+    [[nodiscard]] bool heardRecently(const entry_host_id &host, time_point now) const;
     /// Notes an answer of the platform. @param now Time of receipt.
     void heardFromPlatform(time_point now);
     /// Starts all waiting times again after a pause, in which silence is no evidence. @param now The time.
--- a/libs/ownership/src/cutoff_tracker.cpp
+++ b/libs/ownership/src/cutoff_tracker.cpp
@@ -30,6 +30,12 @@
     }
 }
 
+bool cutoff_tracker::heardRecently(const entry_host_id &host, time_point now) const
+{
+    const auto found = m_heard.find(host);
+    return found != m_heard.end() && now - found->second <= m_timing.reachable;
+}
+
 void cutoff_tracker::heardFromPlatform(time_point now)
 {
     noteOutside(now);
--- a/libs/ownership/src/lease_manager.cpp
+++ b/libs/ownership/src/lease_manager.cpp
@@ -324,10 +324,15 @@
         return m_leaving;
     }
     const auto found = m_peers.find(host);
-    if (found == m_peers.end()) {
-        return now - m_start >= unknownLive;
+    if (found != m_peers.end() && (found->second == host_state::live || found->second == host_state::leaving)) {
+        return found->second == host_state::leaving;
     }
-    return found->second != host_state::live;
+    // In a large zone the membership learns of a host later than the lease messages show that it lives. Voters that took
+    // each other for absent would split their votes.
+    if (m_cutoff.heardRecently(host, now)) {
+        return false;
+    }
+    return found != m_peers.end() || now - m_start >= unknownLive;
 }
 
 bool lease_manager::usesIsolatedMode(const group_entry &entry, time_point now) const
