Rebuild the routing table only when its inputs change

Cause: the table was built from all backend servers every 250 ms and compared; docs/CAPACITY.md works it out as 105 ms/s at the design size, over the budget. Change: a change of owners alone copies the last table; lease_manager::noteOwner, which nothing called, is gone. Result: test_searches passes; the slope was not measured again yet.

--- a/libs/entryhost/src/control_plane.cpp
+++ b/libs/entryhost/src/control_plane.cpp
@@ -24,8 +24,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <thread>
+#include <utility>
 
 namespace orioledrum
 {
@@ -446,24 +448,25 @@
     }
     nextRefresh = now + routeRefresh;
     const auto previous = shared.routing.read();
-    auto next = buildRouting(config, members.view(), previous.get());
-    for (const auto &item : next->groupOf) {
-        auto [route, added] = next->routes.try_emplace(item.second);
-        if (added) {
-            route->second.owner = leases.ownerOf(item.second, now);
-            route->second.address = next->addressOf(route->second.owner);
+    const bool ownersUnchanged = std::all_of(previous->routes.begin(), previous->routes.end(), [this, now](const auto &item) {
+        return item.second.owner == leases.ownerOf(item.first, now);
+    });
+    if (!routingDirty && ownersUnchanged) {
+        return;
+    }
+    // Building from the configuration visits every backend server, so a change of owners alone copies the last state.
+    auto next = routingDirty ? buildRouting(config, members.view(), previous.get()) : std::make_shared<routing_state>(*previous);
+    if (routingDirty) {
+        for (const auto &item : next->groupOf) {
+            next->routes.try_emplace(item.second);
         }
     }
-    next->regrouped = regrouped;
-    const bool sameRoutes =
-        next->routes.size() == previous->routes.size()
-        && std::all_of(next->routes.begin(), next->routes.end(), [&previous](const auto &item) {
-               const auto old = previous->routes.find(item.first);
-               return old != previous->routes.end() && old->second.owner == item.second.owner && old->second.address == item.second.address;
-           });
-    if (routingDirty || !sameRoutes) {
-        shared.routing.publish(std::move(next));
+    for (auto &[group, route] : next->routes) {
+        route.owner = leases.ownerOf(group, now);
+        route.address = next->addressOf(route.owner);
     }
+    next->regrouped = regrouped;
+    shared.routing.publish(std::move(next));
     routingDirty = false;
 }
 
--- a/libs/ownership/include/ownership/lease_manager.h
+++ b/libs/ownership/include/ownership/lease_manager.h
@@ -76,9 +76,6 @@
     /// @return The host believed to hold the lease: the holder that the own voter knows, else the one that a voter
     /// named, else the first live host in rank; empty when the group or every host is unknown.
     [[nodiscard]] entry_host_id ownerOf(const group_id &group, time_point now) const;
-    /// Takes the owner that another host named, for example with notOwner. @param group The group. @param owner The host.
-    /// @param now The time.
-    void noteOwner(const group_id &group, const entry_host_id &owner, time_point now);
     /// @return The groups for which this host holds the lease. @param now The time.
     [[nodiscard]] std::vector<group_id> held(time_point now) const;
     /// @return Whether every handover has ended and nothing is held; a leaving host may stop then.
--- a/libs/ownership/src/lease_manager.cpp
+++ b/libs/ownership/src/lease_manager.cpp
@@ -584,15 +584,6 @@
     return first == entry.voters.voters.end() ? entry_host_id() : *first;
 }
 
-void lease_manager::noteOwner(const group_id &group, const entry_host_id &owner, time_point now)
-{
-    const auto found = m_groups.find(group);
-    if (found != m_groups.end()) {
-        found->second.hint = owner;
-        found->second.hintUntil = now + m_timing.lease;
-    }
-}
-
 std::vector<group_id> lease_manager::held(time_point now) const
 {
     std::vector<group_id> result;
