--- /dev/null
+++ b/tests/process/test_ctl.py
@@ -0,0 +1,61 @@
+"""The operator's command against running entry hosts."""
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
+from fleet import Fleet  # noqa: E402
+
+
+class CtlTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.folder = tempfile.TemporaryDirectory(prefix="orioledrum-test-", ignore_cleanup_errors=True)
+        cls.fleet = Fleet(cls.folder.name, zones=2, shards=4, replicas=2, entry_hosts=2, never_share=0, slow_share=0, seed=41)
+        cls.fleet.__enter__()
+        cls.fleet.start_all()
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.fleet.__exit__()
+        cls.folder.cleanup()
+
+    def ctl(self, *arguments, token=None):
+        command = [str(self.fleet.binaries / "orioledrumctl"), *arguments, "--token", token or self.fleet.plan["adminToken"]]
+        found = subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
+        return found.returncode, found.stdout, found.stderr
+
+    def hosts(self):
+        return [part for host in self.fleet.hosts.values() for part in ("--host", host["admin"])]
+
+    def test_status(self):
+        """Guards against a status page that the command cannot read."""
+        code, text, _ = self.ctl("status", "--host", self.fleet.hosts["e0"]["admin"])
+        self.assertEqual(code, 0)
+        self.assertIn("e0", text)
+        code, text, _ = self.ctl("status", "--json", "--host", self.fleet.hosts["e0"]["admin"])
+        self.assertEqual(code, 0)
+        self.assertIn("e0", json.dumps(json.loads(text)))
+
+    def test_wrong_token_and_lost_host(self):
+        """Guards against failures that scripts cannot tell apart."""
+        self.assertEqual(self.ctl("status", "--host", self.fleet.hosts["e0"]["admin"], token="wrong")[0], 1)
+        self.assertEqual(self.ctl("status", "--host", "127.0.0.1:1")[0], 3)
+
+    def test_timeline_of_one_request(self):
+        """Guards against a time line that loses the events of a request or cannot be drawn."""
+        status, answer = self.fleet.search("e0", deadlineMs=2000, minCoverage=1)
+        self.assertEqual(status, 200, answer)
+        picture = self.fleet.folder / "request.svg"
+        code, text, error = self.ctl("timeline", *self.hosts(), "--request", answer["requestId"], "--svg", str(picture))
+        self.assertEqual(code, 0, error)
+        self.assertIn("searchStarted", text)
+        self.assertIn("searchFinished", text)
+        self.assertIn("<svg", picture.read_text())
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
