--- /dev/null
+++ b/tools/baseline/main.cpp
@@ -0,0 +1,156 @@
+#include "plain_fanout.h"
+
+#include <base/random_source.h>
+#include <transport/http_client.h>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <set>
+
+namespace
+{
+
+using namespace orioledrum;
+using namespace orioledrum::baseline;
+using nlohmann::json;
+namespace po = boost::program_options;
+
+constexpr int exitUsage = 2;
+constexpr int exitUnreadable = 3;
+
+/// Reads the first replica of each shard of the search service.
+std::vector<target> readTargets(const std::string &path)
+{
+    std::ifstream file(path);
+    const json description = json::parse(file);
+    std::vector<target> targets;
+    std::set<std::string> seen;
+    for (const auto &backend : description.at("backendServers")) {
+        const auto shard = backend.at("shard").get<std::string>();
+        if (backend.at("service") == "archive" && seen.insert(shard).second) {
+            targets.push_back({shard, "127.0.0.1:" + std::to_string(backend.at("port").get<int>())});
+        }
+    }
+    return targets;
+}
+
+double processorSeconds()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const auto seconds = [](const timeval &time) { return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6; };
+    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+double quantile(std::vector<double> values, double share)
+{
+    std::sort(values.begin(), values.end());
+    return values.empty() ? 0 : values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
+}
+
+struct run_options {
+    bool parallel = false;
+    int searches = 0;
+    std::chrono::milliseconds interval{0};
+    std::chrono::milliseconds deadline{0};
+};
+
+/// Starts searches at fixed times and collects their results.
+std::vector<fanout_result>
+runSearches(asio::io_context &context, http_client &client, const std::vector<target> &targets, const run_options &options)
+{
+    std::vector<fanout_result> results;
+    std::vector<std::unique_ptr<asio::steady_timer>> timers;
+    const auto prefix = random_source::fromSystem().hexId();
+    for (int index = 0; index < options.searches; ++index) {
+        timers.push_back(std::make_unique<asio::steady_timer>(context, options.interval * index));
+        timers.back()->async_wait([&, index](const std::error_code &) {
+            const auto run = std::make_shared<plain_fanout>(client, targets, options.parallel, options.deadline);
+            run->start(prefix + "-" + std::to_string(index), [&](const fanout_result &result) {
+                results.push_back(result);
+                if (results.size() == static_cast<std::size_t>(options.searches)) {
+                    context.stop();
+                }
+            });
+        });
+    }
+    context.run();
+    return results;
+}
+
+void report(const std::vector<fanout_result> &results, std::size_t shards, double seconds)
+{
+    std::vector<double> latencies;
+    double coverage = 0;
+    for (const auto &result : results) {
+        latencies.push_back(static_cast<double>(result.latency.count()) / 1000);
+        coverage += static_cast<double>(result.answered) / static_cast<double>(shards);
+    }
+    const auto count = static_cast<double>(std::max<std::size_t>(results.size(), 1));
+    std::cout << json{{"searches", results.size()},
+                      {"p50Ms", quantile(latencies, 0.5)},
+                      {"p99Ms", quantile(latencies, 0.99)},
+                      {"coverage", coverage / count},
+                      {"processorMsPerSearch", seconds * 1000 / count}}
+                     .dump()
+              << '\n';
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    po::options_description options("orioledrum-baseline: a plain fan-out to one replica of each shard");
+    auto add = options.add_options();
+    add("help", "show this text");
+    add("backends", po::value<std::string>()->required(), "file that describes the stand-ins of backend servers");
+    add("mode", po::value<std::string>()->required(), "sequential or parallel");
+    add("searches", po::value<int>()->default_value(100), "number of searches");
+    add("interval-ms", po::value<int>()->default_value(200), "time between the starts of two searches");
+    add("deadline-ms", po::value<int>()->default_value(79), "time for a whole search");
+    try {
+        po::variables_map values;
+        po::store(po::parse_command_line(argc, argv, options), values);
+        if (values.count("help") > 0) {
+            std::cout << options;
+            return 0;
+        }
+        po::notify(values);
+        const auto mode = values["mode"].as<std::string>();
+        run_options run;
+        run.parallel = mode == "parallel";
+        run.searches = values["searches"].as<int>();
+        run.interval = std::chrono::milliseconds(values["interval-ms"].as<int>());
+        run.deadline = std::chrono::milliseconds(values["deadline-ms"].as<int>());
+        if ((mode != "sequential" && mode != "parallel") || run.searches < 1 || run.interval.count() < 0 || run.deadline.count() < 1) {
+            std::cerr << "orioledrum-baseline: mode is sequential or parallel, numbers are positive\n";
+            return exitUsage;
+        }
+        const auto targets = readTargets(values["backends"].as<std::string>());
+        asio::io_context context(1);
+        const auto client = http_client::create(context, http_client_settings{});
+        if (!client) {
+            std::cerr << client.error().describe() << '\n';
+            return exitUnreadable;
+        }
+        const double before = processorSeconds();
+        const auto results = runSearches(context, **client, targets, run);
+        report(results, targets.size(), processorSeconds() - before);
+        return 0;
+    } catch (const po::error &failure) {
+        std::cerr << "orioledrum-baseline: " << failure.what() << '\n';
+        return exitUsage;
+    } catch (const std::exception &failure) {
+        std::cerr << "orioledrum-baseline: " << failure.what() << '\n';
+        return exitUnreadable;
+    }
+}
