--- /dev/null
+++ b/libs/entryhost/src/control_leases.cpp
@@ -0,0 +1,101 @@
+#include "control_plane_impl.h"
+
+#include "worker.h"
+
+#include <logging/part_logger.h>
+#include <wire/codec.h>
+
+#include <asio/post.hpp>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+/// Longest time that a call sent under fixed shares can still run: its deadline and the grace.
+constexpr std::chrono::milliseconds shareCallTime{2250};
+
+const part_logger leaseLogger("ownership");
+
+} // namespace
+
+void control_plane::impl::carryOut(lease_actions actions)
+{
+    for (auto &action : actions) {
+        std::visit(
+            overloaded_visitor{
+                [this](send_lease_batch &send) {
+                    const auto address = addressOf(send.to);
+                    if (address.empty()) {
+                        return;
+                    }
+                    peers->send(
+                        address,
+                        "/peer/lease",
+                        encode(send.batch),
+                        controlTimeout,
+                        [this, to = send.to](std::string_view frame) {
+                            if (const auto answers = decode<lease_batch_answer>(frame)) {
+                                carryOut(leases.receiveAnswers(to, *answers, monotonic_clock::now()));
+                            }
+                        },
+                        [](const peer_end &) {});
+                },
+                [this](lease_gained &gained) {
+                    leaseLogger.info("a lease was gained", {{"group", gained.group.str()}, {"isolated", gained.isolated ? "yes" : "no"}});
+                    shared.record(event_kind::leaseAcquired, gained.group.str(), gained.isolated ? "isolated" : "");
+                    shared.metrics.leaseChanged("gained");
+                    routingDirty = true;
+                    onWorkerOf(gained.group, [group = gained.group](backend_pool &pool) { pool.groupGained(group); });
+                },
+                [this](lease_lost &lost) {
+                    leaseLogger.info("a lease was lost", {{"group", lost.group.str()}, {"reason", std::string(toString(lost.reason))}});
+                    shared.record(event_kind::leaseLost, lost.group.str(), std::string(toString(lost.reason)));
+                    shared.metrics.leaseChanged("lost");
+                    routingDirty = true;
+                    onWorkerOf(lost.group, [group = lost.group](backend_pool &pool) { pool.groupLost(group, {}); });
+                },
+                [this](handover_started &handover) {
+                    shared.record(event_kind::leaseReleased, handover.group.str());
+                    shared.metrics.leaseChanged("released");
+                    routingDirty = true;
+                    onWorkerOf(handover.group, [this, group = handover.group](backend_pool &pool) {
+                        pool.groupLost(group, [this, group] {
+                            asio::post(context, [this, group] {
+                                carryOut(leases.callsFinished(group, monotonic_clock::now()));
+                                checkLeft();
+                            });
+                        });
+                    });
+                },
+                [this](host_list_wanted &wanted) {
+                    const auto address = addressOf(wanted.from);
+                    if (!address.empty()) {
+                        pullHostList(address);
+                    }
+                },
+                [this](shares_changed &change) {
+                    leaseLogger.warning(change.inUse ? "no quorum; fixed shares are in use" : "fixed shares are no longer in use");
+                    if (change.inUse) {
+                        return;
+                    }
+                    auto wait = std::make_shared<asio::steady_timer>(context, shareCallTime);
+                    wait->async_wait([this, wait](const std::error_code &failure) {
+                        if (!failure) {
+                            carryOut(leases.shareCallsFinished(monotonic_clock::now()));
+                        }
+                    });
+                },
+            },
+            action);
+    }
+}
+
+void control_plane::impl::onWorkerOf(const group_id &group, std::function<void(backend_pool &)> task)
+{
+    auto &target = *shared.workers[workerOf(group, shared.workers.size())];
+    asio::post(target.context(), [&target, task = std::move(task)] { task(target.pool()); });
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/entryhost/src/control_membership.cpp
@@ -0,0 +1,133 @@
+#include "control_plane_impl.h"
+
+#include <logging/part_logger.h>
+#include <ownership/rendezvous.h>
+#include <wire/codec.h>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds hostWatchWait{1000};
+constexpr std::chrono::milliseconds hostRetry{500};
+
+const part_logger memberLogger("membership");
+
+} // namespace
+
+void control_plane::impl::carryOut(membership_actions actions)
+{
+    for (auto &action : actions) {
+        std::visit(overloaded_visitor{
+                       [this](send_digest &send) { sendDigest(send.address, std::move(send.message)); },
+                       [this](view_changed &) { viewChanged(); },
+                       [this](host_state_changed &change) {
+                           memberLogger.info("an entry host changed its state",
+                                             {{"host", change.host.str()}, {"state", std::string(toString(change.state))}});
+                           shared.record(change.state == host_state::live ? event_kind::peerUp : event_kind::peerDown,
+                                         change.host.str(),
+                                         std::string(toString(change.state)));
+                           carryOut(leases.setPeerState(change.host, change.state, monotonic_clock::now()));
+                           routingDirty = true;
+                       },
+                       [this](host_list_behind &behind) { pullHostList(behind.address); },
+                       [](config_differs &) {
+                           // The spread machine reads the same digest and pulls what is missing.
+                       },
+                   },
+                   action);
+    }
+}
+
+void control_plane::impl::sendDigest(const std::string &address, digest message)
+{
+    const auto askedAt = monotonic_clock::now();
+    spread.fillDigest(message, askedAt);
+    peers->send(
+        address,
+        "/peer/digest",
+        encode(message),
+        controlTimeout,
+        [this, askedAt](std::string_view frame) {
+            const auto answer = decode<digest>(frame);
+            if (!answer) {
+                return;
+            }
+            const auto now = monotonic_clock::now();
+            carryOut(members.receiveAnswer(*answer, now));
+            receiveDigest(*answer, now);
+            if (answer->configRevision <= spread.status(now).revision) {
+                shared.beliefs.confirm(askedAt, now);
+            }
+        },
+        [](const peer_end &) {});
+}
+
+void control_plane::impl::receiveDigest(const digest &message, time_point now)
+{
+    leases.heardFrom(message.sender.host, now);
+    carryOut(spread.onDigest(message, now));
+}
+
+void control_plane::impl::pullHostList(const std::string &address)
+{
+    host_list_pull request{members.view()->platform.revision};
+    peers->send(
+        address,
+        "/peer/hosts",
+        encode(request),
+        controlTimeout,
+        [this](std::string_view frame) {
+            if (const auto list = decode<host_list>(frame)) {
+                carryOut(members.setHostList(*list, monotonic_clock::now()));
+            }
+        },
+        [](const peer_end &) {});
+}
+
+void control_plane::impl::readHosts()
+{
+    const auto now = monotonic_clock::now();
+    const auto revision = members.view()->platform.revision;
+    const bool wanted = revision == 0 || spread.status(now).reader;
+    if (hostsReading || !wanted || now < nextHostsRead) {
+        return;
+    }
+    hostsReading = true;
+    platform->readHosts(
+        revision, revision == 0 ? std::chrono::milliseconds(0) : hostWatchWait, [this](auto outcome, const host_list &list) {
+            const auto answeredAt = monotonic_clock::now();
+            hostsReading = false;
+            if (outcome == platform_reader::outcome::failed) {
+                nextHostsRead = answeredAt + hostRetry;
+                return;
+            }
+            leases.heardFromPlatform(answeredAt);
+            if (outcome == platform_reader::outcome::answered) {
+                nextHostsRead = answeredAt + controlTick;
+                carryOut(members.setHostList(list, answeredAt));
+            }
+        });
+}
+
+void control_plane::impl::viewChanged()
+{
+    const auto now = monotonic_clock::now();
+    const auto view = members.view();
+    carryOut(leases.setRoster(view->hosts, now));
+    spread_hosts hosts;
+    std::vector<entry_host_id> inZone;
+    for (const auto &member : view->members) {
+        if (member.state != host_state::live) {
+            continue;
+        }
+        (member.zone == shared.options.zone ? inZone : hosts.elsewhere).push_back(member.host);
+    }
+    hosts.zoneRanked = rankHosts("config-reader", std::move(inZone));
+    carryOut(spread.setHosts(std::move(hosts), now));
+    routingDirty = true;
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/entryhost/src/control_status.cpp
@@ -0,0 +1,67 @@
+#include "control_plane_impl.h"
+
+#include <nlohmann/json.hpp>
+
+namespace orioledrum
+{
+
+std::string control_plane::statusJson() const
+{
+    using nlohmann::json;
+    const auto &state = *m_impl;
+    const auto now = monotonic_clock::now();
+    const auto spread = state.spread.status(now);
+    const auto ageOf = [](const std::optional<std::chrono::milliseconds> &age) { return age ? json(age->count()) : json(nullptr); };
+    json members = json::array();
+    for (const auto &member : state.members.view()->members) {
+        members.push_back({{"host", member.host.str()},
+                           {"zone", member.zone.str()},
+                           {"address", member.address},
+                           {"state", toString(member.state)},
+                           {"self", member.self}});
+    }
+    json zones = json::object();
+    if (state.config) {
+        for (const auto &zone : state.config->availabilityZones()) {
+            zones[zone.id.str()] = zone.inService ? "in" : "out";
+        }
+    }
+    json held = json::array();
+    for (const auto &group : state.leases.held(now)) {
+        held.push_back(group.str());
+    }
+    json rejected = nullptr;
+    if (spread.rejected) {
+        json problems = json::array();
+        for (const auto &problem : spread.rejected->problems) {
+            problems.push_back(problem.describe());
+        }
+        rejected = {{"revision", spread.rejected->revision}, {"problems", std::move(problems)}};
+    }
+    const char *beliefs = state.shared.beliefs.state() == freshness_state::fresh ? "fresh"
+        : state.shared.beliefs.state() == freshness_state::stale                 ? "stale"
+                                                                                 : "isolated";
+    return json{{"host", state.shared.options.id.str()},
+                {"zone", state.shared.options.zone.str()},
+                {"incarnation", state.shared.incarnation.str()},
+                {"ready", state.shared.ready.load()},
+                {"stopping", state.shared.stopping.load()},
+                {"beliefs", beliefs},
+                {"uptimeMs", std::chrono::duration_cast<std::chrono::milliseconds>(now - state.startedAt).count()},
+                {"config",
+                 {{"revision", spread.revision},
+                  {"hash", std::to_string(spread.hash)},
+                  {"reader", spread.reader},
+                  {"confirmationAgeMs", ageOf(spread.confirmationAge)},
+                  {"serviceAgeMs", ageOf(spread.serviceAge)},
+                  {"serviceCalls", spread.serviceCalls},
+                  {"rejected", std::move(rejected)},
+                  {"lastProblem", spread.lastProblem ? json(spread.lastProblem->text) : json(nullptr)}}},
+                {"hostListRevision", state.members.view()->platform.revision},
+                {"availabilityZones", std::move(zones)},
+                {"entryHosts", std::move(members)},
+                {"leasesHeld", std::move(held)}}
+        .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace orioledrum
--- a/libs/entryhost/src/platform_reader.cpp
+++ b/libs/entryhost/src/platform_reader.cpp
@@ -34,56 +34,45 @@
     return services[index % services.size()] + path + "?after=" + std::to_string(after) + "&waitMs=" + std::to_string(wait.count());
 }
 
-void platform_reader::readConfig(revision_number after, std::chrono::milliseconds wait, config_callback done)
+template<typename Answer>
+void platform_reader::read(std::string url,
+                           std::chrono::milliseconds wait,
+                           std::size_t &index,
+                           expected<Answer> (*parse)(const std::string &, const std::string &),
+                           std::function<void(outcome, Answer)> done)
 {
     http_call call;
-    call.url = url(m_configServices, m_configIndex, "/v1/config", after, wait);
+    call.url = url;
     call.timeout = wait + answerTime;
-    const auto peer = call.url;
-    m_client.send(std::move(call), [this, peer, done = std::move(done)](const http_client::result &result) {
+    m_client.send(std::move(call), [peer = std::move(url), &index, parse, done = std::move(done)](const http_client::result &result) {
         if (result && result->status == 304) {
-            done(outcome::unchanged, 0, {});
+            done(outcome::unchanged, {});
             return;
         }
         if (result && result->status == 200) {
-            if (auto answer = parseConfigAnswer(result->body, peer)) {
-                done(outcome::answered, answer->revision, std::move(answer->files));
+            auto answer = parse(result->body, peer);
+            if (answer) {
+                done(outcome::answered, std::move(*answer));
                 return;
-            } else {
-                logger.warning("the configuration service sent a malformed answer", {{"error", answer.error().describe()}});
             }
+            logger.warning("a platform service sent a malformed answer", {{"error", answer.error().describe()}});
         } else {
-            logger.debug("the configuration service did not answer", {{"service", peer}});
+            logger.debug("a platform service did not answer", {{"service", peer}});
         }
-        ++m_configIndex;
-        done(outcome::failed, 0, {});
+        ++index;
+        done(outcome::failed, {});
     });
 }
 
+void platform_reader::readConfig(revision_number after, std::chrono::milliseconds wait, config_callback done)
+{
+    read<config_answer>(
+        url(m_configServices, m_configIndex, "/v1/config", after, wait), wait, m_configIndex, &parseConfigAnswer, std::move(done));
+}
+
 void platform_reader::readHosts(revision_number after, std::chrono::milliseconds wait, hosts_callback done)
 {
-    http_call call;
-    call.url = url(m_hostServices, m_hostIndex, "/v1/hosts", after, wait);
-    call.timeout = wait + answerTime;
-    const auto peer = call.url;
-    m_client.send(std::move(call), [this, peer, done = std::move(done)](const http_client::result &result) {
-        if (result && result->status == 304) {
-            done(outcome::unchanged, {});
-            return;
-        }
-        if (result && result->status == 200) {
-            if (auto list = parseHostList(result->body, peer)) {
-                done(outcome::answered, *list);
-                return;
-            } else {
-                logger.warning("the host list service sent a malformed answer", {{"error", list.error().describe()}});
-            }
-        } else {
-            logger.debug("the host list service did not answer", {{"service", peer}});
-        }
-        ++m_hostIndex;
-        done(outcome::failed, {});
-    });
+    read<host_list>(url(m_hostServices, m_hostIndex, "/v1/hosts", after, wait), wait, m_hostIndex, &parseHostList, std::move(done));
 }
 
 } // namespace orioledrum
--- a/libs/entryhost/src/platform_reader.h
+++ b/libs/entryhost/src/platform_reader.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include <config/config_files.h>
-#include <wire/control_messages.h>
+#include "platform_messages.h"
+
+#include <base/error.h>
 
 #include <chrono>
 #include <functional>
@@ -20,8 +21,8 @@
 public:
     /// Result of a read.
     enum class outcome { answered, unchanged, failed };
-    using config_callback = std::function<void(outcome, revision_number, config_files)>;
-    using hosts_callback = std::function<void(outcome, const host_list &)>;
+    using config_callback = std::function<void(outcome, config_answer)>;
+    using hosts_callback = std::function<void(outcome, host_list)>;
 
     platform_reader(http_client &client, std::vector<std::string> configServices, std::vector<std::string> hostServices);
 
@@ -31,6 +32,12 @@
     void readHosts(revision_number after, std::chrono::milliseconds wait, hosts_callback done);
 
 private:
+    template<typename Answer>
+    void read(std::string url,
+              std::chrono::milliseconds wait,
+              std::size_t &index,
+              expected<Answer> (*parse)(const std::string &, const std::string &),
+              std::function<void(outcome, Answer)> done);
     static std::string url(const std::vector<std::string> &services,
                            std::size_t &index,
                            const char *path,
