--- a/tools/history/tests/test_history.cpp
+++ b/tools/history/tests/test_history.cpp
@@ -177,7 +177,9 @@
         R"({"host":"e0","events":[{"sequence":1,"wallTimeUs":5,"kind":"peerUp"},{"sequence":1,"wallTimeUs":6,"kind":"peerUp"}]})",
     };
     for (const auto &text : bad) {
-        const auto problem = readError(call + "\n" + text + "\n");
+        std::string input = call;
+        input.append("\n").append(text).append("\n");
+        const auto problem = readError(input);
         EXPECT_TRUE(problem.starts_with("in:2: ")) << text << " gives: " << problem;
     }
 }
