--- a/libs/base/include/base/error_code.h
+++ b/libs/base/include/base/error_code.h
@@ -24,6 +24,7 @@
     cancelled,
     unauthorized,
     conflict,
+    historyLost,
     internal,
 };
 
--- a/libs/base/src/error.cpp
+++ b/libs/base/src/error.cpp
@@ -40,6 +40,8 @@
         return "unauthorized";
     case error_code::conflict:
         return "conflict";
+    case error_code::historyLost:
+        return "historyLost";
     case error_code::internal:
         return "internal";
     }
--- /dev/null
+++ b/libs/config/src/route_table.cpp
@@ -0,0 +1,92 @@
+#include <config/route_table.h>
+
+#include <utility>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+tl::unexpected<error> routeError(const route &route, std::string message)
+{
+    return makeError(error_code::invalidArgument, "check routes", "route '" + route.name + "': " + std::move(message));
+}
+
+expected<void> checkRoute(const route &route)
+{
+    if (route.host.empty()) {
+        return routeError(route, "the host is empty");
+    }
+    if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/') {
+        return routeError(route, "the prefix '" + route.prefix + "' does not begin and end with a slash");
+    }
+    if (route.services.empty() == route.shards.empty()) {
+        return routeError(route, "exactly one of services and shards must be given");
+    }
+    for (const auto &part : route.services) {
+        if (!(part.weight >= 0)) {
+            return routeError(route, "the weight of service '" + part.service.str() + "' is negative");
+        }
+    }
+    if (route.timeout.count() <= 0) {
+        return routeError(route, "the timeout is not positive");
+    }
+    if (route.maxAttempts == 0) {
+        return routeError(route, "no attempt is allowed");
+    }
+    if (route.isSearch() && !(route.minCoverage >= 0 && route.minCoverage <= 1)) {
+        return routeError(route, "the least coverage is not between 0 and 1");
+    }
+    return {};
+}
+
+} // namespace
+
+expected<std::shared_ptr<const route_table>>
+route_table::create(std::uint64_t version, std::vector<route> routes, std::vector<route_service> services, caller_limits limits)
+{
+    auto table = std::shared_ptr<route_table>(new route_table());
+    table->m_version = version;
+    table->m_routes = std::move(routes);
+    table->m_limits = limits;
+    for (std::size_t i = 0; i < table->m_routes.size(); ++i) {
+        const auto &route = table->m_routes[i];
+        if (auto checked = checkRoute(route); !checked) {
+            return tl::unexpected(checked.error());
+        }
+        if (!table->m_byHost[route.host].emplace(route.prefix, i).second) {
+            return routeError(route, "host and prefix are those of another route");
+        }
+    }
+    for (auto &service : services) {
+        auto id = service.id;
+        table->m_services.emplace(std::move(id), std::move(service));
+    }
+    return table;
+}
+
+const route *route_table::find(std::string_view host, std::string_view path) const
+{
+    const auto prefixes = m_byHost.find(host);
+    if (prefixes == m_byHost.end()) {
+        return nullptr;
+    }
+    for (auto end = path.rfind('/'); end != std::string_view::npos; end = path.rfind('/', end - 1)) {
+        if (const auto found = prefixes->second.find(path.substr(0, end + 1)); found != prefixes->second.end()) {
+            return &m_routes[found->second];
+        }
+        if (end == 0) {
+            break;
+        }
+    }
+    return nullptr;
+}
+
+const route_service &route_table::service(const service_id &id) const
+{
+    const auto found = m_services.find(id);
+    return found == m_services.end() ? m_defaultService : found->second;
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/gateway/src/backend_caller.cpp
@@ -0,0 +1,106 @@
+#include <backend_caller.h>
+
+#include <gateway/message_codec.h>
+#include <gateway_metrics.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+/// Time after a call's deadline until it is broken off: the way of an answer that was given in time.
+constexpr std::chrono::milliseconds answerWay{30};
+
+} // namespace
+
+/// What is remembered about an open call.
+struct backend_caller::pending {
+    std::uint64_t attempt = 0;
+    replica_board::replica_ptr server;
+    std::shared_ptr<const call_template> request;
+    std::chrono::microseconds usual{0};
+    time_point sentAt;
+};
+
+backend_caller::backend_caller(http_client &client, const message_codec &codec, gateway_metrics &metrics)
+    : m_client(client)
+    , m_codec(codec)
+    , m_metrics(metrics)
+{
+}
+
+http_call_handle backend_caller::send(const send_call &call, std::shared_ptr<const call_template> request, callback done)
+{
+    const auto now = monotonic_clock::now();
+    const auto timeLeft =
+        std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now));
+    http_call message;
+    message.method = request->method;
+    message.url = "http://" + call.server->entry().address + "/";
+    message.target = request->target;
+    message.headers = m_codec.callHeaders(call.server->entry().id, timeLeft);
+    message.headers.insert(message.headers.end(), request->headers.begin(), request->headers.end());
+    message.body = request->body;
+    message.defaultContentType = false;
+    message.timeout = timeLeft + answerWay;
+    message.freshConnection = request->atMostOnce;
+    message.sendOnce = request->atMostOnce;
+    m_metrics.callSent();
+    pending open{call.attempt, call.server, std::move(request), call.usual, now};
+    return m_client.send(std::move(message), [this, open = std::move(open), done = std::move(done)](http_client::result result) {
+        ended(open, std::move(result), done);
+    });
+}
+
+void backend_caller::cancel(http_call_handle handle)
+{
+    m_client.cancel(handle);
+}
+
+void backend_caller::ended(const pending &call, http_client::result &&result, const callback &done)
+{
+    const auto now = monotonic_clock::now();
+    call_outcome outcome;
+    outcome.latency = std::chrono::duration_cast<std::chrono::microseconds>(now - call.sentAt);
+    http_reply reply;
+    bool closeIdle = false;
+    if (result) {
+        reply = std::move(*result);
+        auto fields = m_codec.decodeReply(reply, call.request->requestId);
+        outcome.end = fields.end;
+        outcome.proof = std::move(fields.proof);
+        closeIdle = fields.otherRequest;
+        if (!fields.otherRequest) {
+            if (fields.load) {
+                call.server->reported(*fields.load, now);
+            }
+            if (fields.coldFor) {
+                call.server->setCold(*fields.coldFor, now);
+            }
+        }
+        if (outcome.end == attempt_end::served) {
+            call.request->profile->record(outcome.latency);
+        }
+    } else if (!result.error().mayHaveBeenSent) {
+        outcome.end = result.error().failure.code == error_code::cancelled ? attempt_end::abandoned : attempt_end::unreachable;
+    } else if (result.error().failure.code == error_code::cancelled) {
+        outcome.end = attempt_end::abandoned;
+    } else if (result.error().failure.code == error_code::deadlineExceeded) {
+        outcome.end = attempt_end::timedOut;
+        closeIdle = true; // Other connections on the same path may have gone silent as well.
+    } else {
+        outcome.end = attempt_end::broken;
+    }
+    if (closeIdle) {
+        m_client.closeIdleConnections(call.server->entry().address);
+    }
+    call.server->ended(call.attempt, outcome.end, outcome.latency, call.usual, now);
+    m_metrics.callEnded(outcome.end, outcome.latency);
+    done(std::move(outcome), std::move(reply));
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/gateway/src/gateway.cpp
@@ -0,0 +1,155 @@
+#include <gateway/gateway.h>
+
+#include <caller_front.h>
+#include <gateway_state.h>
+#include <host_link.h>
+#include <publication_reader.h>
+#include <status_pages.h>
+#include <transport/http_server.h>
+
+#include <asio/io_context.hpp>
+
+#include <utility>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+/// Time after the stop signal until the load balancer sends no new connections: two missed questions a second apart.
+constexpr std::chrono::milliseconds balancerNotices{2300};
+/// Time for which connections without a request are kept open after that.
+constexpr std::chrono::milliseconds idleGrace{100};
+constexpr std::chrono::milliseconds stopPoll{50};
+/// Time before the kill at which the process ends at the latest.
+constexpr std::chrono::milliseconds stopMargin{500};
+
+} // namespace
+
+class gateway::impl
+{
+public:
+    impl(asio::io_context &context,
+         const gateway_settings &settings,
+         const message_codec &codec,
+         change_source &source,
+         http_client &client)
+        : m_state(context, settings, codec, client)
+        , m_front(m_state)
+        , m_status(m_state)
+        , m_link(m_state, client, settings.seeds)
+        , m_reader(m_state, source)
+        , m_stopTimer(context)
+    {
+    }
+
+    expected<void> start()
+    {
+        auto &settings = m_state.settings;
+        const auto connections = settings.maxDescriptors / 3;
+        for (const auto &[address, handler, server] :
+             {std::tuple{&settings.callers, static_cast<http_handler *>(&m_front), &m_callers},
+              std::tuple{&settings.readiness, static_cast<http_handler *>(&m_status), &m_readiness},
+              std::tuple{&settings.hosts, static_cast<http_handler *>(&m_link), &m_hosts},
+              std::tuple{&settings.metrics, static_cast<http_handler *>(&m_status), &m_metrics}}) {
+            http_server_settings options;
+            options.address = address->address;
+            options.port = address->port;
+            options.maxConnections = connections;
+            auto made = http_server::createOn(m_state.context, options, *handler);
+            if (!made) {
+                return tl::unexpected(made.error());
+            }
+            *server = std::move(*made);
+        }
+        m_state.log.write(
+            "main", "started", {{"zone", settings.zone.str()}, {"callers", settings.callers.text()}, {"platform", settings.platform}});
+        m_link.start();
+        m_reader.start();
+        return {};
+    }
+
+    void reload(const gateway_settings &settings)
+    {
+        m_state.log.write("main", "reloaded", {{"seeds", static_cast<std::int64_t>(settings.seeds.size())}});
+        m_link.setSeeds(settings.seeds);
+    }
+
+    void stop()
+    {
+        if (std::exchange(m_state.stopping, true)) {
+            return;
+        }
+        m_stopBegan = monotonic_clock::now();
+        m_state.log.write("main", "stopping", {{"openRequests", static_cast<std::int64_t>(m_callers->openRequests())}});
+        m_link.leave();
+        m_callers->startDraining();
+        pollStop();
+    }
+
+private:
+    void pollStop()
+    {
+        const auto elapsed = monotonic_clock::now() - m_stopBegan;
+        if (elapsed >= balancerNotices) {
+            m_callers->closeIdleConnections(idleGrace);
+        }
+        const bool finished = elapsed >= balancerNotices + idleGrace && m_callers->openRequests() == 0;
+        if (finished || elapsed >= m_state.settings.stopTime - stopMargin) {
+            m_state.log.write("main", "stopped", {{"openRequests", static_cast<std::int64_t>(m_callers->openRequests())}});
+            m_state.context.stop();
+            return;
+        }
+        m_stopTimer.expires_after(stopPoll);
+        m_stopTimer.async_wait([this](const asio::error_code &code) {
+            if (!code) {
+                pollStop();
+            }
+        });
+    }
+
+    gateway_state m_state;
+    caller_front m_front;
+    status_pages m_status;
+    host_link m_link;
+    publication_reader m_reader;
+    std::unique_ptr<http_server> m_callers;
+    std::unique_ptr<http_server> m_readiness;
+    std::unique_ptr<http_server> m_hosts;
+    std::unique_ptr<http_server> m_metrics;
+    asio::steady_timer m_stopTimer;
+    time_point m_stopBegan;
+};
+
+expected<std::unique_ptr<gateway>> gateway::create(asio::io_context &context,
+                                                   const gateway_settings &settings,
+                                                   const message_codec &codec,
+                                                   change_source &source,
+                                                   http_client &client)
+{
+    auto implementation = std::make_unique<impl>(context, settings, codec, source, client);
+    if (auto started = implementation->start(); !started) {
+        return tl::unexpected(started.error());
+    }
+    return std::unique_ptr<gateway>(new gateway(std::move(implementation)));
+}
+
+gateway::gateway(std::unique_ptr<impl> implementation)
+    : m_impl(std::move(implementation))
+{
+}
+
+gateway::~gateway() = default;
+
+void gateway::reload(const gateway_settings &settings)
+{
+    m_impl->reload(settings);
+}
+
+void gateway::stop()
+{
+    m_impl->stop();
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -0,0 +1,170 @@
+#include <gateway_metrics.h>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <sstream>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+/// Upper bounds in seconds: the targets of searches lie between 0.05 and 0.6 s, their deadlines up to 10 s.
+const prometheus::Histogram::BucketBoundaries requestBuckets{0.01, 0.02, 0.04, 0.06, 0.08, 0.12, 0.15, 0.3, 0.6, 1.2, 2.5, 10};
+const prometheus::Histogram::BucketBoundaries callBuckets{0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.3, 0.6, 1.2, 2.5};
+
+constexpr std::array allEnds{attempt_end::served,
+                             attempt_end::shed,
+                             attempt_end::misdirected,
+                             attempt_end::failed,
+                             attempt_end::broken,
+                             attempt_end::unreachable,
+                             attempt_end::timedOut,
+                             attempt_end::abandoned};
+
+double seconds(std::chrono::microseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+prometheus::Counter *makeCounter(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return &prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
+prometheus::Gauge *makeGauge(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+std::string_view toString(attempt_end end)
+{
+    switch (end) {
+    case attempt_end::served:
+        return "served";
+    case attempt_end::shed:
+        return "shed";
+    case attempt_end::misdirected:
+        return "misdirected";
+    case attempt_end::failed:
+        return "failed";
+    case attempt_end::broken:
+        return "broken";
+    case attempt_end::unreachable:
+        return "unreachable";
+    case attempt_end::timedOut:
+        return "timedOut";
+    case attempt_end::abandoned:
+        return "abandoned";
+    }
+    return "broken";
+}
+
+gateway_metrics::gateway_metrics()
+    : m_registry(std::make_unique<prometheus::Registry>())
+{
+    auto &registry = *m_registry;
+    m_requests = &prometheus::BuildCounter().Name("orioledrum_requests_total").Help("Requests by route and outcome").Register(registry);
+    m_requestTimes = &prometheus::BuildHistogram()
+                          .Name("orioledrum_request_seconds")
+                          .Help("Time from a request to its answer, by route")
+                          .Register(registry);
+    m_calls = makeCounter(registry, "orioledrum_backend_calls_total", "Calls sent to backend servers");
+    auto &ends =
+        prometheus::BuildCounter().Name("orioledrum_backend_call_ends_total").Help("Ended calls by how they ended").Register(registry);
+    for (const auto end : allEnds) {
+        m_callEnds[end] = &ends.Add({{"end", std::string(toString(end))}});
+    }
+    m_callTimes = &prometheus::BuildHistogram()
+                       .Name("orioledrum_backend_call_seconds")
+                       .Help("Time of calls that were answered")
+                       .Register(registry)
+                       .Add({}, callBuckets);
+    m_hedges = makeCounter(registry, "orioledrum_hedges_total", "Further backend servers asked because the first was slow");
+    m_retries = makeCounter(registry, "orioledrum_retries_total", "Calls repeated after a failure");
+    m_configVersion = makeGauge(registry, "orioledrum_config_version", "Version of the routes in force, 0 before the first");
+    m_backendServers = makeGauge(registry, "orioledrum_backend_servers", "Backend servers with an entry");
+    m_hosts = makeGauge(registry, "orioledrum_hosts", "Entry hosts that share limits, this one included");
+    m_ready = makeGauge(registry, "orioledrum_ready", "1 while this host reports itself ready");
+    m_platformFailures = makeCounter(registry, "orioledrum_platform_read_failures_total", "Failed reads of the platform's service");
+    m_unreadable = makeCounter(registry, "orioledrum_unreadable_changes_total", "Published items that could not be read");
+    m_omittedLines = makeGauge(registry, "orioledrum_log_lines_omitted", "Log lines of requests left out since the start");
+}
+
+gateway_metrics::~gateway_metrics() = default;
+
+void gateway_metrics::callSent()
+{
+    m_calls->Increment();
+}
+
+void gateway_metrics::callEnded(attempt_end end, std::chrono::microseconds latency)
+{
+    m_callEnds[end]->Increment();
+    if (end == attempt_end::served) {
+        m_callTimes->Observe(seconds(latency));
+    }
+}
+
+void gateway_metrics::requestEnded(const std::string &route, std::string_view outcome, std::chrono::microseconds latency)
+{
+    m_requests->Add({{"route", route}, {"outcome", std::string(outcome)}}).Increment();
+    m_requestTimes->Add({{"route", route}}, requestBuckets).Observe(seconds(latency));
+}
+
+void gateway_metrics::extraCalls(std::uint32_t hedges, std::uint32_t retries)
+{
+    m_hedges->Increment(hedges);
+    m_retries->Increment(retries);
+}
+
+void gateway_metrics::setConfigVersion(std::uint64_t version)
+{
+    m_configVersion->Set(static_cast<double>(version));
+}
+
+void gateway_metrics::setBackendServers(std::size_t count)
+{
+    m_backendServers->Set(static_cast<double>(count));
+}
+
+void gateway_metrics::setHosts(std::size_t count)
+{
+    m_hosts->Set(static_cast<double>(count));
+}
+
+void gateway_metrics::setReady(bool ready)
+{
+    m_ready->Set(ready ? 1 : 0);
+}
+
+void gateway_metrics::platformReadFailed()
+{
+    m_platformFailures->Increment();
+}
+
+void gateway_metrics::unreadableChange()
+{
+    m_unreadable->Increment();
+}
+
+void gateway_metrics::setOmittedLines(std::uint64_t lines)
+{
+    m_omittedLines->Set(static_cast<double>(lines));
+}
+
+std::string gateway_metrics::text() const
+{
+    std::ostringstream stream;
+    prometheus::TextSerializer().Serialize(stream, m_registry->Collect());
+    return stream.str();
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/gateway/src/gateway_metrics.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <search/replica.h>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace prometheus
+{
+class Counter;
+class Gauge;
+class Histogram;
+class Registry;
+template<typename T>
+class Family;
+} // namespace prometheus
+
+namespace orioledrum
+{
+
+/// Counters and histograms of one gateway; docs/OPERATIONS.md gives name, unit and meaning of each.
+class gateway_metrics
+{
+public:
+    gateway_metrics();
+    ~gateway_metrics();
+    gateway_metrics(const gateway_metrics &) = delete;
+    gateway_metrics &operator=(const gateway_metrics &) = delete;
+
+    void callSent();
+    void callEnded(attempt_end end, std::chrono::microseconds latency);
+    /// @param route Name of the route, or "none".
+    /// @param outcome How the request ended.
+    void requestEnded(const std::string &route, std::string_view outcome, std::chrono::microseconds latency);
+    void extraCalls(std::uint32_t hedges, std::uint32_t retries);
+    void setConfigVersion(std::uint64_t version);
+    void setBackendServers(std::size_t count);
+    void setHosts(std::size_t count);
+    void setReady(bool ready);
+    void platformReadFailed();
+    void unreadableChange();
+    void setOmittedLines(std::uint64_t lines);
+
+    /// @return All values in the text format of Prometheus.
+    [[nodiscard]] std::string text() const;
+
+private:
+    std::unique_ptr<prometheus::Registry> m_registry;
+    prometheus::Family<prometheus::Counter> *m_requests;
+    prometheus::Family<prometheus::Histogram> *m_requestTimes;
+    prometheus::Counter *m_calls;
+    std::map<attempt_end, prometheus::Counter *> m_callEnds;
+    prometheus::Histogram *m_callTimes;
+    prometheus::Counter *m_hedges;
+    prometheus::Counter *m_retries;
+    prometheus::Gauge *m_configVersion;
+    prometheus::Gauge *m_backendServers;
+    prometheus::Gauge *m_hosts;
+    prometheus::Gauge *m_ready;
+    prometheus::Counter *m_platformFailures;
+    prometheus::Counter *m_unreadable;
+    prometheus::Gauge *m_omittedLines;
+};
+
+/// @return The camelCase name of an end.
+std::string_view toString(attempt_end end);
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/gateway/src/gateway_state.cpp
@@ -0,0 +1,35 @@
+#include <gateway_state.h>
+
+#include <utility>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+/// Part of the target latency that is taken as the usual time of a call before there are samples.
+constexpr int initialShare = 8;
+
+} // namespace
+
+gateway_state::gateway_state(asio::io_context &loop, gateway_settings configured, const message_codec &translator, http_client &client)
+    : context(loop)
+    , settings(std::move(configured))
+    , codec(translator)
+    , log(settings.host.str())
+    , board({settings.zone, settings.extraCalls, settings.coldFactor, settings.coldSlack}, random_source::fromSystem())
+    , caller(client, translator, metrics)
+{
+}
+
+const std::shared_ptr<latency_profile> &gateway_state::profile(const route &route)
+{
+    auto &known = m_profiles[route.host + route.prefix];
+    if (!known) {
+        known = std::make_shared<latency_profile>(std::chrono::microseconds(route.targetLatency) / initialShare);
+    }
+    return known;
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/gateway/src/host_link.cpp
@@ -0,0 +1,129 @@
+#include <host_link.h>
+
+#include <gateway_state.h>
+#include <transport/http_exchange.h>
+#include <wire/codec.h>
+
+#include <utility>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds tickInterval{250};
+/// Time for one exchange of heartbeats; hosts are some milliseconds apart.
+constexpr std::chrono::milliseconds digestTimeout{700};
+constexpr const char *digestPath = "/hosts/digest";
+
+membership_settings makeSettings(const gateway_settings &settings, std::vector<std::string> seeds)
+{
+    membership_settings made;
+    made.self = settings.host;
+    made.zone = settings.zone;
+    made.address = settings.hosts.text();
+    made.incarnation = incarnation_id(random_source::fromSystem().hexId());
+    made.seeds = std::move(seeds);
+    return made;
+}
+
+} // namespace
+
+host_link::host_link(gateway_state &state, http_client &client, std::vector<std::string> seeds)
+    : m_state(state)
+    , m_client(client)
+    , m_membership(makeSettings(state.settings, std::move(seeds)), random_source::fromSystem(), monotonic_clock::now())
+    , m_timer(state.context)
+    , m_started(monotonic_clock::now())
+{
+    countHosts();
+}
+
+void host_link::start()
+{
+    tick();
+}
+
+void host_link::setSeeds(std::vector<std::string> seeds)
+{
+    m_membership.setSeeds(std::move(seeds));
+}
+
+void host_link::leave()
+{
+    apply(m_membership.leave(monotonic_clock::now()));
+}
+
+void host_link::tick()
+{
+    apply(m_membership.tick(monotonic_clock::now()));
+    countHosts();
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const asio::error_code &code) {
+        if (!code) {
+            tick();
+        }
+    });
+}
+
+void host_link::countHosts()
+{
+    const auto now = monotonic_clock::now();
+    auto hosts = static_cast<std::uint32_t>(m_membership.view()->members.size());
+    if (hosts == 1 || now - m_started < settleTime) {
+        hosts = std::max(hosts, assumedHosts);
+    }
+    if (hosts != std::exchange(m_hosts, hosts)) {
+        m_state.board.setHosts(hosts);
+        m_state.log.write("hosts", "sharingHosts", {{"hosts", std::int64_t{hosts}}});
+    }
+}
+
+void host_link::apply(const membership_actions &actions)
+{
+    for (const auto &action : actions) {
+        if (const auto *digestToSend = std::get_if<send_digest>(&action)) {
+            send(*digestToSend);
+        } else if (const auto *changed = std::get_if<host_state_changed>(&action)) {
+            m_state.log.write("hosts", "hostState", {{"peer", changed->host.str()}, {"state", std::string(toString(changed->state))}});
+        }
+    }
+}
+
+void host_link::send(const send_digest &action)
+{
+    http_call call;
+    call.method = "POST";
+    call.url = "http://" + action.address + digestPath;
+    call.headers = {{"Content-Type", "application/msgpack"}};
+    call.body = encode(action.message);
+    call.timeout = digestTimeout;
+    m_client.send(std::move(call), [this](http_client::result result) {
+        if (!result || result->status != 200) {
+            return; // The state of a host that cannot be reached changes by itself when its heartbeats stay away.
+        }
+        const auto answer = decode<digest>(result->body);
+        if (!answer) {
+            m_state.log.write("hosts", "unreadableDigest", {{"error", answer.error().describe()}});
+            return;
+        }
+        apply(m_membership.receiveAnswer(*answer, monotonic_clock::now()));
+    });
+}
+
+void host_link::handle(http_request request, std::shared_ptr<http_exchange> exchange)
+{
+    const auto message = request.path == digestPath ? decode<digest>(request.body)
+                                                    : expected<digest>(makeError(error_code::malformed, "read digest", "unknown path"));
+    if (!message) {
+        exchange->respond(errorResponse(400, message.error()));
+        return;
+    }
+    membership_actions actions;
+    const auto answer = m_membership.receive(*message, monotonic_clock::now(), actions);
+    exchange->respond({200, "application/msgpack", {}, encode(answer)});
+    apply(actions);
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/gateway/src/search_request.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <caller_request.h>
+
+#include <search/gather_run.h>
+
+namespace orioledrum
+{
+
+/// A search over all shards of a route.
+class search_request final : public caller_request
+{
+public:
+    search_request(gateway_state &state, arrival arrival);
+
+protected:
+    void startRun(time_point now) override;
+    void callEnded(std::uint64_t attempt, call_outcome &&outcome, http_reply &&reply, time_point now) override;
+    void wakeupRun(time_point now) override;
+    [[nodiscard]] time_point nextWakeup() const override;
+    [[nodiscard]] bool runFinished() const override;
+    std::vector<send_call> takeCalls() override;
+    void answer(time_point now) override;
+
+private:
+    gather_run m_run;
+};
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/gateway/src/status_pages.cpp
@@ -0,0 +1,48 @@
+#include <status_pages.h>
+
+#include <gateway_state.h>
+#include <transport/http_exchange.h>
+
+#include <utility>
+
+namespace orioledrum
+{
+
+status_pages::status_pages(gateway_state &state)
+    : m_state(state)
+{
+}
+
+bool status_pages::ready() const
+{
+    return m_state.table && m_state.board.size() > 0 && !m_state.stopping;
+}
+
+void status_pages::handle(http_request request, std::shared_ptr<http_exchange> exchange)
+{
+    if (request.path == "/metrics") {
+        http_response page;
+        page.contentType = "text/plain; version=0.0.4";
+        m_state.metrics.setBackendServers(m_state.board.size());
+        m_state.metrics.setHosts(m_state.board.hosts());
+        m_state.metrics.setReady(ready());
+        m_state.metrics.setOmittedLines(m_state.log.omitted());
+        page.body = m_state.metrics.text();
+        exchange->respond(std::move(page));
+        return;
+    }
+    const bool isReady = ready();
+    if (isReady != std::exchange(m_wasReady, isReady)) {
+        m_state.log.write("status",
+                          isReady ? "ready" : "notReady",
+                          {{"config", static_cast<std::int64_t>(m_state.table ? m_state.table->version() : 0)},
+                           {"backendServers", static_cast<std::int64_t>(m_state.board.size())}});
+    }
+    if (isReady) {
+        exchange->respond({200, "application/json", {}, R"({"ready":true})"});
+    } else {
+        exchange->respond(errorResponse(503, {error_code::notReady, "no routes or no backend servers are known", "check readiness", {}}));
+    }
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/gateway/src/status_pages.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <transport/http_handler.h>
+
+namespace orioledrum
+{
+
+struct gateway_state;
+
+/// Answers the load balancer's question whether this host takes requests, and serves the metrics.
+class status_pages final : public http_handler
+{
+public:
+    explicit status_pages(gateway_state &state);
+
+    void handle(http_request request, std::shared_ptr<http_exchange> exchange) override;
+
+    /// @return True when new connections should come here: routes and backend servers are known, and no stop has begun.
+    [[nodiscard]] bool ready() const;
+
+private:
+    gateway_state &m_state;
+    bool m_wasReady = false;
+};
+
+} // namespace orioledrum
--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -49,6 +49,8 @@
     membership_actions setHostList(const host_list &list, time_point now);
     /// Sets what the digests say about the configuration. @param revision Its revision. @param hash Its hash.
     void setConfig(revision_number revision, std::uint64_t hash);
+    /// Replaces the addresses that are contacted while no other host is known. @param seeds The addresses.
+    void setSeeds(std::vector<std::string> seeds) { m_settings.seeds = std::move(seeds); }
     /// Does what is due; to be called every 100 ms. @param now The time.
     membership_actions tick(time_point now);
     /// Takes a peer's digest. @param message The digest. @param now Time of receipt. @param actions Receives what has to be done.
--- /dev/null
+++ b/libs/search/include/search/call_outcome.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <search/replica.h>
+
+#include <chrono>
+#include <string>
+
+namespace orioledrum
+{
+
+/// How a call to a backend server ended, as seen by the request that made it.
+struct call_outcome {
+    attempt_end end = attempt_end::broken;
+    std::string proof; ///< Text by which the backend server vouches for the answer; set when served.
+    std::string body; ///< Body of the answer; set when served.
+    std::chrono::microseconds latency{0}; ///< From sending to the end.
+
+    /// @return True when the backend server surely has not run the call and will not.
+    [[nodiscard]] bool notRun() const
+    {
+        return end == attempt_end::shed || end == attempt_end::misdirected || end == attempt_end::unreachable;
+    }
+};
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/search/include/search/gather_run.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include <base/ids.h>
+#include <base/monotonic_clock.h>
+#include <search/call_outcome.h>
+#include <search/latency_profile.h>
+#include <search/replica_board.h>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace orioledrum
+{
+
+/// A search over all shards of a route.
+struct gather_input {
+    std::vector<service_id> shards;
+    std::uint32_t topRecords = 0;
+    double minCoverage = 1;
+    std::uint32_t maxAttempts = 1; ///< Most backend servers asked for one shard.
+    time_point target; ///< An answer is worth most until then.
+    time_point deadline; ///< The final answer must be given by then.
+};
+
+/// Send the search to a backend server.
+struct send_call {
+    std::uint64_t attempt = 0; ///< Unique within the run.
+    replica_board::replica_ptr server;
+    time_point deadline; ///< The answer is of no use later.
+    std::chrono::microseconds usual{0}; ///< Usual time of such a call.
+};
+
+/// How a search ended.
+enum class gather_end : std::uint8_t {
+    complete, ///< All shards answered.
+    partial, ///< Enough shards answered.
+    notStarted, ///< Too few shards have a backend server; nothing was sent.
+    tooFew, ///< Too few shards can answer any more.
+    late, ///< Too few shards answered before the deadline.
+};
+
+/// @return The camelCase name of the end.
+std::string_view toString(gather_end end);
+
+/// The result of a search.
+struct gather_result {
+    gather_end end = gather_end::late;
+    std::vector<std::string> proofs; ///< Of the shards whose records are included.
+    std::uint32_t missing = 0; ///< Shards that are left out.
+    std::string records; ///< The greatest records of the included shards, in descending order.
+    std::uint32_t hedges = 0;
+    std::uint32_t retries = 0;
+    std::chrono::microseconds slowest{0}; ///< Time of the slowest call that was used.
+    service_id worstShard; ///< A shard that is missing, if any.
+    attempt_end worstEnd = attempt_end::timedOut; ///< Why it is missing; timedOut when it was still open.
+
+    [[nodiscard]] bool succeeded() const { return end == gather_end::complete || end == gather_end::partial; }
+};
+
+/// Records have a fixed size; a shorter rest of a body is no record.
+inline constexpr std::size_t recordBytes = 16;
+
+/// The fan-out of one search to one backend server of each shard. Not thread-safe; board and profile must outlive it.
+///
+/// The owner calls start, passes in each event, carries out takeCalls and ends with result(). Calls that are open when
+/// the run finishes may go on: their outcomes are ignored here.
+///
+/// Stopping: until the target, an answer loses nothing by waiting, so it waits for all shards. At the target, and at
+/// any time after it, it answers with what is there as soon as the least coverage is met.
+class gather_run
+{
+public:
+    /// Share of calls that are answered before a hedge is considered.
+    static constexpr double hedgeQuantile = 0.93;
+    /// Factor on that quantile, so that ordinary queueing is not hedged.
+    static constexpr double hedgeFactor = 1.25;
+    /// Shortest age of a call at which it is hedged.
+    static constexpr std::chrono::milliseconds hedgeMinimum{8};
+    /// Latest age, as a part of the time from start to target.
+    static constexpr double hedgeLatest = 0.45;
+    /// Most hedges in a search, as a share of its shards.
+    static constexpr double hedgeShare = 0.4;
+
+    gather_run(gather_input input, replica_board &board, latency_profile &profile);
+
+    /// Sends the first calls, or ends with notStarted.
+    void start(time_point now);
+
+    /// A call has ended.
+    void ended(std::uint64_t attempt, call_outcome &&outcome, time_point now);
+
+    /// Applies the passing of time. Called at nextWakeup or later.
+    void wakeup(time_point now);
+
+    /// @return When wakeup has something to do; time_point::max() when finished.
+    [[nodiscard]] time_point nextWakeup() const { return m_next; }
+
+    [[nodiscard]] bool finished() const { return m_finished; }
+
+    /// @return The calls to send since the last time.
+    std::vector<send_call> takeCalls() { return std::exchange(m_calls, {}); }
+
+    /// @return The result; meaningful once finished. Moved out by the first call.
+    gather_result takeResult() { return std::move(m_result); }
+
+    /// @return Number of shards that have answered.
+    [[nodiscard]] std::size_t answered() const { return m_answered; }
+
+private:
+    struct open_attempt {
+        std::uint64_t number = 0;
+        const replica *server = nullptr;
+        time_point sentAt;
+    };
+    struct shard_state {
+        std::vector<open_attempt> open;
+        std::vector<const replica *> asked;
+        std::vector<replica_board::replica_ptr> held; // Keeps the asked backend servers alive.
+        bool done = false;
+        bool failed = false;
+        bool hedged = false;
+        std::uint32_t sends = 0;
+        attempt_end lastEnd = attempt_end::timedOut;
+        std::string proof;
+        std::string body;
+    };
+
+    bool send(std::size_t shard, bool again, bool onlyIfFree, time_point now);
+    bool retry(std::size_t shard, attempt_end end, time_point now);
+    void lost(std::size_t shard, attempt_end end, time_point now);
+    void hedge(time_point now);
+    [[nodiscard]] bool hedgeDue(const shard_state &shard, time_point now) const;
+    [[nodiscard]] bool covered() const;
+    [[nodiscard]] std::size_t required() const;
+    void settle(time_point now);
+    void finish(gather_end end);
+    void merge();
+    void plan(time_point now);
+
+    gather_input m_input;
+    replica_board &m_board;
+    latency_profile &m_profile;
+    time_point m_started;
+    std::chrono::microseconds m_hedgeAfter{0};
+    std::vector<shard_state> m_shards;
+    std::vector<std::size_t> m_shardOfAttempt;
+    std::vector<send_call> m_calls;
+    std::size_t m_answered = 0;
+    std::size_t m_failed = 0;
+    std::size_t m_hedgesLeft = 0;
+    bool m_finished = false;
+    time_point m_next = time_point::max();
+    gather_result m_result;
+};
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/search/include/search/replica_board.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <base/ids.h>
+#include <base/monotonic_clock.h>
+#include <base/random_source.h>
+#include <config/route_table.h>
+#include <limits/extra_call_budget.h>
+#include <search/replica.h>
+
+#include <chrono>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace orioledrum
+{
+
+/// Settings of a replica_board.
+struct replica_board_settings {
+    zone_id ownZone;
+    extra_call_limits extraCalls;
+    double coldFactor = 1.5; ///< Times the stated cold rate that a backend server bears.
+    double coldSlack = 5; ///< Further requests a second that a cold backend server bears.
+    std::chrono::microseconds otherZonePenalty{2000}; ///< Added to the expected time of backend servers of other zones.
+};
+
+/// All backend servers that this host may call, by service. Not thread-safe.
+///
+/// A backend server is used while it has an entry. While the source of entries was out of reach, entries may lapse although
+/// the backend server lives; such removals wait until holdRemovals() ends.
+class replica_board
+{
+public:
+    using replica_ptr = std::shared_ptr<replica>;
+
+    /// Cost of one expected failure, in time, when backend servers are compared.
+    static constexpr std::chrono::milliseconds failureCost{60};
+    /// Added to the expected time of a backend server that seems to stand still.
+    static constexpr std::chrono::milliseconds pausedCost{100};
+
+    replica_board(replica_board_settings settings, random_source random);
+
+    /// Takes one entry.
+    void put(replica_entry entry, time_point now);
+    /// The entry of a backend server is gone.
+    void remove(const backend_id &id, time_point now);
+    /// Takes the list of all entries; others are removed.
+    void replaceAll(std::vector<replica_entry> entries, time_point now);
+    /// Removals until this time take effect only then, unless the entry comes back.
+    void holdRemovals(time_point until);
+    /// Applies removals that are due. @return When to call it again, or time_point::max().
+    time_point applyRemovals(time_point now);
+
+    /// Sets the availability zones whose backend servers get nothing. Those of a zone that comes back count as cold for the
+    /// warm-up time of their service.
+    void setExcludedZones(std::set<zone_id> zones, time_point now);
+    /// Sets the routes in force, for the limits of services.
+    void setTable(std::shared_ptr<const route_table> table);
+    /// Sets the number of hosts that share limits.
+    void setHosts(std::uint32_t hosts);
+
+    /// What a choice depends on.
+    struct question {
+        const service_id *service = nullptr;
+        std::chrono::microseconds usual{0}; ///< Usual time of such a call.
+        const std::vector<const replica *> *asked = nullptr; ///< Backend servers that this request was sent to already.
+        bool again = false; ///< Choose among the asked ones; otherwise among the others.
+        bool onlyIfFree = false; ///< Only one that can start the call at once.
+    };
+
+    /// Chooses a backend server for a call. A cold one has the call counted against its rate.
+    /// @return The backend server, or null when none may be called.
+    [[nodiscard]] replica_ptr choose(const question &question, time_point now);
+
+    /// @return True when some backend server of the service may be called.
+    [[nodiscard]] bool hasUsable(const service_id &service, time_point now) const;
+
+    /// @return The budget of extra calls to a service.
+    [[nodiscard]] extra_call_budget &budget(const service_id &service);
+
+    [[nodiscard]] std::size_t size() const { return m_byId.size(); }
+    [[nodiscard]] std::uint32_t hosts() const { return m_hosts; }
+    /// @return The backend servers of a service.
+    [[nodiscard]] std::vector<replica_ptr> replicas(const service_id &service) const;
+
+private:
+    struct service_state {
+        std::vector<replica_ptr> replicas;
+        std::unique_ptr<extra_call_budget> budget;
+    };
+
+    void drop(const backend_id &id);
+    [[nodiscard]] bool callable(const replica &candidate, time_point now) const;
+    [[nodiscard]] std::size_t callLimit(const replica &candidate) const;
+    [[nodiscard]] std::chrono::microseconds cost(const replica &candidate, std::chrono::microseconds usual, time_point now) const;
+    [[nodiscard]] bool takeCold(replica &candidate, time_point now) const;
+
+    replica_board_settings m_settings;
+    random_source m_random;
+    std::unordered_map<backend_id, replica_ptr> m_byId;
+    std::unordered_map<service_id, service_state> m_services;
+    std::unordered_map<backend_id, time_point> m_removals;
+    time_point m_holdUntil;
+    std::set<zone_id> m_excluded;
+    std::shared_ptr<const route_table> m_table;
+    std::uint32_t m_hosts = 1;
+};
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/search/src/forward_run.cpp
@@ -0,0 +1,139 @@
+#include <search/forward_run.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace orioledrum
+{
+
+std::string_view toString(forward_end end)
+{
+    switch (end) {
+    case forward_end::answered:
+        return "answered";
+    case forward_end::notRun:
+        return "notRun";
+    case forward_end::failed:
+        return "failed";
+    case forward_end::late:
+        return "late";
+    }
+    return "late";
+}
+
+forward_run::forward_run(forward_input input, replica_board &board, latency_profile &profile)
+    : m_input(std::move(input))
+    , m_board(board)
+    , m_profile(profile)
+{
+}
+
+void forward_run::start(time_point now)
+{
+    if (!send(false, false, now)) {
+        m_lastEnd = attempt_end::unreachable;
+        finish(forward_end::notRun);
+        return;
+    }
+    m_board.budget(m_input.service).firstCall();
+    if (m_input.repeat == repeat_rule::idempotent && m_input.maxAttempts > 1) {
+        const auto slow = static_cast<double>(m_profile.quantile(hedgeQuantile).count()) * hedgeFactor;
+        m_hedgeAt = now + std::chrono::microseconds(static_cast<std::int64_t>(slow));
+    }
+    plan();
+}
+
+bool forward_run::send(bool again, bool onlyIfFree, time_point now)
+{
+    const auto usual = m_profile.usual();
+    const auto server = m_board.choose({&m_input.service, usual, &m_asked, again, onlyIfFree}, now);
+    if (!server) {
+        return false;
+    }
+    const auto attempt = m_attempts++;
+    m_open.push_back(attempt);
+    if (!again) {
+        m_asked.push_back(server.get());
+        m_held.push_back(server);
+    }
+    server->sent(attempt, usual, now);
+    m_calls.push_back({attempt, server, m_input.deadline, usual});
+    return true;
+}
+
+void forward_run::ended(std::uint64_t attempt, attempt_end end, time_point now)
+{
+    if (m_finished || std::erase(m_open, attempt) == 0) {
+        return;
+    }
+    m_lastEnd = end;
+    if (end == attempt_end::served) {
+        m_answeredBy = attempt;
+        finish(forward_end::answered);
+        return;
+    }
+    const bool notRun = end == attempt_end::shed || end == attempt_end::misdirected || end == attempt_end::unreachable;
+    m_mayHaveRun = m_mayHaveRun || !notRun;
+    if (end == attempt_end::failed) {
+        m_failureKept = true;
+        m_failureOf = attempt;
+    }
+    if (!m_open.empty() || retry(end, now)) {
+        plan();
+        return;
+    }
+    if (m_failureKept) {
+        m_answeredBy = m_failureOf;
+        finish(forward_end::answered);
+    } else {
+        finish(m_mayHaveRun ? forward_end::failed : forward_end::notRun);
+    }
+}
+
+bool forward_run::retry(attempt_end end, time_point now)
+{
+    const bool allowed = m_input.repeat == repeat_rule::idempotent || !m_mayHaveRun;
+    auto &budget = m_board.budget(m_input.service);
+    if (!allowed || now >= m_input.deadline || m_attempts > m_input.maxAttempts || budget.tokens() < 1) {
+        return false;
+    }
+    const bool mayAskAgain = end == attempt_end::shed || (end == attempt_end::broken && m_input.repeat == repeat_rule::idempotent);
+    const bool sent = (m_asked.size() < m_input.maxAttempts && send(false, false, now)) || (mayAskAgain && send(true, false, now));
+    if (sent) {
+        budget.takeRetry();
+    }
+    return sent;
+}
+
+void forward_run::wakeup(time_point now)
+{
+    if (m_finished) {
+        return;
+    }
+    if (now >= m_input.deadline) {
+        finish(forward_end::late);
+        return;
+    }
+    if (now >= m_hedgeAt) {
+        m_hedgeAt = time_point::max();
+        auto &budget = m_board.budget(m_input.service);
+        if (m_open.size() == 1 && m_asked.size() < m_input.maxAttempts && budget.canHedge() && send(false, true, now)) {
+            budget.takeHedge();
+        }
+    }
+    plan();
+}
+
+void forward_run::plan()
+{
+    m_next = std::min(m_input.deadline, m_hedgeAt);
+}
+
+void forward_run::finish(forward_end end)
+{
+    m_finished = true;
+    m_end = end;
+    m_next = time_point::max();
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/search/src/gather_run.cpp
@@ -0,0 +1,277 @@
+#include <search/gather_run.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstring>
+#include <utility>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+/// Least time between two looks at the calls that may need a hedge.
+constexpr std::chrono::milliseconds hedgeInterval{4};
+/// Least time before the deadline in which a retry can still be of use.
+constexpr std::chrono::milliseconds retryTime{3};
+
+} // namespace
+
+std::string_view toString(gather_end end)
+{
+    switch (end) {
+    case gather_end::complete:
+        return "complete";
+    case gather_end::partial:
+        return "partial";
+    case gather_end::notStarted:
+        return "notStarted";
+    case gather_end::tooFew:
+        return "tooFew";
+    case gather_end::late:
+        return "late";
+    }
+    return "late";
+}
+
+gather_run::gather_run(gather_input input, replica_board &board, latency_profile &profile)
+    : m_input(std::move(input))
+    , m_board(board)
+    , m_profile(profile)
+    , m_shards(m_input.shards.size())
+{
+}
+
+void gather_run::start(time_point now)
+{
+    m_started = now;
+    const auto reachable = static_cast<std::size_t>(std::count_if(
+        m_input.shards.begin(), m_input.shards.end(), [&](const service_id &service) { return m_board.hasUsable(service, now); }));
+    if (reachable < required()) {
+        finish(gather_end::notStarted);
+        return;
+    }
+    const auto untilTarget = std::chrono::duration_cast<std::chrono::microseconds>(m_input.target - now);
+    const auto latest = std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(untilTarget.count()) * hedgeLatest));
+    const auto slow = static_cast<double>(m_profile.quantile(hedgeQuantile).count()) * hedgeFactor;
+    m_hedgeAfter = std::min(std::chrono::microseconds(static_cast<std::int64_t>(slow)), latest);
+    m_hedgeAfter = std::max<std::chrono::microseconds>(hedgeMinimum, m_hedgeAfter);
+    m_hedgesLeft = static_cast<std::size_t>(std::ceil(static_cast<double>(m_shards.size()) * hedgeShare));
+    for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
+        if (send(shard, false, false, now)) {
+            m_board.budget(m_input.shards[shard]).firstCall();
+        } else {
+            m_shards[shard].failed = true;
+            m_shards[shard].lastEnd = attempt_end::unreachable;
+            ++m_failed;
+        }
+    }
+    settle(now);
+}
+
+bool gather_run::send(std::size_t shard, bool again, bool onlyIfFree, time_point now)
+{
+    auto &state = m_shards[shard];
+    const auto usual = m_profile.usual();
+    const auto server = m_board.choose({&m_input.shards[shard], usual, &state.asked, again, onlyIfFree}, now);
+    if (!server) {
+        return false;
+    }
+    const auto attempt = m_shardOfAttempt.size();
+    m_shardOfAttempt.push_back(shard);
+    state.open.push_back({attempt, server.get(), now});
+    ++state.sends;
+    if (!again) {
+        state.asked.push_back(server.get());
+        state.held.push_back(server);
+    }
+    server->sent(attempt, usual, now);
+    m_calls.push_back({attempt, server, m_input.deadline, usual});
+    return true;
+}
+
+void gather_run::ended(std::uint64_t attempt, call_outcome &&outcome, time_point now)
+{
+    if (m_finished || attempt >= m_shardOfAttempt.size()) {
+        return;
+    }
+    const auto shard = m_shardOfAttempt[attempt];
+    auto &state = m_shards[shard];
+    std::erase_if(state.open, [attempt](const open_attempt &open) { return open.number == attempt; });
+    if (state.done) {
+        return;
+    }
+    if (outcome.end == attempt_end::served) {
+        state.done = true;
+        if (state.failed) {
+            state.failed = false;
+            --m_failed;
+        }
+        state.proof = std::move(outcome.proof);
+        state.body = std::move(outcome.body);
+        m_result.slowest = std::max(m_result.slowest, outcome.latency);
+        ++m_answered;
+    } else {
+        state.lastEnd = outcome.end;
+        lost(shard, outcome.end, now);
+    }
+    settle(now);
+}
+
+void gather_run::lost(std::size_t shard, attempt_end end, time_point now)
+{
+    auto &state = m_shards[shard];
+    if (!state.open.empty() || retry(shard, end, now)) {
+        return;
+    }
+    state.failed = true;
+    ++m_failed;
+}
+
+bool gather_run::retry(std::size_t shard, attempt_end end, time_point now)
+{
+    auto &state = m_shards[shard];
+    auto &budget = m_board.budget(m_input.shards[shard]);
+    if (now + retryTime >= m_input.deadline || state.sends > m_input.maxAttempts || budget.tokens() < 1) {
+        return false;
+    }
+    // A backend server that only shed the call, or broke its connection, may be asked again when no other is left.
+    const bool mayAskAgain = end == attempt_end::shed || end == attempt_end::broken;
+    const bool sent =
+        (state.asked.size() < m_input.maxAttempts && send(shard, false, false, now)) || (mayAskAgain && send(shard, true, false, now));
+    if (sent) {
+        budget.takeRetry();
+        ++m_result.retries;
+    }
+    return sent;
+}
+
+bool gather_run::hedgeDue(const shard_state &shard, time_point now) const
+{
+    if (shard.done || shard.failed || shard.hedged || shard.open.size() != 1 || shard.asked.size() >= m_input.maxAttempts) {
+        return false;
+    }
+    const auto &open = shard.open.front();
+    const auto age = now - open.sentAt;
+    return age >= m_hedgeAfter || (age >= hedgeMinimum && open.server->paused(now));
+}
+
+void gather_run::hedge(time_point now)
+{
+    for (std::size_t shard = 0; shard < m_shards.size() && m_hedgesLeft > 0; ++shard) {
+        if (!hedgeDue(m_shards[shard], now)) {
+            continue;
+        }
+        auto &budget = m_board.budget(m_input.shards[shard]);
+        // A hedge must not add to a queue, unless the answer could not be given without this shard.
+        const bool needed = m_answered < required();
+        if (!budget.canHedge() || !send(shard, false, !needed || now < m_input.target, now)) {
+            continue;
+        }
+        budget.takeHedge();
+        m_shards[shard].hedged = true;
+        ++m_result.hedges;
+        --m_hedgesLeft;
+    }
+}
+
+std::size_t gather_run::required() const
+{
+    // The tolerance keeps 0.89 of 100 shards at 89 in spite of rounding.
+    const auto least = static_cast<std::size_t>(std::ceil(m_input.minCoverage * static_cast<double>(m_shards.size()) - 1e-9));
+    return std::max<std::size_t>(1, least);
+}
+
+bool gather_run::covered() const
+{
+    return m_answered >= required();
+}
+
+void gather_run::wakeup(time_point now)
+{
+    if (m_finished) {
+        return;
+    }
+    hedge(now);
+    settle(now);
+}
+
+void gather_run::settle(time_point now)
+{
+    if (m_finished) {
+        return;
+    }
+    if (m_answered == m_shards.size()) {
+        finish(gather_end::complete);
+    } else if (m_answered + m_failed == m_shards.size()) {
+        finish(covered() ? gather_end::partial : gather_end::tooFew);
+    } else if (m_shards.size() - m_failed < required()) {
+        finish(gather_end::tooFew);
+    } else if (now >= m_input.target && covered()) {
+        finish(gather_end::partial);
+    } else if (now >= m_input.deadline) {
+        finish(gather_end::late);
+    } else {
+        plan(now);
+    }
+}
+
+void gather_run::plan(time_point now)
+{
+    m_next = m_input.deadline;
+    if (now < m_input.target) {
+        m_next = std::min(m_next, m_input.target);
+    }
+    if (m_hedgesLeft == 0) {
+        return;
+    }
+    for (const auto &shard : m_shards) {
+        if (!shard.done && !shard.failed && !shard.hedged && shard.open.size() == 1 && shard.asked.size() < m_input.maxAttempts) {
+            const auto due = std::max(shard.open.front().sentAt + std::min<std::chrono::microseconds>(m_hedgeAfter, replica::pausedMinimum),
+                                      now + hedgeInterval);
+            m_next = std::min(m_next, due);
+        }
+    }
+}
+
+void gather_run::finish(gather_end end)
+{
+    m_finished = true;
+    m_next = time_point::max();
+    m_result.end = end;
+    m_result.missing = static_cast<std::uint32_t>(m_shards.size() - m_answered);
+    for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
+        if (!m_shards[shard].done) {
+            m_result.worstShard = m_input.shards[shard];
+            m_result.worstEnd = m_shards[shard].failed ? m_shards[shard].lastEnd : attempt_end::timedOut;
+            break;
+        }
+    }
+    if (m_result.succeeded()) {
+        merge();
+    }
+}
+
+void gather_run::merge()
+{
+    std::vector<const char *> records;
+    for (auto &shard : m_shards) {
+        if (!shard.done) {
+            continue;
+        }
+        for (std::size_t at = 0; at + recordBytes <= shard.body.size(); at += recordBytes) {
+            records.push_back(shard.body.data() + at);
+        }
+        m_result.proofs.push_back(std::move(shard.proof));
+    }
+    const auto greater = [](const char *a, const char *b) { return std::memcmp(a, b, recordBytes) > 0; };
+    const auto wanted = std::min<std::size_t>(m_input.topRecords, records.size());
+    std::partial_sort(records.begin(), records.begin() + static_cast<std::ptrdiff_t>(wanted), records.end(), greater);
+    m_result.records.reserve(wanted * recordBytes);
+    for (std::size_t i = 0; i < wanted; ++i) {
+        m_result.records.append(records[i], recordBytes);
+    }
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/search/src/replica_board.cpp
@@ -0,0 +1,221 @@
+#include <search/replica_board.h>
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace orioledrum
+{
+
+replica_board::replica_board(replica_board_settings settings, random_source random)
+    : m_settings(std::move(settings))
+    , m_random(random)
+{
+}
+
+void replica_board::put(replica_entry entry, time_point now)
+{
+    m_removals.erase(entry.id);
+    const auto found = m_byId.find(entry.id);
+    if (found != m_byId.end()) {
+        if (found->second->entry().service == entry.service) {
+            found->second->update(std::move(entry), now);
+            return;
+        }
+        drop(found->first);
+    }
+    const auto id = entry.id;
+    auto added = std::make_shared<replica>(std::move(entry), now);
+    m_services[added->entry().service].replicas.push_back(added);
+    m_byId[id] = std::move(added);
+}
+
+void replica_board::remove(const backend_id &id, time_point now)
+{
+    if (!m_byId.contains(id)) {
+        return;
+    }
+    if (now < m_holdUntil) {
+        m_removals.emplace(id, m_holdUntil);
+        return;
+    }
+    drop(backend_id(id));
+}
+
+void replica_board::replaceAll(std::vector<replica_entry> entries, time_point now)
+{
+    std::unordered_set<backend_id> listed;
+    for (auto &entry : entries) {
+        listed.insert(entry.id);
+        put(std::move(entry), now);
+    }
+    std::vector<backend_id> gone;
+    for (const auto &[id, known] : m_byId) {
+        if (!listed.contains(id)) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto &id : gone) {
+        remove(id, now);
+    }
+}
+
+void replica_board::holdRemovals(time_point until)
+{
+    m_holdUntil = until;
+}
+
+time_point replica_board::applyRemovals(time_point now)
+{
+    auto next = time_point::max();
+    std::vector<backend_id> due;
+    for (const auto &[id, at] : m_removals) {
+        if (at <= now) {
+            due.push_back(id);
+        } else {
+            next = std::min(next, at);
+        }
+    }
+    for (const auto &id : due) {
+        m_removals.erase(id);
+        drop(id);
+    }
+    return next;
+}
+
+void replica_board::drop(const backend_id &id)
+{
+    const auto found = m_byId.find(id);
+    if (found == m_byId.end()) {
+        return;
+    }
+    auto &list = m_services[found->second->entry().service].replicas;
+    std::erase(list, found->second);
+    m_byId.erase(found);
+}
+
+void replica_board::setExcludedZones(std::set<zone_id> zones, time_point now)
+{
+    for (const auto &[id, known] : m_byId) {
+        const auto &zone = known->entry().zone;
+        if (m_excluded.contains(zone) && !zones.contains(zone) && m_table) {
+            known->setCold(m_table->service(known->entry().service).warmUp, now);
+        }
+    }
+    m_excluded = std::move(zones);
+}
+
+void replica_board::setTable(std::shared_ptr<const route_table> table)
+{
+    m_table = std::move(table);
+}
+
+void replica_board::setHosts(std::uint32_t hosts)
+{
+    m_hosts = std::max(1U, hosts);
+    for (auto &[id, state] : m_services) {
+        if (state.budget) {
+            state.budget->setHosts(m_hosts);
+        }
+    }
+}
+
+extra_call_budget &replica_board::budget(const service_id &service)
+{
+    auto &state = m_services[service];
+    if (!state.budget) {
+        state.budget = std::make_unique<extra_call_budget>(m_settings.extraCalls, m_hosts);
+    }
+    return *state.budget;
+}
+
+bool replica_board::callable(const replica &candidate, time_point now) const
+{
+    return candidate.usable(now) && !m_excluded.contains(candidate.entry().zone) && candidate.openCalls() < callLimit(candidate);
+}
+
+std::size_t replica_board::callLimit(const replica &candidate) const
+{
+    const std::uint32_t connections = m_table ? m_table->service(candidate.entry().service).maxConnections : 0;
+    return connections == 0 ? SIZE_MAX : std::max(1U, connections / m_hosts);
+}
+
+std::chrono::microseconds replica_board::cost(const replica &candidate, std::chrono::microseconds usual, time_point now) const
+{
+    auto cost = candidate.expectedTime(usual, now);
+    if (candidate.entry().zone != m_settings.ownZone) {
+        cost += m_settings.otherZonePenalty;
+    }
+    if (candidate.paused(now)) {
+        cost += pausedCost;
+    }
+    if (candidate.entry().draining) {
+        cost += std::chrono::seconds(10); // Only when no other may be called.
+    }
+    const double failures = std::min(0.95, candidate.failureShare(now));
+    cost += std::chrono::microseconds(
+        static_cast<std::int64_t>(static_cast<double>(std::chrono::microseconds(failureCost).count()) * failures / (1 - failures)));
+    return cost;
+}
+
+bool replica_board::takeCold(replica &candidate, time_point now) const
+{
+    if (!candidate.cold(now) || !m_table) {
+        return true;
+    }
+    const double rate = m_table->service(candidate.entry().service).coldRequestsPerSecond;
+    if (rate <= 0) {
+        return true;
+    }
+    return candidate.coldRate().take(rate * m_settings.coldFactor + m_settings.coldSlack, m_hosts, now);
+}
+
+replica_board::replica_ptr replica_board::choose(const question &question, time_point now)
+{
+    const auto found = m_services.find(*question.service);
+    if (found == m_services.end()) {
+        return nullptr;
+    }
+    struct candidate {
+        std::chrono::microseconds cost;
+        replica_ptr server;
+    };
+    std::vector<candidate> candidates;
+    for (const auto &server : found->second.replicas) {
+        const bool asked =
+            question.asked != nullptr && std::find(question.asked->begin(), question.asked->end(), server.get()) != question.asked->end();
+        if (asked != question.again || !callable(*server, now)) {
+            continue;
+        }
+        if (question.onlyIfFree && (server->load(now) >= server->entry().slots || server->paused(now))) {
+            continue;
+        }
+        // Up to a tenth more or less, so that hosts with the same view do not all choose the same one.
+        const auto spread = static_cast<std::int64_t>(static_cast<double>(question.usual.count()) * 0.2 * (m_random.unit() - 0.5));
+        candidates.push_back({cost(*server, question.usual, now) + std::chrono::microseconds(spread), server});
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const candidate &a, const candidate &b) { return a.cost < b.cost; });
+    for (const auto &each : candidates) {
+        if (takeCold(*each.server, now)) {
+            return each.server;
+        }
+    }
+    return nullptr;
+}
+
+bool replica_board::hasUsable(const service_id &service, time_point now) const
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end()
+        && std::any_of(found->second.replicas.begin(), found->second.replicas.end(), [&](const replica_ptr &server) {
+               return server->usable(now) && !m_excluded.contains(server->entry().zone);
+           });
+}
+
+std::vector<replica_board::replica_ptr> replica_board::replicas(const service_id &service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? std::vector<replica_ptr>{} : found->second.replicas;
+}
+
+} // namespace orioledrum
--- a/libs/transport/include/transport/http_client.h
+++ b/libs/transport/include/transport/http_client.h
@@ -24,6 +24,7 @@
 /// Settings of an http_client.
 struct http_client_settings {
     std::chrono::milliseconds connectTimeout{1000};
+    std::chrono::milliseconds unacknowledgedTimeout{5000}; ///< Sent data without an acknowledgement for so long ends a connection.
     std::size_t maxReplyBytes = std::size_t{16} * 1024 * 1024; ///< A larger reply body fails with tooLarge.
     std::size_t maxIdleConnections = 1024; ///< Connections kept for reuse, over all addresses.
     std::size_t maxConnectionsPerAddress = 0; ///< Further calls wait for a free connection; 0: no limit.
--- a/libs/transport/include/transport/http_exchange.h
+++ b/libs/transport/include/transport/http_exchange.h
@@ -2,6 +2,8 @@
 
 #include <transport/http_response.h>
 
+#include <functional>
+
 namespace orioledrum
 {
 
@@ -16,6 +18,11 @@
     /// @param response The answer.
     /// @return False when the exchange was already answered.
     virtual bool respond(http_response response) = 0;
+
+    /// Reports that the caller closed its connection before the answer. Called at most once, on the server's thread,
+    /// and not after respond(). A caller that has already sent a further request is not watched any more.
+    /// @param callback What to do; it may call respond().
+    virtual void onCallerGone(std::function<void()> callback) = 0;
 };
 
 } // namespace orioledrum
--- a/libs/transport/include/transport/http_request.h
+++ b/libs/transport/include/transport/http_request.h
@@ -12,6 +12,7 @@
     std::string method; ///< "GET", "POST", "PUT", ...
     std::string path; ///< Target up to the query, not decoded, for example "/v1/search".
     std::string query; ///< Text after '?', without it; empty when there is none.
+    std::string target; ///< Path and query as they were sent.
     http_headers headers;
     std::string body;
     std::string remote; ///< "address:port" of the client.
--- a/libs/transport/include/transport/http_server.h
+++ b/libs/transport/include/transport/http_server.h
@@ -8,6 +8,11 @@
 #include <cstdint>
 #include <memory>
 
+namespace asio
+{
+class io_context;
+}
+
 namespace orioledrum
 {
 
@@ -25,6 +30,11 @@
     /// @return The running server, or an error whose peer is the address (for example when the port is in use).
     static expected<std::unique_ptr<http_server>> create(const settings &settings, http_handler &handler);
 
+    /// Like create(), but on a context that the caller runs with one thread. All functions, including the destructor,
+    /// are then called on that thread; settings::threads is ignored and stop() has no effect.
+    /// @param context Runs the server; must outlive it and its exchanges.
+    static expected<std::unique_ptr<http_server>> createOn(asio::io_context &context, const settings &settings, http_handler &handler);
+
     /// Stops without waiting for open requests.
     ~http_server();
     http_server(const http_server &) = delete;
@@ -39,6 +49,16 @@
     /// Lets every further answer carry "Connection: close" while new connections are still accepted.
     void startDraining();
 
+    /// Stops accepting new connections; open ones go on.
+    void stopListening();
+
+    /// @return Open connections of the servers on this context.
+    [[nodiscard]] std::size_t connections() const;
+
+    /// Ends the connections of the servers on this context that have waited for a request for at least this time.
+    /// A request that has already arrived is still read and answered.
+    void closeIdleConnections(std::chrono::milliseconds idleFor);
+
     /// Stops accepting, lets open requests finish and their answers be written, then ends the threads.
     /// @param atMost Time after which the requests that are still open are cut.
     /// @return True when every request was finished in time.
--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -9,6 +9,7 @@
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -42,6 +43,7 @@
     std::size_t maxReplyBytes = 0;
     bool handedOver = false; ///< libcurl was allowed to write the request.
     bool stopped = false; ///< beforeSend returned false.
+    bool resendRefused = false; ///< libcurl wanted to write a sendOnce request again.
     bool tooLarge = false;
     std::array<char, CURL_ERROR_SIZE> message{};
 
@@ -112,6 +114,9 @@
 {
     const std::string message = ended.message[0] != '\0' ? ended.message.data() : curl_easy_strerror(code);
     error_code kind = error_code::unreachable;
+    if (ended.resendRefused) {
+        return makeFailure(error_code::unreachable, "the connection was lost after the request was written", ended.server, true);
+    }
     if (ended.stopped) {
         return makeFailure(error_code::cancelled, "the call was stopped before it was sent", ended.server, ended.handedOver);
     }
@@ -150,6 +155,10 @@
     if (running.opened) {
         running.opened->connected = true;
     }
+    if (running.handedOver && running.call.sendOnce) {
+        running.resendRefused = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
     if (running.call.beforeSend && !running.call.beforeSend()) {
         running.stopped = true;
         return CURL_PREREQFUNC_ABORT;
@@ -319,7 +328,11 @@
     CURL *takeHandle()
     {
         if (m_pool.empty()) {
-            return curl_easy_init();
+            CURL *made = curl_easy_init();
+            if (made != nullptr) {
+                configureHandle(made);
+            }
+            return made;
         }
         CURL *easy = m_pool.back();
         m_pool.pop_back();
@@ -332,15 +345,15 @@
             curl_easy_cleanup(easy);
             return;
         }
-        curl_easy_reset(easy);
+        // The pointers into the ended transfer are replaced by the next configure(); libcurl uses none of them before.
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, nullptr);
+        curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, nullptr);
         m_pool.push_back(easy);
     }
 
-    void configure(transfer &started)
+    /// Options that are the same for every call; set once for each handle, because setting them costs time.
+    void configureHandle(CURL *easy)
     {
-        CURL *easy = started.easy;
-        const auto &call = started.call;
-        curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
         curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(easy, CURLOPT_PROXY, "");
@@ -350,24 +363,32 @@
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
         curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::max(1L, static_cast<long>(m_settings.connectTimeout.count())));
-        curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, started.message.data());
-        curl_easy_setopt(easy, CURLOPT_PRIVATE, &started);
         curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &impl::onOpenSocket);
-        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &started);
         curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &impl::onCloseSocket);
         curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
-        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &started);
         curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
-        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &started);
         curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onBeforeSend);
-        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &started);
         curl_easy_setopt(easy, CURLOPT_MAXFILESIZE_LARGE, static_cast<curl_off_t>(m_settings.maxReplyBytes));
-        if (call.freshConnection) {
-            curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-            curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-        }
+    }
+
+    static void configure(transfer &started)
+    {
+        CURL *easy = started.easy;
+        const auto &call = started.call;
+        curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+        curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, call.target.empty() ? nullptr : call.target.c_str());
+        curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, started.message.data());
+        curl_easy_setopt(easy, CURLOPT_PRIVATE, &started);
+        curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &started);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &started);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &started);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &started);
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.freshConnection ? 1L : 0L);
+        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(call.maxIdle.count()));
         const bool hasBody = !call.body.empty() || call.method == "POST" || call.method == "PUT" || call.method == "PATCH";
+        curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L); // Undoes the options of an earlier call with a body or with HEAD.
         if (hasBody) {
             curl_easy_setopt(easy, CURLOPT_POST, 1L);
             curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
@@ -379,7 +400,7 @@
         if (hasBody) {
             addHeader(started, "Expect:"); // libcurl would wait up to 1 s for "100 Continue" before a large body.
             if (headerValue(call.headers, "Content-Type").empty()) {
-                addHeader(started, "Content-Type: application/json");
+                addHeader(started, call.defaultContentType ? "Content-Type: application/json" : "Content-Type:");
             }
         }
         for (const auto &header : call.headers) {
@@ -562,6 +583,9 @@
         if (descriptor < 0) {
             return CURL_SOCKET_BAD;
         }
+        // Ends a connection whose peer no longer acknowledges data, also between calls.
+        const auto userTimeout = static_cast<unsigned>(self.m_settings.unacknowledgedTimeout.count());
+        ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof(userTimeout));
         auto socket = std::make_shared<curl_socket>(self.m_context);
         asio::error_code code;
         socket->descriptor.assign(descriptor, code);
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -1,5 +1,6 @@
 #include <transport/http_server.h>
 
+#include <peer_close_watch.h>
 #include <server_socket.h>
 #include <transport/http_exchange.h>
 #include <transport/http_handler.h>
@@ -10,6 +11,7 @@
 
 #include <atomic>
 #include <future>
+#include <optional>
 #include <thread>
 
 namespace orioledrum
@@ -138,10 +140,14 @@
         return "Not Found";
     case 405:
         return "Method Not Allowed";
+    case 408:
+        return "Request Timeout";
     case 409:
         return "Conflict";
     case 413:
         return "Payload Too Large";
+    case 421:
+        return "Misdirected Request";
     case 422:
         return "Unprocessable Entity";
     case 429:
@@ -168,11 +174,18 @@
 /// The parts of a server that an open exchange needs; shared, because an exchange may outlive the server.
 struct server_core {
     explicit server_core(std::size_t threads)
-        : context(static_cast<int>(threads))
+        : owned(std::make_unique<asio::io_context>(static_cast<int>(threads)))
+        , context(*owned)
     {
     }
 
-    asio::io_context context;
+    explicit server_core(asio::io_context &shared)
+        : context(shared)
+    {
+    }
+
+    std::unique_ptr<asio::io_context> owned; ///< Empty when the caller of http_server runs the context.
+    asio::io_context &context;
     std::unique_ptr<restinio::http_server_t<server_traits>> server;
     std::shared_ptr<open_counter> open = std::make_shared<open_counter>(0);
     std::atomic<bool> draining = false;
@@ -185,6 +198,7 @@
         : m_core(std::move(core))
         , m_request(std::move(request))
         , m_token(makeOpenToken(m_core->open))
+        , m_watch(asio::use_service<socket_registry>(m_core->context).reading())
         , m_close(close)
     {
     }
@@ -208,12 +222,23 @@
             response = errorResponse(
                 500, {error_code::internal, "the answer has a header field or a status that is not valid", "answer request", {}});
         }
+        if (m_watch) {
+            m_watch->stop();
+            m_watch.reset();
+        }
         write(std::move(response));
         m_request.reset();
         m_token.reset();
         return true;
     }
 
+    void onCallerGone(std::function<void()> callback) override
+    {
+        if (m_watch && !m_answered) {
+            m_watch->start(std::move(callback));
+        }
+    }
+
 private:
     void write(http_response response)
     {
@@ -239,6 +264,7 @@
     std::shared_ptr<server_core> m_core; // Declared first: the request's connection uses the core's io_context.
     restinio::request_handle_t m_request;
     std::shared_ptr<void> m_token;
+    std::shared_ptr<peer_close_watch> m_watch;
     std::atomic<bool> m_answered = false;
     bool m_close;
 };
@@ -250,6 +276,7 @@
     request.method = header.method().c_str();
     request.path = std::string(header.path());
     request.query = std::string(header.query());
+    request.target = header.request_target();
     header.for_each_field([&](const auto &field) { request.headers.push_back({field.name(), field.value()}); });
     request.body = source.body();
     const auto &remote = source.remote_endpoint();
@@ -271,6 +298,14 @@
     {
     }
 
+    impl(asio::io_context &context, const settings &settings, http_handler &handler)
+        : m_settings(settings)
+        , m_handler(handler)
+        , m_core(std::make_shared<server_core>(context))
+    {
+        m_settings.threads = 0;
+    }
+
     impl(const impl &) = delete;
     impl &operator=(const impl &) = delete;
 
@@ -291,7 +326,7 @@
         if (code) {
             return makeError(error_code::invalidArgument, "listen", "the address is not an IP address", peer);
         }
-        if (m_settings.threads == 0) {
+        if (m_core->owned && m_settings.threads == 0) {
             return makeError(error_code::invalidArgument, "listen", "at least one thread is needed", peer);
         }
         try {
@@ -317,9 +352,25 @@
     [[nodiscard]] std::size_t openRequests() const { return *m_core->open; }
     void startDraining() { m_core->draining = true; }
 
+    void stopListening()
+    {
+        if (m_core->owned) {
+            closeAcceptor();
+            return;
+        }
+        m_core->server->close_sync();
+    }
+
+    [[nodiscard]] std::size_t connections() const { return asio::use_service<socket_registry>(m_core->context).open(); }
+
+    void closeIdleConnections(std::chrono::milliseconds idleFor)
+    {
+        asio::use_service<socket_registry>(m_core->context).shutdownIdle(idleFor);
+    }
+
     bool stop(std::chrono::milliseconds atMost)
     {
-        if (m_stopped) {
+        if (m_stopped || !m_core->owned) {
             return *m_core->open == 0;
         }
         const auto begin = std::chrono::steady_clock::now();
@@ -392,7 +443,9 @@
     {
         m_stopped = true;
         m_work.reset();
-        m_core->context.stop();
+        if (m_core->owned) {
+            m_core->context.stop();
+        }
         for (auto &thread : m_threads) {
             thread.join();
         }
@@ -402,7 +455,7 @@
     settings m_settings;
     http_handler &m_handler;
     std::shared_ptr<server_core> m_core;
-    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    std::optional<asio::executor_work_guard<asio::io_context::executor_type>> m_work; ///< Empty on a shared context.
     std::vector<std::thread> m_threads;
     std::uint16_t m_port = 0;
     bool m_stopped = false;
@@ -417,6 +470,15 @@
     return std::unique_ptr<http_server>(new http_server(std::move(implementation)));
 }
 
+expected<std::unique_ptr<http_server>> http_server::createOn(asio::io_context &context, const settings &settings, http_handler &handler)
+{
+    auto implementation = std::make_unique<impl>(context, settings, handler);
+    if (auto started = implementation->start(); !started) {
+        return tl::unexpected(started.error());
+    }
+    return std::unique_ptr<http_server>(new http_server(std::move(implementation)));
+}
+
 http_server::http_server(std::unique_ptr<impl> implementation)
     : m_impl(std::move(implementation))
 {
@@ -439,6 +501,21 @@
     m_impl->startDraining();
 }
 
+void http_server::stopListening()
+{
+    m_impl->stopListening();
+}
+
+std::size_t http_server::connections() const
+{
+    return m_impl->connections();
+}
+
+void http_server::closeIdleConnections(std::chrono::milliseconds idleFor)
+{
+    m_impl->closeIdleConnections(idleFor);
+}
+
 bool http_server::stop(std::chrono::milliseconds atMost)
 {
     return m_impl->stop(atMost);
--- /dev/null
+++ b/libs/transport/src/peer_close_watch.cpp
@@ -0,0 +1,65 @@
+#include <peer_close_watch.h>
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <utility>
+
+namespace orioledrum
+{
+
+peer_close_watch::peer_close_watch(asio::ip::tcp::socket &socket)
+    : m_socket(&socket)
+{
+}
+
+void peer_close_watch::start(std::function<void()> onClose)
+{
+    m_onClose = std::move(onClose);
+    wait();
+}
+
+void peer_close_watch::stop()
+{
+    m_onClose = nullptr;
+}
+
+void peer_close_watch::detach()
+{
+    m_socket = nullptr;
+    m_onClose = nullptr;
+}
+
+void peer_close_watch::wait()
+{
+    if (m_waiting || m_socket == nullptr) {
+        return;
+    }
+    m_waiting = true;
+    m_socket->async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const asio::error_code &code) {
+        self->m_waiting = false;
+        if (!code) {
+            self->readable();
+        }
+    });
+}
+
+void peer_close_watch::readable()
+{
+    if (m_socket == nullptr || !m_onClose) {
+        return;
+    }
+    char byte = 0;
+    const auto size = ::recv(m_socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (size > 0) {
+        return; // A further request has arrived; a later close cannot be seen behind it.
+    }
+    if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+        wait();
+        return;
+    }
+    const auto onClose = std::exchange(m_onClose, nullptr);
+    onClose();
+}
+
+} // namespace orioledrum
--- a/libs/transport/src/server_socket.cpp
+++ b/libs/transport/src/server_socket.cpp
@@ -30,6 +30,10 @@
 
 void server_socket::forget()
 {
+    if (m_watch) {
+        m_watch->detach();
+        m_watch.reset();
+    }
     if (is_open()) {
         m_registry->removeIdle(native_handle());
     }
--- a/libs/transport/src/server_socket.h
+++ b/libs/transport/src/server_socket.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <peer_close_watch.h>
 #include <socket_registry.h>
 
 #include <asio/bind_executor.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <memory>
 #include <utility>
 
 namespace orioledrum
@@ -58,7 +60,11 @@
                                     }
                                     m_parsing = !code && size > 0;
                                     m_partialRequest = m_partialRequest || m_parsing;
+                                    if (m_parsing) {
+                                        m_registry->setReading(watch());
+                                    }
                                     next(code, size);
+                                    m_registry->setReading(nullptr);
                                     m_parsing = false;
                                 }));
     }
@@ -87,10 +93,19 @@
     }
 
 private:
+    const std::shared_ptr<peer_close_watch> &watch()
+    {
+        if (!m_watch) {
+            m_watch = std::make_shared<peer_close_watch>(*this);
+        }
+        return m_watch;
+    }
+
     void sendBadRequest();
     void forget();
 
     socket_registry *m_registry;
+    std::shared_ptr<peer_close_watch> m_watch; // Made at the first read, after the last move.
     bool m_counted = false;
     bool m_parsing = false;
     bool m_partialRequest = false;
--- a/libs/transport/src/socket_registry.cpp
+++ b/libs/transport/src/socket_registry.cpp
@@ -2,9 +2,18 @@
 
 #include <sys/socket.h>
 
+#include <utility>
+
 namespace orioledrum
 {
 
+namespace
+{
+
+thread_local std::shared_ptr<peer_close_watch> currentlyReading; // NOLINT(cppcoreguidelines-avoid-non-const-global-variables)
+
+} // namespace
+
 asio::execution_context::id socket_registry::id;
 
 socket_registry::socket_registry(asio::execution_context &context)
@@ -42,6 +51,16 @@
     m_idle.erase(descriptor);
 }
 
+void socket_registry::setReading(std::shared_ptr<peer_close_watch> watch)
+{
+    currentlyReading = std::move(watch);
+}
+
+std::shared_ptr<peer_close_watch> socket_registry::reading()
+{
+    return currentlyReading;
+}
+
 void socket_registry::shutdownIdle(std::chrono::milliseconds idleFor)
 {
     const auto limit = std::chrono::steady_clock::now() - idleFor;
--- a/libs/transport/src/socket_registry.h
+++ b/libs/transport/src/socket_registry.h
@@ -4,12 +4,15 @@
 
 #include <chrono>
 #include <cstddef>
+#include <memory>
 #include <mutex>
 #include <unordered_map>
 
 namespace orioledrum
 {
 
+class peer_close_watch;
+
 /// Knows the server sockets of one io_context, so that a graceful stop can end the ones that wait for a request.
 class socket_registry : public asio::execution_context::service
 {
@@ -32,6 +35,12 @@
     /// arrived is still read.
     void shutdownIdle(std::chrono::milliseconds idleFor);
 
+    /// Names the connection whose input is being parsed on the calling thread; requests are handled inside that.
+    /// @param watch Its watch, or null when parsing has ended.
+    static void setReading(std::shared_ptr<peer_close_watch> watch);
+    /// @return The watch of the connection whose input is being parsed on the calling thread, or null.
+    [[nodiscard]] static std::shared_ptr<peer_close_watch> reading();
+
 private:
     void shutdown() noexcept override {}
 
