Refuse searches that cannot be served, and probe backend servers that fall silent

Cause: during a cut of a zone its host kept taking connections and let searches wait for their deadline; when many backend servers were slow, all searches queued behind them and all were late.

A backend server that cannot be reached, or is silent, gets no calls until a probe is answered. A host that can serve less than half of its requests reports itself not ready and closes connections after each answer. A search is refused when too few shards are expected to answer in time, and does not ask shards that would be late while enough others remain. Reads of the platform after changes pause 250 ms.

--- a/libs/gateway/include/gateway/change_follower.h
+++ b/libs/gateway/include/gateway/change_follower.h
@@ -17,6 +17,7 @@
 struct change_follower_settings {
     std::chrono::milliseconds wait{2000}; ///< How long the source may wait for a change before it answers.
     std::chrono::milliseconds answerTime{700}; ///< Time allowed for an answer beyond `wait`; a slow source takes some 300 ms.
+    std::chrono::milliseconds batch{250}; ///< Pause after changes, so that those that come together are read together.
     std::chrono::milliseconds retryFirst{50}; ///< Pause after a failed read; doubles up to retryLongest.
     std::chrono::milliseconds retryLongest{500};
 };
@@ -70,6 +71,7 @@
     std::vector<published_change> m_listed;
     std::uint64_t m_revision = 0;
     std::uint32_t m_failures = 0;
+    bool m_changed = false; // The last read brought changes.
     time_point m_lastContact;
 };
 
--- a/libs/gateway/include/gateway/message_codec.h
+++ b/libs/gateway/include/gateway/message_codec.h
@@ -27,6 +27,7 @@
     attempt_end end = attempt_end::broken; ///< served, shed, misdirected, failed or broken.
     bool otherRequest = false; ///< The answer belongs to another request: its connection must not be used again.
     std::string proof; ///< Text by which the backend server vouches for the answer.
+    std::string server; ///< Id of the backend server, when it says so.
     std::optional<replica_load> load;
     std::optional<std::chrono::milliseconds> coldFor; ///< How much longer the backend server is cold.
 };
--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -10,9 +10,9 @@
 namespace orioledrum
 {
 
-caller_request::caller_request(gateway_state &state, arrival arrival)
+caller_request::caller_request(gateway_state &state, arrival received)
     : m_state(state)
-    , m_arrival(std::move(arrival))
+    , m_arrival(std::move(received))
     , m_timer(state.context)
 {
     auto made = std::make_shared<call_template>();
--- a/libs/gateway/src/caller_request.h
+++ b/libs/gateway/src/caller_request.h
@@ -45,7 +45,7 @@
     void start();
 
 protected:
-    caller_request(gateway_state &state, arrival arrival);
+    caller_request(gateway_state &state, arrival received);
 
     /// Starts the run. @param now Current time.
     virtual void startRun(time_point now) = 0;
--- a/libs/gateway/src/change_follower.cpp
+++ b/libs/gateway/src/change_follower.cpp
@@ -23,6 +23,8 @@
     if (m_failures > 0) {
         const auto doublings = std::min(m_failures - 1, 10U);
         read.delay = std::min(m_settings.retryLongest, m_settings.retryFirst * (1 << doublings));
+    } else if (m_changed) {
+        read.delay = m_settings.batch;
     }
     return read;
 }
@@ -30,6 +32,7 @@
 follower_news change_follower::ended(expected<change_page> &&page, time_point now)
 {
     follower_news news;
+    m_changed = page && !m_listing && !page->changes.empty();
     if (!page) {
         if (page.error().code == error_code::historyLost) {
             m_listing = true;
--- a/libs/gateway/src/forwarded_request.cpp
+++ b/libs/gateway/src/forwarded_request.cpp
@@ -15,8 +15,8 @@
 
 } // namespace
 
-forwarded_request::forwarded_request(gateway_state &state, arrival arrival)
-    : caller_request(state, std::move(arrival))
+forwarded_request::forwarded_request(gateway_state &state, arrival received)
+    : caller_request(state, std::move(received))
     , m_service(state.split.next(*input().matched, input().table->version()))
     , m_run({m_service, input().matched->repeat, input().matched->maxAttempts, input().target, input().deadline},
             state.board,
--- a/libs/gateway/src/forwarded_request.h
+++ b/libs/gateway/src/forwarded_request.h
@@ -13,7 +13,7 @@
 class forwarded_request final : public caller_request
 {
 public:
-    forwarded_request(gateway_state &state, arrival arrival);
+    forwarded_request(gateway_state &state, arrival received);
 
 protected:
     void startRun(time_point now) override;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -4,6 +4,7 @@
 #include <gateway_state.h>
 #include <host_link.h>
 #include <publication_reader.h>
+#include <replica_prober.h>
 #include <status_pages.h>
 #include <transport/http_server.h>
 
@@ -22,6 +23,8 @@
 /// Time for which connections without a request are kept open after that.
 constexpr std::chrono::milliseconds idleGrace{100};
 constexpr std::chrono::milliseconds stopPoll{50};
+/// Time between two looks at whether this host can serve; the load balancer asks once a second.
+constexpr std::chrono::milliseconds serviceCheck{200};
 /// Time before the kill at which the process ends at the latest.
 constexpr std::chrono::milliseconds stopMargin{500};
 
@@ -40,6 +43,8 @@
         , m_status(m_state)
         , m_link(m_state, client, settings.seeds)
         , m_reader(m_state, source)
+        , m_prober(m_state, client)
+        , m_serviceTimer(context)
         , m_stopTimer(context)
     {
     }
@@ -67,6 +72,8 @@
             "main", "started", {{"zone", settings.zone.str()}, {"callers", settings.callers.text()}, {"platform", settings.platform}});
         m_link.start();
         m_reader.start();
+        m_prober.start();
+        checkService();
         return {};
     }
 
@@ -89,6 +96,19 @@
     }
 
 private:
+    /// While this host cannot serve, callers are sent to other hosts: their connections are closed after each answer.
+    void checkService()
+    {
+        m_state.serviceable = m_state.canServe(monotonic_clock::now());
+        m_callers->setDraining(m_state.stopping || (m_state.table && !m_state.serviceable));
+        m_serviceTimer.expires_after(serviceCheck);
+        m_serviceTimer.async_wait([this](const asio::error_code &code) {
+            if (!code) {
+                checkService();
+            }
+        });
+    }
+
     void pollStop()
     {
         const auto elapsed = monotonic_clock::now() - m_stopBegan;
@@ -114,10 +134,12 @@
     status_pages m_status;
     host_link m_link;
     publication_reader m_reader;
+    replica_prober m_prober;
     std::unique_ptr<http_server> m_callers;
     std::unique_ptr<http_server> m_readiness;
     std::unique_ptr<http_server> m_hosts;
     std::unique_ptr<http_server> m_metrics;
+    asio::steady_timer m_serviceTimer;
     asio::steady_timer m_stopTimer;
     time_point m_stopBegan;
 };
--- a/libs/gateway/src/gateway_state.cpp
+++ b/libs/gateway/src/gateway_state.cpp
@@ -23,6 +23,26 @@
 {
 }
 
+bool gateway_state::canServe(time_point now) const
+{
+    if (!table) {
+        return false;
+    }
+    double all = 0;
+    double served = 0;
+    for (const auto &route : table->routes()) {
+        const auto seen = requestsByRoute.find(route.host + route.prefix);
+        // Before the first requests all routes count alike.
+        const double weight = requestsByRoute.empty() ? 1.0 : (seen == requestsByRoute.end() ? 0.0 : static_cast<double>(seen->second));
+        if (weight == 0) {
+            continue;
+        }
+        all += weight;
+        served += board.reachable(route, now) ? weight : 0;
+    }
+    return all == 0 || served * 2 >= all;
+}
+
 const std::shared_ptr<latency_profile> &gateway_state::profile(const route &route)
 {
     auto &known = m_profiles[route.host + route.prefix];
--- a/libs/gateway/src/gateway_state.h
+++ b/libs/gateway/src/gateway_state.h
@@ -28,6 +28,9 @@
 struct gateway_state {
     gateway_state(asio::io_context &loop, gateway_settings configured, const message_codec &translator, http_client &client);
 
+    /// @return True when at least half of the requests seen so far, by route, could be served now.
+    [[nodiscard]] bool canServe(time_point now) const;
+
     /// @return The call times of a kind of request; kept over versions of the routes.
     const std::shared_ptr<latency_profile> &profile(const route &route);
 
@@ -41,6 +44,8 @@
     service_split split;
     std::shared_ptr<const route_table> table; ///< Null until the first version is known.
     bool stopping = false;
+    bool serviceable = false; ///< Latest result of canServe().
+    std::unordered_map<std::string, std::uint64_t> requestsByRoute; ///< By host and prefix.
 
 private:
     std::unordered_map<std::string, std::shared_ptr<latency_profile>> m_profiles;
--- /dev/null
+++ b/libs/gateway/src/replica_prober.cpp
@@ -0,0 +1,72 @@
+#include <replica_prober.h>
+
+#include <gateway_state.h>
+#include <transport/http_client.h>
+
+#include <utility>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds tickInterval{100};
+/// Time for a health answer: it waits for a slot like any request, and a slow call takes some 200 ms.
+constexpr std::chrono::milliseconds probeTimeout{500};
+
+} // namespace
+
+replica_prober::replica_prober(gateway_state &state, http_client &client)
+    : m_state(state)
+    , m_client(client)
+    , m_timer(state.context)
+{
+}
+
+void replica_prober::start()
+{
+    tick();
+}
+
+void replica_prober::tick()
+{
+    if (m_state.table) {
+        for (const auto &server : m_state.board.takeProbes(monotonic_clock::now())) {
+            probe(server);
+        }
+    }
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const asio::error_code &code) {
+        if (!code) {
+            tick();
+        }
+    });
+}
+
+void replica_prober::probe(const replica_board::replica_ptr &server)
+{
+    const auto &entry = server->entry();
+    const auto &path = m_state.table->service(entry.service).healthPath;
+    http_call call;
+    call.url = "http://" + entry.address + (path.empty() ? "/health" : path);
+    call.timeout = probeTimeout;
+    call.freshConnection = true; // A kept connection may have gone silent while new ones work.
+    m_client.send(std::move(call), [this, server](http_client::result result) {
+        const auto now = monotonic_clock::now();
+        bool back = false;
+        if (result) {
+            const auto fields = m_state.codec.decodeReply(*result, {});
+            back = fields.server.empty() || fields.server == server->entry().id.str();
+            if (back && fields.coldFor) {
+                server->setCold(*fields.coldFor, now);
+            }
+        }
+        server->probed(back, now);
+        m_state.log.write("probe",
+                          back ? "backendServerAnswers" : "backendServerSilent",
+                          {{"server", server->entry().id.str()}, {"service", server->entry().service.str()}});
+    });
+}
+
+} // namespace orioledrum
--- a/libs/gateway/src/search_request.cpp
+++ b/libs/gateway/src/search_request.cpp
@@ -2,6 +2,7 @@
 
 #include <gateway_state.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace orioledrum
@@ -22,8 +23,8 @@
 
 } // namespace
 
-search_request::search_request(gateway_state &state, arrival arrival)
-    : caller_request(state, std::move(arrival))
+search_request::search_request(gateway_state &state, arrival received)
+    : caller_request(state, std::move(received))
     , m_run(makeInput(input()), state.board, *state.profile(*input().matched))
 {
 }
@@ -68,11 +69,17 @@
     const auto hedges = result.hedges;
     const auto retries = result.retries;
     const auto slowest = result.slowest;
+    const auto skipped = result.skipped;
+    const auto expected = result.expected;
     const std::string worst = result.worstShard.str();
     const auto worstEnd = result.worstEnd;
     std::chrono::microseconds latency{0};
     if (result.succeeded()) {
         latency = respond(state().codec.encodeGathered(std::move(result)), toString(end), now);
+    } else if (end == gather_end::overloaded) {
+        const error reason{error_code::overloaded, "too few shards would answer in time", "search", worst};
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(expected);
+        latency = respond(state().codec.encodeNotRun(reason, std::clamp(wait / 2, retryAfterNoServer / 4, retryAfterNoServer)), toString(end), now);
     } else if (end == gather_end::notStarted) {
         const error reason{error_code::unreachable, "too few shards have a backend server", "search", worst};
         latency = respond(state().codec.encodeNotRun(reason, retryAfterNoServer), toString(end), now);
@@ -96,6 +103,8 @@
                               {"missing", std::int64_t{missing}},
                               {"hedges", std::int64_t{hedges}},
                               {"retries", std::int64_t{retries}},
+                              {"skipped", std::int64_t{skipped}},
+                              {"expectedMs", static_cast<double>(expected.count()) / 1000},
                               {"slowestMs", static_cast<double>(slowest.count()) / 1000},
                               {"missingShard", worst},
                               {"missingBecause", missing == 0 ? std::string() : std::string(toString(worstEnd))},
--- a/libs/gateway/src/search_request.h
+++ b/libs/gateway/src/search_request.h
@@ -11,7 +11,7 @@
 class search_request final : public caller_request
 {
 public:
-    search_request(gateway_state &state, arrival arrival);
+    search_request(gateway_state &state, arrival received);
 
 protected:
     void startRun(time_point now) override;
--- a/libs/gateway/src/status_pages.cpp
+++ b/libs/gateway/src/status_pages.cpp
@@ -15,7 +15,7 @@
 
 bool status_pages::ready() const
 {
-    return m_state.table && m_state.board.size() > 0 && !m_state.stopping;
+    return m_state.table && m_state.board.size() > 0 && m_state.serviceable && !m_state.stopping;
 }
 
 void status_pages::handle(http_request request, std::shared_ptr<http_exchange> exchange)
--- a/libs/search/include/search/gather_run.h
+++ b/libs/search/include/search/gather_run.h
@@ -40,7 +40,8 @@
 enum class gather_end : std::uint8_t {
     complete, ///< All shards answered.
     partial, ///< Enough shards answered.
-    notStarted, ///< Too few shards have a backend server; nothing was sent.
+    notStarted, ///< Too few shards have a backend server that answers; nothing was sent.
+    overloaded, ///< Too few shards would answer before the target; nothing was sent.
     tooFew, ///< Too few shards can answer any more.
     late, ///< Too few shards answered before the deadline.
 };
@@ -59,6 +60,8 @@
     std::chrono::microseconds slowest{0}; ///< Time of the slowest call that was used.
     service_id worstShard; ///< A shard that is missing, if any.
     attempt_end worstEnd = attempt_end::timedOut; ///< Why it is missing; timedOut when it was still open.
+    std::uint32_t skipped = 0; ///< Shards that were not asked because their answer would have come too late.
+    std::chrono::microseconds expected{0}; ///< At the start: time until enough shards were expected to have answered.
 
     [[nodiscard]] bool succeeded() const { return end == gather_end::complete || end == gather_end::partial; }
 };
@@ -86,6 +89,12 @@
     static constexpr double hedgeLatest = 0.45;
     /// Most hedges in a search, as a share of its shards.
     static constexpr double hedgeShare = 0.4;
+    /// A shard is not asked when its expected time exceeds the time until the target by this factor.
+    static constexpr double skipFactor = 1.5;
+    /// Most shards that are not asked, as a share of those that may be missing.
+    static constexpr double skipShare = 0.5;
+    /// A search is refused when too few shards are expected to answer within this multiple of the time until the target.
+    static constexpr double refuseFactor = 1.0;
 
     gather_run(gather_input input, replica_board &board, latency_profile &profile);
 
@@ -125,12 +134,14 @@
         bool done = false;
         bool failed = false;
         bool hedged = false;
+        bool skipped = false;
         std::uint32_t sends = 0;
         attempt_end lastEnd = attempt_end::timedOut;
         std::string proof;
         std::string body;
     };
 
+    bool admit(time_point now);
     bool send(std::size_t shard, bool again, bool onlyIfFree, time_point now);
     bool retry(std::size_t shard, attempt_end end, time_point now);
     void lost(std::size_t shard, attempt_end end, time_point now);
--- a/libs/search/include/search/latency_profile.h
+++ b/libs/search/include/search/latency_profile.h
@@ -21,7 +21,7 @@
 
     void record(std::chrono::microseconds latency);
 
-    /// @return The median time of a call.
+    /// @return The time of a call that did not wait in a queue.
     [[nodiscard]] std::chrono::microseconds usual() const;
 
     /// @return Time within which this share of calls was answered.
--- a/libs/search/include/search/replica.h
+++ b/libs/search/include/search/replica.h
@@ -57,6 +57,8 @@
     static constexpr std::chrono::milliseconds unreachableLongest{1600};
     /// Time without calls after another backend server was found at the address.
     static constexpr std::chrono::milliseconds misdirectedPause{2000};
+    /// Age of the oldest open call at which a backend server that has said nothing since counts as stalled.
+    static constexpr std::chrono::milliseconds stalledAfter{700};
     /// Half-life of what is known about speed and failures, so that a bad backend server is tried again.
     static constexpr std::chrono::milliseconds memoryHalfLife{1500};
     /// Age after which a reported load is not used.
@@ -72,12 +74,20 @@
     /// A call was sent. @param attempt Number of the call. @param expected Usual time of such a call.
     void sent(std::uint64_t attempt, std::chrono::microseconds expected, time_point now);
 
-    /// A call ended. @param latency From sending to the end. @param usual Usual time of such a call.
+    /// A call ended.
+    /// @param latency From sending to the end.
+    /// @param usual Time that such a call takes at the usual speed with the load at the time of sending.
     void ended(std::uint64_t attempt, attempt_end end, std::chrono::microseconds latency, std::chrono::microseconds usual, time_point now);
 
     /// Takes a reported load.
     void reported(replica_load load, time_point now);
 
+    /// A probe has ended. @param answered Whether the backend server itself answered, in whatever way.
+    void probed(bool answered, time_point now);
+
+    /// A probe was sent; no further one is due before it has ended.
+    void probeSent() { m_probing = true; }
+
     /// The backend server will be cold for this long.
     void setCold(std::chrono::milliseconds remaining, time_point now);
 
@@ -86,9 +96,18 @@
     [[nodiscard]] bool cold(time_point now) const { return now < m_coldUntil; }
     [[nodiscard]] cold_rate_limit &coldRate() { return m_coldRate; }
 
-    /// @return True when calls may be sent: reachable, and neither misdirected nor leaving for longer than drainUse.
+    /// @return True when calls may be sent: not known to be unreachable or misdirected, nor leaving for longer than drainUse.
     [[nodiscard]] bool usable(time_point now) const;
 
+    /// @return True when the backend server has stopped to answer: unreachable, or stalled.
+    [[nodiscard]] bool suspect(time_point now) const { return m_unreachable || stalled(now); }
+
+    /// @return True when nothing was heard since the oldest open call was sent, and that is stalledAfter ago.
+    [[nodiscard]] bool stalled(time_point now) const;
+
+    /// @return True when a suspect should be asked whether it is back.
+    [[nodiscard]] bool probeDue(time_point now) const { return !m_probing && now >= m_blockedUntil && suspect(now); }
+
     /// @return True when an open call is so old that the backend server seems to stand still.
     [[nodiscard]] bool paused(time_point now) const;
 
@@ -101,7 +120,12 @@
     /// @return Share of recent calls that failed, 0 to 1.
     [[nodiscard]] double failureShare(time_point now) const;
 
-    /// @return Expected time of a further call. @param usual Usual time of such a call without waiting.
+    /// @return Time of a further call at the usual speed, with the wait behind the present load.
+    /// @param usual Time of such a call without waiting.
+    [[nodiscard]] std::chrono::microseconds queuedTime(std::chrono::microseconds usual, time_point now) const;
+
+    /// @return Expected time of a further call: queuedTime() at the speed of this backend server.
+    /// @param usual Time of such a call without waiting.
     [[nodiscard]] std::chrono::microseconds expectedTime(std::chrono::microseconds usual, time_point now) const;
 
 private:
@@ -126,7 +150,9 @@
     time_point m_coldUntil;
     time_point m_blockedUntil;
     std::chrono::milliseconds m_nextBlock = unreachableFirst;
-    bool m_wasUnreachable = false;
+    bool m_unreachable = false; // Until it is heard again.
+    bool m_probing = false;
+    time_point m_heard; // Latest answer of any kind.
     cold_rate_limit m_coldRate;
 };
 
--- a/libs/search/include/search/replica_board.h
+++ b/libs/search/include/search/replica_board.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -36,8 +37,10 @@
 
     /// Cost of one expected failure, in time, when backend servers are compared.
     static constexpr std::chrono::milliseconds failureCost{60};
-    /// Added to the expected time of a backend server that seems to stand still.
+    /// Added to the expected time of a backend server that seems to stand still: about what is left of a pause.
     static constexpr std::chrono::milliseconds pausedCost{100};
+    /// Added to the expected time of one that has been silent for long.
+    static constexpr std::chrono::milliseconds stalledCost{2000};
 
     replica_board(replica_board_settings settings, random_source random);
 
@@ -71,10 +74,21 @@
 
     /// Chooses a backend server for a call. A cold one has the call counted against its rate.
     /// @return The backend server, or null when none may be called.
-    [[nodiscard]] replica_ptr choose(const question &question, time_point now);
+    [[nodiscard]] replica_ptr choose(const question &wanted, time_point now);
 
-    /// @return True when some backend server of the service may be called.
-    [[nodiscard]] bool hasUsable(const service_id &service, time_point now) const;
+    /// @return Expected time until a call to the service is answered, or nothing when no backend server may be called.
+    /// @param usual Time of such a call without waiting.
+    [[nodiscard]] std::optional<std::chrono::microseconds>
+    expectedTime(const service_id &service, std::chrono::microseconds usual, time_point now) const;
+
+    /// @return True when some backend server of the service may be called and has not stopped to answer.
+    [[nodiscard]] bool reachable(const service_id &service, time_point now) const;
+
+    /// @return True when enough services of a route are reachable to serve it.
+    [[nodiscard]] bool reachable(const route &route, time_point now) const;
+
+    /// @return Backend servers that should be asked whether they are back; each counts as asked until replica::probed().
+    [[nodiscard]] std::vector<replica_ptr> takeProbes(time_point now);
 
     /// @return The budget of extra calls to a service.
     [[nodiscard]] extra_call_budget &budget(const service_id &service);
--- a/libs/search/src/forward_run.cpp
+++ b/libs/search/src/forward_run.cpp
@@ -56,8 +56,9 @@
         m_asked.push_back(server.get());
         m_held.push_back(server);
     }
-    server->sent(attempt, usual, now);
-    m_calls.push_back({attempt, server, m_input.deadline, usual});
+    const auto queued = server->queuedTime(usual, now);
+    server->sent(attempt, queued, now);
+    m_calls.push_back({attempt, server, m_input.deadline, queued});
     return true;
 }
 
--- a/libs/search/src/gather_run.cpp
+++ b/libs/search/src/gather_run.cpp
@@ -27,6 +27,8 @@
         return "partial";
     case gather_end::notStarted:
         return "notStarted";
+    case gather_end::overloaded:
+        return "overloaded";
     case gather_end::tooFew:
         return "tooFew";
     case gather_end::late:
@@ -46,10 +48,7 @@
 void gather_run::start(time_point now)
 {
     m_started = now;
-    const auto reachable = static_cast<std::size_t>(std::count_if(
-        m_input.shards.begin(), m_input.shards.end(), [&](const service_id &service) { return m_board.hasUsable(service, now); }));
-    if (reachable < required()) {
-        finish(gather_end::notStarted);
+    if (!admit(now)) {
         return;
     }
     const auto untilTarget = std::chrono::duration_cast<std::chrono::microseconds>(m_input.target - now);
@@ -59,7 +58,7 @@
     m_hedgeAfter = std::max<std::chrono::microseconds>(hedgeMinimum, m_hedgeAfter);
     m_hedgesLeft = static_cast<std::size_t>(std::ceil(static_cast<double>(m_shards.size()) * hedgeShare));
     for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
-        if (send(shard, false, false, now)) {
+        if (!m_shards[shard].skipped && send(shard, false, false, now)) {
             m_board.budget(m_input.shards[shard]).firstCall();
         } else {
             m_shards[shard].failed = true;
@@ -70,6 +69,43 @@
     settle(now);
 }
 
+bool gather_run::admit(time_point now)
+{
+    const auto untilTarget = std::chrono::duration<double, std::micro>(m_input.target - now).count();
+    struct expectation {
+        std::chrono::microseconds time;
+        std::size_t shard;
+    };
+    std::vector<expectation> expected;
+    for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
+        if (!m_board.reachable(m_input.shards[shard], now)) {
+            continue;
+        }
+        if (const auto time = m_board.expectedTime(m_input.shards[shard], m_profile.usual(), now)) {
+            expected.push_back({*time, shard});
+        }
+    }
+    if (expected.size() < required()) {
+        finish(gather_end::notStarted);
+        return false;
+    }
+    std::sort(expected.begin(), expected.end(), [](const expectation &a, const expectation &b) { return a.time < b.time; });
+    m_result.expected = expected[required() - 1].time;
+    if (untilTarget > 0 && static_cast<double>(m_result.expected.count()) > untilTarget * refuseFactor) {
+        finish(gather_end::overloaded);
+        return false;
+    }
+    auto mayMiss = static_cast<std::size_t>(static_cast<double>(expected.size() - required()) * skipShare);
+    for (auto each = expected.rbegin(); each != expected.rend() && mayMiss > 0; ++each, --mayMiss) {
+        if (static_cast<double>(each->time.count()) <= untilTarget * skipFactor) {
+            break;
+        }
+        m_shards[each->shard].skipped = true;
+        ++m_result.skipped;
+    }
+    return true;
+}
+
 bool gather_run::send(std::size_t shard, bool again, bool onlyIfFree, time_point now)
 {
     auto &state = m_shards[shard];
@@ -86,8 +122,9 @@
         state.asked.push_back(server.get());
         state.held.push_back(server);
     }
-    server->sent(attempt, usual, now);
-    m_calls.push_back({attempt, server, m_input.deadline, usual});
+    const auto queued = server->queuedTime(usual, now);
+    server->sent(attempt, queued, now);
+    m_calls.push_back({attempt, server, m_input.deadline, queued});
     return true;
 }
 
--- a/libs/search/src/latency_profile.cpp
+++ b/libs/search/src/latency_profile.cpp
@@ -6,6 +6,8 @@
 namespace
 {
 
+/// Quantile taken as the time of a call that did not wait.
+constexpr double unqueuedShare = 0.35;
 constexpr std::uint32_t refreshAfter = 16; // Samples; a quantile scans all buckets.
 
 } // namespace
@@ -31,7 +33,7 @@
     if (m_histogram.samples() < samplesNeeded) {
         return;
     }
-    m_usual = m_histogram.quantile(0.5);
+    m_usual = m_histogram.quantile(unqueuedShare);
     if (m_slowShare > 0) {
         m_slow = m_histogram.quantile(m_slowShare);
     }
--- a/libs/search/src/replica.cpp
+++ b/libs/search/src/replica.cpp
@@ -44,7 +44,7 @@
         m_loadKnown = false;
         m_blockedUntil = now;
         m_nextBlock = unreachableFirst;
-        m_wasUnreachable = false;
+        m_unreachable = false;
     }
 }
 
@@ -76,11 +76,13 @@
     if (end == attempt_end::unreachable) {
         m_blockedUntil = now + m_nextBlock;
         m_nextBlock = std::min(unreachableLongest, m_nextBlock * 2);
-        m_wasUnreachable = true;
+        m_unreachable = true;
     } else if (end == attempt_end::misdirected) {
         m_blockedUntil = now + misdirectedPause;
-    } else {
+    } else if (end == attempt_end::served || end == attempt_end::shed || end == attempt_end::failed) {
         m_nextBlock = unreachableFirst;
+        m_unreachable = false;
+        m_heard = now;
     }
 }
 
@@ -97,9 +99,27 @@
     m_coldUntil = std::max(m_coldUntil, now + remaining);
 }
 
+void replica::probed(bool answered, time_point now)
+{
+    m_probing = false;
+    if (answered) {
+        m_unreachable = false;
+        m_nextBlock = unreachableFirst;
+        m_heard = now;
+        return;
+    }
+    m_blockedUntil = now + m_nextBlock;
+    m_nextBlock = std::min(unreachableLongest, m_nextBlock * 2);
+}
+
+bool replica::stalled(time_point now) const
+{
+    return !m_open.empty() && now - m_open.front().sentAt > stalledAfter && m_heard < m_open.front().sentAt;
+}
+
 bool replica::usable(time_point now) const
 {
-    if (now < m_blockedUntil || (m_wasUnreachable && m_nextBlock > unreachableFirst && !m_open.empty())) {
+    if (now < m_blockedUntil || m_unreachable) {
         return false;
     }
     return !m_entry.draining || now - m_drainingSince < drainUse;
@@ -143,12 +163,17 @@
     return m_failures * memory(now);
 }
 
-std::chrono::microseconds replica::expectedTime(std::chrono::microseconds usual, time_point now) const
+std::chrono::microseconds replica::queuedTime(std::chrono::microseconds usual, time_point now) const
 {
     const double slots = std::max(1U, m_entry.slots);
     const double waiting = std::max(0.0, load(now) + 1.0 - slots);
-    const double factor = std::max(0.5, slowness(now)) * (1 + waiting / slots);
-    return std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(usual.count()) * factor));
+    return std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(usual.count()) * (1 + waiting / slots)));
+}
+
+std::chrono::microseconds replica::expectedTime(std::chrono::microseconds usual, time_point now) const
+{
+    const auto queued = static_cast<double>(queuedTime(usual, now).count());
+    return std::chrono::microseconds(static_cast<std::int64_t>(queued * std::max(0.5, slowness(now))));
 }
 
 } // namespace orioledrum
--- a/libs/search/src/replica_board.cpp
+++ b/libs/search/src/replica_board.cpp
@@ -146,7 +146,9 @@
     if (candidate.entry().zone != m_settings.ownZone) {
         cost += m_settings.otherZonePenalty;
     }
-    if (candidate.paused(now)) {
+    if (candidate.stalled(now)) {
+        cost += stalledCost;
+    } else if (candidate.paused(now)) {
         cost += pausedCost;
     }
     if (candidate.entry().draining) {
@@ -170,9 +172,9 @@
     return candidate.coldRate().take(rate * m_settings.coldFactor + m_settings.coldSlack, m_hosts, now);
 }
 
-replica_board::replica_ptr replica_board::choose(const question &question, time_point now)
+replica_board::replica_ptr replica_board::choose(const question &wanted, time_point now)
 {
-    const auto found = m_services.find(*question.service);
+    const auto found = m_services.find(*wanted.service);
     if (found == m_services.end()) {
         return nullptr;
     }
@@ -183,16 +185,16 @@
     std::vector<candidate> candidates;
     for (const auto &server : found->second.replicas) {
         const bool asked =
-            question.asked != nullptr && std::find(question.asked->begin(), question.asked->end(), server.get()) != question.asked->end();
-        if (asked != question.again || !callable(*server, now)) {
+            wanted.asked != nullptr && std::find(wanted.asked->begin(), wanted.asked->end(), server.get()) != wanted.asked->end();
+        if (asked != wanted.again || !callable(*server, now)) {
             continue;
         }
-        if (question.onlyIfFree && (server->load(now) >= server->entry().slots || server->paused(now))) {
+        if (wanted.onlyIfFree && (server->load(now) >= server->entry().slots || server->paused(now))) {
             continue;
         }
         // Up to a tenth more or less, so that hosts with the same view do not all choose the same one.
-        const auto spread = static_cast<std::int64_t>(static_cast<double>(question.usual.count()) * 0.2 * (m_random.unit() - 0.5));
-        candidates.push_back({cost(*server, question.usual, now) + std::chrono::microseconds(spread), server});
+        const auto spread = static_cast<std::int64_t>(static_cast<double>(wanted.usual.count()) * 0.2 * (m_random.unit() - 0.5));
+        candidates.push_back({cost(*server, wanted.usual, now) + std::chrono::microseconds(spread), server});
     }
     std::sort(candidates.begin(), candidates.end(), [](const candidate &a, const candidate &b) { return a.cost < b.cost; });
     for (const auto &each : candidates) {
@@ -203,15 +205,61 @@
     return nullptr;
 }
 
-bool replica_board::hasUsable(const service_id &service, time_point now) const
+std::optional<std::chrono::microseconds>
+replica_board::expectedTime(const service_id &service, std::chrono::microseconds usual, time_point now) const
+{
+    std::optional<std::chrono::microseconds> best;
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return best;
+    }
+    for (const auto &server : found->second.replicas) {
+        if (!callable(*server, now)) {
+            continue;
+        }
+        auto expected = server->expectedTime(usual, now);
+        if (server->stalled(now)) {
+            expected += stalledCost;
+        }
+        if (!best || expected < *best) {
+            best = expected;
+        }
+    }
+    return best;
+}
+
+bool replica_board::reachable(const service_id &service, time_point now) const
 {
     const auto found = m_services.find(service);
     return found != m_services.end()
         && std::any_of(found->second.replicas.begin(), found->second.replicas.end(), [&](const replica_ptr &server) {
-               return server->usable(now) && !m_excluded.contains(server->entry().zone);
+               return server->usable(now) && !server->stalled(now) && !m_excluded.contains(server->entry().zone);
            });
 }
 
+bool replica_board::reachable(const route &route, time_point now) const
+{
+    if (!route.isSearch()) {
+        return std::any_of(
+            route.services.begin(), route.services.end(), [&](const weighted_service &part) { return reachable(part.service, now); });
+    }
+    const auto count =
+        std::count_if(route.shards.begin(), route.shards.end(), [&](const service_id &shard) { return reachable(shard, now); });
+    return static_cast<double>(count) >= route.minCoverage * static_cast<double>(route.shards.size());
+}
+
+std::vector<replica_board::replica_ptr> replica_board::takeProbes(time_point now)
+{
+    std::vector<replica_ptr> due;
+    for (const auto &[id, server] : m_byId) {
+        if (server->probeDue(now) && !m_excluded.contains(server->entry().zone) && !server->entry().draining) {
+            server->probeSent();
+            due.push_back(server);
+        }
+    }
+    return due;
+}
+
 std::vector<replica_board::replica_ptr> replica_board::replicas(const service_id &service) const
 {
     const auto found = m_services.find(service);
--- a/libs/transport/include/transport/http_server.h
+++ b/libs/transport/include/transport/http_server.h
@@ -47,7 +47,10 @@
     [[nodiscard]] std::size_t openRequests() const;
 
     /// Lets every further answer carry "Connection: close" while new connections are still accepted.
-    void startDraining();
+    void startDraining() { setDraining(true); }
+
+    /// @param draining Whether answers carry "Connection: close".
+    void setDraining(bool draining);
 
     /// Stops accepting new connections; open ones go on.
     void stopListening();
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -350,7 +350,7 @@
 
     [[nodiscard]] std::uint16_t port() const { return m_port; }
     [[nodiscard]] std::size_t openRequests() const { return *m_core->open; }
-    void startDraining() { m_core->draining = true; }
+    void setDraining(bool draining) { m_core->draining = draining; }
 
     void stopListening()
     {
@@ -496,9 +496,9 @@
     return m_impl->openRequests();
 }
 
-void http_server::startDraining()
+void http_server::setDraining(bool draining)
 {
-    m_impl->startDraining();
+    m_impl->setDraining(draining);
 }
 
 void http_server::stopListening()
