Leave shards without a near backend server to an entry host in their zone

When it does not answer in time, the shards are asked directly, with calls from the budget of extra calls. Backend servers are then limited to the same few on both hosts, so that max attempts holds over both.

--- a/libs/gateway/src/caller_front.cpp
+++ b/libs/gateway/src/caller_front.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds retryAfterNoRoutes{200};
 /// Time before a bound at which the answer leaves, for the delay of this host's own loop.
 constexpr std::chrono::milliseconds loopMargin{5};
+/// The same for the target, where answering early costs shards.
+constexpr std::chrono::milliseconds targetMargin{4};
 /// Share of a short time limit that is kept for the way of the answer.
 constexpr int shortLimitShare = 10;
 /// One-way delays between the start of a caller's request on a new connection and the receipt of its answer: two for the
@@ -87,7 +89,7 @@
     const auto limit = std::min(route->timeout, fields.timeLeft.value_or(route->timeout));
     const auto margin = std::min(m_state.settings.callerDelay + loopMargin, limit / shortLimitShare);
     arrival.deadline = now + limit - margin;
-    arrival.target = now + route->targetLatency - m_state.settings.callerDelay * wayCount - loopMargin;
+    arrival.target = now + route->targetLatency - m_state.settings.callerDelay * wayCount - targetMargin;
     arrival.request = std::move(request);
     arrival.exchange = std::move(exchange);
     ++m_state.requestsByRoute[route->host + route->prefix];
--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -2,7 +2,7 @@
 
 #include <forwarded_request.h>
 #include <gateway_state.h>
-#include <search_request.h>
+#include <gathered_request.h>
 
 #include <algorithm>
 #include <utility>
@@ -104,6 +104,7 @@
     for (const auto &call : std::exchange(m_open, {})) {
         m_state.caller.cancel(call.handle);
     }
+    cancelRun();
     const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(now - m_arrival.at);
     m_state.metrics.requestEnded(m_arrival.matched->name, "callerGone", latency);
     m_state.log.writeRequest(
@@ -125,7 +126,7 @@
 std::shared_ptr<caller_request> makeCallerRequest(gateway_state &state, caller_request::arrival arrival)
 {
     if (arrival.matched->isSearch()) {
-        return std::make_shared<search_request>(state, std::move(arrival));
+        return std::make_shared<gathered_request>(state, std::move(arrival));
     }
     return std::make_shared<forwarded_request>(state, std::move(arrival));
 }
--- a/libs/gateway/src/caller_request.h
+++ b/libs/gateway/src/caller_request.h
@@ -58,6 +58,14 @@
     /// Answers the caller; called once, when the run has finished.
     virtual void answer(time_point now) = 0;
 
+    /// Breaks off what the run has going on besides its calls, when the caller is gone.
+    virtual void cancelRun() { }
+    /// Sends what the run wants sent, answers when it has finished, and sets the timer.
+    void advance(time_point now);
+    /// @return True after the answer, or when the caller is gone.
+    [[nodiscard]] bool ended() const { return m_ended; }
+    [[nodiscard]] const call_template &callTemplate() const { return *m_template; }
+
     /// Sends the answer and counts it. @return Time since the arrival.
     std::chrono::microseconds respond(http_response response, std::string_view outcome, time_point now);
 
@@ -70,8 +78,6 @@
         http_call_handle handle{};
     };
 
-    /// Sends what the run wants sent, answers when it has finished, and sets the timer.
-    void advance(time_point now);
     void send(const send_call &call);
     void armTimer(time_point now);
     void callerGone();
--- a/libs/gateway/src/gateway_state.cpp
+++ b/libs/gateway/src/gateway_state.cpp
@@ -20,6 +20,7 @@
     , log(settings.host.str())
     , board({settings.zone, settings.extraCalls, settings.coldFactor, settings.coldSlack}, random_source::fromSystem())
     , caller(client, translator, metrics)
+    , relays(client, board)
 {
 }
 
--- a/libs/gateway/src/gateway_state.h
+++ b/libs/gateway/src/gateway_state.h
@@ -4,6 +4,7 @@
 #include <gateway/gateway_settings.h>
 #include <gateway/message_codec.h>
 #include <gateway_metrics.h>
+#include <relay_client.h>
 #include <logging/event_log.h>
 #include <service_split.h>
 
@@ -41,6 +42,7 @@
     gateway_metrics metrics;
     replica_board board;
     backend_caller caller;
+    relay_client relays;
     service_split split;
     std::shared_ptr<const route_table> table; ///< Null until the first version is known.
     bool stopping = false;
--- a/libs/gateway/src/search_request.cpp
+++ b/libs/gateway/src/gathered_request.cpp
@@ -1,8 +1,9 @@
-#include <search_request.h>
+#include <gathered_request.h>
 
 #include <gateway_state.h>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace orioledrum
@@ -15,52 +16,119 @@
 /// connection, after which they are tried again.
 constexpr std::chrono::milliseconds retryAfterNoServer = replica::unreachableFirst;
 
-gather_input makeInput(const caller_request::arrival &arrival)
+gather_input makeInput(const caller_request::arrival &arrival, const std::optional<relay_client::plan> &plan)
 {
     const auto &route = *arrival.matched;
-    return {route.shards, route.topRecords, route.minCoverage, route.maxAttempts, arrival.target, arrival.deadline};
+    gather_input input;
+    input.shards = route.shards;
+    input.topRecords = route.topRecords;
+    input.minCoverage = route.minCoverage;
+    input.maxAttempts = route.maxAttempts;
+    input.target = arrival.target;
+    input.deadline = arrival.deadline;
+    if (plan) {
+        input.relay = plan->part;
+        input.preference = replica_preference{plan->part.zone, std::hash<std::string>{}(arrival.requestId)};
+    }
+    return input;
 }
 
 } // namespace
 
-search_request::search_request(gateway_state &state, arrival received)
+gathered_request::gathered_request(gateway_state &state, arrival received)
     : caller_request(state, std::move(received))
-    , m_run(makeInput(input()), state.board, *state.profile(*input().matched))
+    , m_plan(state.relays.choose(input().matched->shards, input().target, monotonic_clock::now()))
+    , m_run(makeInput(input(), m_plan), state.board, *state.profile(*input().matched))
 {
 }
 
-void search_request::startRun(time_point now)
+void gathered_request::startRun(time_point now)
 {
     m_run.start(now);
+    if (m_run.relayOpen()) {
+        sendRelayed(now);
+    }
 }
 
-void search_request::callEnded(std::uint64_t attempt, call_outcome &&outcome, http_reply &&reply, time_point now)
+void gathered_request::sendRelayed(time_point now)
+{
+    const auto &route = *input().matched;
+    const auto &call = callTemplate();
+    relay_search message;
+    message.request = input().requestId;
+    message.routeName = route.name;
+    message.routeHost = route.host;
+    message.routePrefix = route.prefix;
+    message.method = call.method;
+    message.target = call.target;
+    for (const auto &header : call.headers) {
+        message.headerNames.push_back(header.name);
+        message.headerValues.push_back(header.value);
+    }
+    for (const auto position : m_plan->part.shards) {
+        message.shards.push_back(route.shards[position].str());
+    }
+    message.topRecords = route.topRecords;
+    message.maxAttempts = route.maxAttempts;
+    message.minCoverage = route.minCoverage;
+    message.targetLatency = route.targetLatency;
+    message.remaining = std::chrono::duration_cast<std::chrono::microseconds>(m_run.relayTarget() - now);
+    m_relayCall = state().relays.send(
+        m_plan->address,
+        message,
+        [self = shared_from_this(), this](std::optional<relay_result> result, bool notSent) {
+            if (ended()) {
+                return;
+            }
+            m_relayCall.reset();
+            const auto at = monotonic_clock::now();
+            if (result) {
+                m_run.relayAnswered(std::move(*result), at);
+            } else {
+                m_run.relayFailed(notSent, at);
+            }
+            advance(at);
+        });
+}
+
+void gathered_request::cancelRun()
+{
+    if (m_relayCall) {
+        state().relays.cancel(*m_relayCall);
+    }
+}
+
+void gathered_request::callEnded(std::uint64_t attempt, call_outcome &&outcome, http_reply &&reply, time_point now)
 {
     outcome.body = std::move(reply.body);
     m_run.ended(attempt, std::move(outcome), now);
 }
 
-void search_request::wakeupRun(time_point now)
+void gathered_request::wakeupRun(time_point now)
 {
+    const bool waited = m_run.relayOpen();
     m_run.wakeup(now);
+    if (waited && !m_run.relayOpen()) {
+        state().relays.late(m_plan->address, now);
+    }
 }
 
-time_point search_request::nextWakeup() const
+time_point gathered_request::nextWakeup() const
 {
     return m_run.nextWakeup();
 }
 
-bool search_request::runFinished() const
+bool gathered_request::runFinished() const
 {
     return m_run.finished();
 }
 
-std::vector<send_call> search_request::takeCalls()
+std::vector<send_call> gathered_request::takeCalls()
 {
     return m_run.takeCalls();
 }
 
-void search_request::answer(time_point now)
+void gathered_request::answer(time_point now)
 {
     auto result = m_run.takeResult();
     const auto &route = *input().matched;
@@ -104,6 +172,7 @@
                               {"hedges", std::int64_t{hedges}},
                               {"retries", std::int64_t{retries}},
                               {"skipped", std::int64_t{skipped}},
+                              {"relay", m_plan ? m_plan->address : std::string()},
                               {"expectedMs", static_cast<double>(expected.count()) / 1000},
                               {"slowestMs", static_cast<double>(slowest.count()) / 1000},
                               {"missingShard", worst},
--- a/libs/gateway/src/search_request.h
+++ b/libs/gateway/src/gathered_request.h
@@ -2,16 +2,18 @@
 
 #include <caller_request.h>
 
+#include <relay_client.h>
+
 #include <search/gather_run.h>
 
 namespace orioledrum
 {
 
 /// A search over all shards of a route.
-class search_request final : public caller_request
+class gathered_request final : public caller_request
 {
 public:
-    search_request(gateway_state &state, arrival received);
+    gathered_request(gateway_state &state, arrival received);
 
 protected:
     void startRun(time_point now) override;
@@ -21,9 +23,14 @@
     [[nodiscard]] bool runFinished() const override;
     std::vector<send_call> takeCalls() override;
     void answer(time_point now) override;
+    void cancelRun() override;
 
 private:
+    void sendRelayed(time_point now);
+
+    std::optional<relay_client::plan> m_plan;
     gather_run m_run;
+    std::optional<http_call_handle> m_relayCall;
 };
 
 } // namespace orioledrum
--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -1,6 +1,7 @@
 #include <host_link.h>
 
 #include <gateway_state.h>
+#include <relayed_request.h>
 #include <transport/http_exchange.h>
 #include <wire/codec.h>
 
@@ -74,12 +75,31 @@
     if (hosts == 1 || now - m_started < settleTime) {
         hosts = std::max(hosts, assumedHosts);
     }
+    std::vector<relay_host> relays;
+    for (const auto &member : m_membership.view()->members) {
+        if (!member.self && member.state == host_state::live && !member.address.empty()) {
+            relays.push_back({member.address, member.zone});
+        }
+    }
+    m_state.relays.setHosts(relays);
     if (hosts != std::exchange(m_hosts, hosts)) {
         m_state.board.setHosts(hosts);
         m_state.log.write("hosts", "sharingHosts", {{"hosts", std::int64_t{hosts}}});
     }
 }
 
+void host_link::handleRelayed(const http_request &request, std::shared_ptr<http_exchange> exchange)
+{
+    const auto message = decode<relay_search>(request.body);
+    if (!message) {
+        exchange->respond(errorResponse(400, message.error()));
+    } else if (m_state.stopping || message->shards.empty()) {
+        exchange->respond(errorResponse(503, {error_code::draining, "this host is stopping", "relay search", {}}));
+    } else {
+        relayed_request::create(m_state, *message, std::move(exchange))->start();
+    }
+}
+
 void host_link::apply(const membership_actions &actions)
 {
     for (const auto &action : actions) {
@@ -114,6 +134,10 @@
 
 void host_link::handle(http_request request, std::shared_ptr<http_exchange> exchange)
 {
+    if (request.path == relayPath) {
+        handleRelayed(request, std::move(exchange));
+        return;
+    }
     const auto message = request.path == digestPath ? decode<digest>(request.body)
                                                     : expected<digest>(makeError(error_code::malformed, "read digest", "unknown path"));
     if (!message) {
--- a/libs/gateway/src/host_link.h
+++ b/libs/gateway/src/host_link.h
@@ -36,6 +36,7 @@
     void handle(http_request request, std::shared_ptr<http_exchange> exchange) override;
 
 private:
+    void handleRelayed(const http_request &request, std::shared_ptr<http_exchange> exchange);
     void tick();
     void apply(const membership_actions &actions);
     void send(const send_digest &action);
--- /dev/null
+++ b/libs/gateway/src/relayed_request.cpp
@@ -0,0 +1,130 @@
+#include <relayed_request.h>
+
+#include <gateway_state.h>
+#include <wire/codec.h>
+
+#include <functional>
+#include <utility>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+gather_input makeInput(const caller_request::arrival &arrival, const zone_id &zone)
+{
+    const auto &route = *arrival.matched;
+    gather_input input;
+    input.shards = route.shards;
+    input.topRecords = route.topRecords;
+    input.minCoverage = route.minCoverage;
+    input.maxAttempts = route.maxAttempts;
+    input.target = arrival.target;
+    input.deadline = arrival.deadline;
+    input.keepPartial = true;
+    input.preference = replica_preference{zone, std::hash<std::string>{}(arrival.requestId)};
+    return input;
+}
+
+} // namespace
+
+std::shared_ptr<relayed_request>
+relayed_request::create(gateway_state &state, const relay_search &message, std::shared_ptr<http_exchange> exchange)
+{
+    auto part = std::make_shared<route>();
+    part->name = message.routeName;
+    part->host = message.routeHost;
+    part->prefix = message.routePrefix;
+    part->repeat = repeat_rule::idempotent;
+    part->targetLatency = std::chrono::duration_cast<std::chrono::milliseconds>(message.targetLatency);
+    part->maxAttempts = message.maxAttempts;
+    part->minCoverage = message.minCoverage;
+    part->topRecords = message.topRecords;
+    for (const auto &shard : message.shards) {
+        part->shards.emplace_back(shard);
+    }
+    arrival received;
+    received.request.method = message.method;
+    received.request.target = message.target;
+    for (std::size_t i = 0; i < message.headerNames.size() && i < message.headerValues.size(); ++i) {
+        received.request.headers.push_back({message.headerNames[i], message.headerValues[i]});
+    }
+    received.exchange = std::move(exchange);
+    received.requestId = message.request;
+    received.matched = part.get();
+    received.at = monotonic_clock::now();
+    received.target = received.at + message.remaining;
+    received.deadline = received.target;
+    return std::make_shared<relayed_request>(state, std::move(received), std::move(part));
+}
+
+relayed_request::relayed_request(gateway_state &state, arrival received, std::shared_ptr<const route> part)
+    : caller_request(state, std::move(received))
+    , m_part(std::move(part))
+    , m_run(makeInput(input(), state.settings.zone), state.board, *state.profile(*m_part))
+{
+}
+
+void relayed_request::startRun(time_point now)
+{
+    m_run.start(now);
+}
+
+void relayed_request::callEnded(std::uint64_t attempt, call_outcome &&outcome, http_reply &&reply, time_point now)
+{
+    outcome.body = std::move(reply.body);
+    m_run.ended(attempt, std::move(outcome), now);
+}
+
+void relayed_request::wakeupRun(time_point now)
+{
+    m_run.wakeup(now);
+}
+
+time_point relayed_request::nextWakeup() const
+{
+    return m_run.nextWakeup();
+}
+
+bool relayed_request::runFinished() const
+{
+    return m_run.finished();
+}
+
+std::vector<send_call> relayed_request::takeCalls()
+{
+    return m_run.takeCalls();
+}
+
+void relayed_request::answer(time_point now)
+{
+    auto result = m_run.takeResult();
+    relay_answer message;
+    message.end = static_cast<std::uint8_t>(result.end);
+    for (auto &shard : result.shards) {
+        message.shards.push_back({static_cast<std::uint8_t>(shard.end), std::move(shard.proof)});
+    }
+    message.records = std::move(result.records);
+    message.hedges = result.hedges;
+    message.retries = result.retries;
+    const auto latency = respond({200, "application/msgpack", {}, encode(message)}, "relayed", now);
+    state().metrics.extraCalls(result.hedges, result.retries);
+    if (result.missing == 0) {
+        return; // The host that asked logs the request; only what it cannot see is logged here.
+    }
+    state().log.writeRequest("relay",
+                             toString(result.end),
+                             now,
+                             {{"id", input().requestId},
+                              {"route", m_part->name},
+                              {"ms", static_cast<double>(latency.count()) / 1000},
+                              {"shards", static_cast<std::int64_t>(m_part->shards.size())},
+                              {"missing", std::int64_t{result.missing}},
+                              {"hedges", std::int64_t{result.hedges}},
+                              {"retries", std::int64_t{result.retries}},
+                              {"missingShard", result.worstShard.str()},
+                              {"missingBecause", std::string(toString(result.worstEnd))}});
+}
+
+} // namespace orioledrum
--- a/libs/search/include/search/gather_run.h
+++ b/libs/search/include/search/gather_run.h
@@ -18,6 +18,12 @@
 namespace orioledrum
 {
 
+/// A part of a search that another entry host gathers.
+struct relay_part {
+    std::vector<std::size_t> shards; ///< Positions in gather_input::shards.
+    zone_id zone; ///< Zone of that host.
+};
+
 /// A search over all shards of a route.
 struct gather_input {
     std::vector<service_id> shards;
@@ -26,14 +32,10 @@
     std::uint32_t maxAttempts = 1; ///< Most backend servers asked for one shard.
     time_point target; ///< An answer is worth most until then.
     time_point deadline; ///< The final answer must be given by then.
-};
-
-/// Send the search to a backend server.
-struct send_call {
-    std::uint64_t attempt = 0; ///< Unique within the run.
-    replica_board::replica_ptr server;
-    time_point deadline; ///< The answer is of no use later.
-    std::chrono::microseconds usual{0}; ///< Usual time of such a call.
+    std::optional<relay_part> relay; ///< Shards that are left to another host; others are asked directly.
+    bool keepPartial = false; ///< Records are merged however the run ends.
+    /// Where set, only maxAttempts backend servers of each shard are asked: the same ones on each host that takes part.
+    std::optional<replica_preference> preference;
 };
 
 /// How a search ended.
@@ -49,10 +51,33 @@
 /// @return The camelCase name of the end.
 std::string_view toString(gather_end end);
 
+/// The outcome for one shard.
+struct gathered_shard {
+    attempt_end end = attempt_end::timedOut; ///< served when the shard's records are included.
+    std::string proof; ///< By which the backend server vouches for the records.
+};
+
+/// What another host has gathered.
+struct relay_result {
+    gather_end end = gather_end::late;
+    std::vector<gathered_shard> shards; ///< In the order of relay_part::shards.
+    std::string records; ///< The greatest records of the served shards.
+    std::uint32_t hedges = 0;
+    std::uint32_t retries = 0;
+};
+
+/// Send the search to a backend server.
+struct send_call {
+    std::uint64_t attempt = 0; ///< Unique within the run.
+    replica_board::replica_ptr server;
+    time_point deadline; ///< The answer is of no use later.
+    std::chrono::microseconds usual{0}; ///< Usual time of such a call.
+};
+
 /// The result of a search.
 struct gather_result {
     gather_end end = gather_end::late;
-    std::vector<std::string> proofs; ///< Of the shards whose records are included.
+    std::vector<gathered_shard> shards; ///< In the order of the input.
     std::uint32_t missing = 0; ///< Shards that are left out.
     std::string records; ///< The greatest records of the included shards, in descending order.
     std::uint32_t hedges = 0;
@@ -89,6 +114,11 @@
     static constexpr double hedgeLatest = 0.45;
     /// Most hedges in a search, as a share of its shards.
     static constexpr double hedgeShare = 0.4;
+    /// Time before the target at which another host sends what it has gathered: two ways of up to 1.5 ms, and the time for
+    /// reading a few dozen answers on a quarter of a core.
+    static constexpr std::chrono::milliseconds relayLead{8};
+    /// Time before the target until which its answer is awaited.
+    static constexpr std::chrono::milliseconds relayMargin{1};
     /// A shard is not asked when its expected time exceeds the time until the target by this factor.
     static constexpr double skipFactor = 1.5;
     /// Most shards that are not asked, as a share of those that may be missing.
@@ -104,9 +134,21 @@
     /// A call has ended.
     void ended(std::uint64_t attempt, call_outcome &&outcome, time_point now);
 
+    /// The other host has answered. Ignored when the run went on without it.
+    void relayAnswered(relay_result &&result, time_point now);
+
+    /// The other host will not answer. @param notSent It surely has not got the search.
+    void relayFailed(bool notSent, time_point now);
+
     /// Applies the passing of time. Called at nextWakeup or later.
     void wakeup(time_point now);
 
+    /// @return True while the answer of the other host is awaited.
+    [[nodiscard]] bool relayOpen() const { return m_relayOpen; }
+
+    /// @return When the other host should send its answer.
+    [[nodiscard]] time_point relayTarget() const { return m_input.target - relayLead; }
+
     /// @return When wakeup has something to do; time_point::max() when finished.
     [[nodiscard]] time_point nextWakeup() const { return m_next; }
 
@@ -135,6 +177,7 @@
         bool failed = false;
         bool hedged = false;
         bool skipped = false;
+        bool relayed = false; // Another host has been asked for it.
         std::uint32_t sends = 0;
         attempt_end lastEnd = attempt_end::timedOut;
         std::string proof;
@@ -165,6 +208,8 @@
     std::size_t m_answered = 0;
     std::size_t m_failed = 0;
     std::size_t m_hedgesLeft = 0;
+    bool m_relayOpen = false;
+    std::string m_relayRecords; // Of the shards that the other host has gathered.
     bool m_finished = false;
     time_point m_next = time_point::max();
     gather_result m_result;
--- a/libs/search/include/search/replica_board.h
+++ b/libs/search/include/search/replica_board.h
@@ -17,13 +17,20 @@
 namespace orioledrum
 {
 
+/// Restricts the backend servers of each shard to a few that all hosts choose alike, so that a request which several hosts
+/// work on does not reach more of them than it may.
+struct replica_preference {
+    zone_id zone; ///< Backend servers of this zone come first.
+    std::uint64_t seed = 0; ///< Orders the others, for example a hash of the request's id.
+};
+
 /// Settings of a replica_board.
 struct replica_board_settings {
     zone_id ownZone;
     extra_call_limits extraCalls;
     double coldFactor = 1.5; ///< Times the stated cold rate that a backend server bears.
     double coldSlack = 5; ///< Further requests a second that a cold backend server bears.
-    std::chrono::microseconds otherZonePenalty{2000}; ///< Added to the expected time of backend servers of other zones.
+    std::chrono::microseconds otherZonePenalty{5000}; ///< Added to the expected time of backend servers of other zones.
 };
 
 /// All backend servers that this host may call, by service. Not thread-safe.
@@ -70,6 +77,8 @@
         const std::vector<const replica *> *asked = nullptr; ///< Backend servers that this request was sent to already.
         bool again = false; ///< Choose among the asked ones; otherwise among the others.
         bool onlyIfFree = false; ///< Only one that can start the call at once.
+        const replica_preference *preference = nullptr; ///< Restricts the choice to the first `most` in its order.
+        std::uint32_t most = 1;
     };
 
     /// Chooses a backend server for a call. A cold one has the call counted against its rate.
@@ -84,6 +93,14 @@
     /// @return True when some backend server of the service may be called and has not stopped to answer.
     [[nodiscard]] bool reachable(const service_id &service, time_point now) const;
 
+    /// @return True when some backend server of the service in the zone may be called and has not stopped to answer.
+    [[nodiscard]] bool reachableIn(const service_id &service, const zone_id &zone, time_point now) const;
+
+    /// @return The availability zones of the backend servers of a service.
+    [[nodiscard]] std::vector<zone_id> zones(const service_id &service) const;
+
+    [[nodiscard]] const zone_id &ownZone() const { return m_settings.ownZone; }
+
     /// @return True when enough services of a route are reachable to serve it.
     [[nodiscard]] bool reachable(const route &route, time_point now) const;
 
@@ -104,6 +121,8 @@
         std::unique_ptr<extra_call_budget> budget;
     };
 
+    [[nodiscard]] static std::vector<replica_ptr>
+    preferred(const std::vector<replica_ptr> &replicas, const replica_preference &preference, std::uint32_t most);
     void drop(const backend_id &id);
     [[nodiscard]] bool callable(const replica &candidate, time_point now) const;
     [[nodiscard]] std::size_t callLimit(const replica &candidate) const;
--- a/libs/search/src/gather_run.cpp
+++ b/libs/search/src/gather_run.cpp
@@ -57,7 +57,16 @@
     m_hedgeAfter = std::min(std::chrono::microseconds(static_cast<std::int64_t>(slow)), latest);
     m_hedgeAfter = std::max<std::chrono::microseconds>(hedgeMinimum, m_hedgeAfter);
     m_hedgesLeft = static_cast<std::size_t>(std::ceil(static_cast<double>(m_shards.size()) * hedgeShare));
+    if (m_input.relay) {
+        m_relayOpen = true;
+        for (const auto shard : m_input.relay->shards) {
+            m_shards[shard].relayed = true;
+        }
+    }
     for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
+        if (m_shards[shard].relayed) {
+            continue;
+        }
         if (!m_shards[shard].skipped && send(shard, false, false, now)) {
             m_board.budget(m_input.shards[shard]).firstCall();
         } else {
@@ -89,6 +98,9 @@
         finish(gather_end::notStarted);
         return false;
     }
+    if (m_input.relay) {
+        return true; // The other host sees the backend servers' load; this one does not.
+    }
     std::sort(expected.begin(), expected.end(), [](const expectation &a, const expectation &b) { return a.time < b.time; });
     m_result.expected = expected[required() - 1].time;
     if (untilTarget > 0 && static_cast<double>(m_result.expected.count()) > untilTarget * refuseFactor) {
@@ -110,7 +122,7 @@
 {
     auto &state = m_shards[shard];
     const auto usual = m_profile.usual();
-    const auto server = m_board.choose({&m_input.shards[shard], usual, &state.asked, again, onlyIfFree}, now);
+    const auto server = m_board.choose({&m_input.shards[shard], usual, &state.asked, again, onlyIfFree, m_input.preference ? &*m_input.preference : nullptr, m_input.maxAttempts}, now);
     if (!server) {
         return false;
     }
@@ -184,6 +196,74 @@
     return sent;
 }
 
+void gather_run::relayAnswered(relay_result &&result, time_point now)
+{
+    if (m_finished || !m_relayOpen) {
+        return;
+    }
+    if (result.end == gather_end::notStarted) {
+        relayFailed(true, now); // It reaches too few backend servers; this host may reach them.
+        return;
+    }
+    m_relayOpen = false;
+    if (result.end == gather_end::overloaded && m_answered < required() && m_shardOfAttempt.empty()) {
+        finish(gather_end::overloaded);
+        return;
+    }
+    m_result.hedges += result.hedges;
+    m_result.retries += result.retries;
+    m_relayRecords = std::move(result.records);
+    const auto &positions = m_input.relay->shards;
+    for (std::size_t i = 0; i < positions.size() && i < result.shards.size(); ++i) {
+        if (result.shards[i].end != attempt_end::served) {
+            continue;
+        }
+        auto &state = m_shards[positions[i]];
+        state.done = true;
+        state.proof = std::move(result.shards[i].proof);
+        ++m_answered;
+    }
+    for (std::size_t i = 0; i < positions.size(); ++i) {
+        auto &state = m_shards[positions[i]];
+        if (state.done) {
+            continue;
+        }
+        state.lastEnd = i < result.shards.size() ? result.shards[i].end : attempt_end::broken;
+        ++state.sends; // By the other host.
+        // What is missing is asked for here only where the answer could not be given without it.
+        if (covered() || !retry(positions[i], state.lastEnd, now)) {
+            state.failed = true;
+            ++m_failed;
+        }
+    }
+    settle(now);
+}
+
+void gather_run::relayFailed(bool notSent, time_point now)
+{
+    if (m_finished || !m_relayOpen) {
+        return;
+    }
+    m_relayOpen = false;
+    for (const auto shard : m_input.relay->shards) {
+        auto &state = m_shards[shard];
+        auto &budget = m_board.budget(m_input.shards[shard]);
+        const bool allowed = notSent || budget.tokens() >= 1;
+        if (allowed && send(shard, false, false, now)) {
+            if (notSent) {
+                budget.firstCall();
+            } else {
+                budget.takeRetry();
+                ++m_result.retries;
+            }
+        } else {
+            state.failed = true;
+            ++m_failed;
+        }
+    }
+    settle(now);
+}
+
 bool gather_run::hedgeDue(const shard_state &shard, time_point now) const
 {
     if (shard.done || shard.failed || shard.hedged || shard.open.size() != 1 || shard.asked.size() >= m_input.maxAttempts) {
@@ -230,6 +310,9 @@
     if (m_finished) {
         return;
     }
+    if (m_relayOpen && now >= m_input.target - relayMargin) {
+        relayFailed(false, now);
+    }
     hedge(now);
     settle(now);
 }
@@ -260,6 +343,9 @@
     if (now < m_input.target) {
         m_next = std::min(m_next, m_input.target);
     }
+    if (m_relayOpen) {
+        m_next = std::min(m_next, std::max(now, m_input.target - relayMargin));
+    }
     if (m_hedgesLeft == 0) {
         return;
     }
@@ -285,7 +371,11 @@
             break;
         }
     }
-    if (m_result.succeeded()) {
+    for (auto &shard : m_shards) {
+        const auto open = shard.failed ? shard.lastEnd : attempt_end::timedOut;
+        m_result.shards.push_back({shard.done ? attempt_end::served : open, std::move(shard.proof)});
+    }
+    if (m_result.succeeded() || m_input.keepPartial) {
         merge();
     }
 }
@@ -300,7 +390,9 @@
         for (std::size_t at = 0; at + recordBytes <= shard.body.size(); at += recordBytes) {
             records.push_back(shard.body.data() + at);
         }
-        m_result.proofs.push_back(std::move(shard.proof));
+    }
+    for (std::size_t at = 0; at + recordBytes <= m_relayRecords.size(); at += recordBytes) {
+        records.push_back(m_relayRecords.data() + at);
     }
     const auto greater = [](const char *a, const char *b) { return std::memcmp(a, b, recordBytes) > 0; };
     const auto wanted = std::min<std::size_t>(m_input.topRecords, records.size());
--- a/libs/search/src/replica_board.cpp
+++ b/libs/search/src/replica_board.cpp
@@ -1,6 +1,7 @@
 #include <search/replica_board.h>
 
 #include <algorithm>
+#include <tuple>
 #include <unordered_set>
 #include <utility>
 
@@ -183,7 +184,9 @@
         replica_ptr server;
     };
     std::vector<candidate> candidates;
-    for (const auto &server : found->second.replicas) {
+    const auto &all = found->second.replicas;
+    const bool restricted = wanted.preference != nullptr && all.size() > wanted.most;
+    for (const auto &server : restricted ? preferred(all, *wanted.preference, wanted.most) : all) {
         const bool asked =
             wanted.asked != nullptr && std::find(wanted.asked->begin(), wanted.asked->end(), server.get()) != wanted.asked->end();
         if (asked != wanted.again || !callable(*server, now)) {
@@ -228,6 +231,51 @@
     return best;
 }
 
+std::vector<replica_board::replica_ptr>
+replica_board::preferred(const std::vector<replica_ptr> &replicas, const replica_preference &preference, std::uint32_t most)
+{
+    struct ranked {
+        bool otherZone;
+        std::uint64_t order;
+        replica_ptr server;
+    };
+    std::vector<ranked> order;
+    for (const auto &server : replicas) {
+        const auto &entry = server->entry();
+        // The same on every host: the standard library's hash is, since all hosts run the same program.
+        const auto mixed = random_source(preference.seed ^ std::hash<backend_id>{}(entry.id)).next();
+        order.push_back({entry.zone != preference.zone, mixed, server});
+    }
+    std::sort(order.begin(), order.end(), [](const ranked &a, const ranked &b) {
+        return std::tie(a.otherZone, a.order) < std::tie(b.otherZone, b.order);
+    });
+    std::vector<replica_ptr> chosen;
+    for (std::size_t i = 0; i < order.size() && i < most; ++i) {
+        chosen.push_back(std::move(order[i].server));
+    }
+    return chosen;
+}
+
+bool replica_board::reachableIn(const service_id &service, const zone_id &zone, time_point now) const
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end() && !m_excluded.contains(zone)
+        && std::any_of(found->second.replicas.begin(), found->second.replicas.end(), [&](const replica_ptr &server) {
+               return server->entry().zone == zone && server->usable(now) && !server->stalled(now);
+           });
+}
+
+std::vector<zone_id> replica_board::zones(const service_id &service) const
+{
+    std::vector<zone_id> zones;
+    if (const auto found = m_services.find(service); found != m_services.end()) {
+        for (const auto &server : found->second.replicas) {
+            zones.push_back(server->entry().zone);
+        }
+    }
+    return zones;
+}
+
 bool replica_board::reachable(const service_id &service, time_point now) const
 {
     const auto found = m_services.find(service);
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -2,6 +2,7 @@
 
 #include <wire/control_messages.h>
 #include <wire/order_messages.h>
+#include <wire/relay_messages.h>
 #include <wire/search_messages.h>
 
 #include <msgpack.hpp>
@@ -47,6 +48,34 @@
     visit(value.request, value.service, value.customer, value.snapshot, value.remaining, value.query, value.limit, value.calls);
 }
 template<typename Visitor>
+void visitFields(relay_search &value, Visitor &&visit)
+{
+    visit(value.request,
+          value.routeName,
+          value.routeHost,
+          value.routePrefix,
+          value.method,
+          value.target,
+          value.headerNames,
+          value.headerValues,
+          value.shards,
+          value.topRecords,
+          value.maxAttempts,
+          value.minCoverage,
+          value.targetLatency,
+          value.remaining);
+}
+template<typename Visitor>
+void visitFields(relay_shard &value, Visitor &&visit)
+{
+    visit(value.end, value.proof);
+}
+template<typename Visitor>
+void visitFields(relay_answer &value, Visitor &&visit)
+{
+    visit(value.end, value.shards, value.records, value.hedges, value.retries);
+}
+template<typename Visitor>
 void visitFields(shard_answer &value, Visitor &&visit)
 {
     visit(value.attempt,
@@ -295,6 +324,8 @@
 ORIOLEDRUM_MESSAGE(lease_batch)
 ORIOLEDRUM_MESSAGE(lease_batch_answer)
 ORIOLEDRUM_MESSAGE(digest)
+ORIOLEDRUM_MESSAGE(relay_search)
+ORIOLEDRUM_MESSAGE(relay_answer)
 ORIOLEDRUM_MESSAGE(config_pull)
 ORIOLEDRUM_MESSAGE(config_files_message)
 ORIOLEDRUM_MESSAGE(host_list)
