Relays report the expected time of their shards

Cause: a host that leaves shards to a relay did not see their load and sent searches that could not be answered in time.

A relay's answer names, for each shard, the expected time of a further call; the asking host uses it for 250 ms when it decides whether to refuse.

--- a/libs/gateway/src/relay_client.cpp
+++ b/libs/gateway/src/relay_client.cpp
@@ -88,7 +88,7 @@
         relay_result gathered;
         gathered.end = static_cast<gather_end>(answer->end);
         for (auto &shard : answer->shards) {
-            gathered.shards.push_back({static_cast<attempt_end>(shard.end), std::move(shard.proof)});
+            gathered.shards.push_back({static_cast<attempt_end>(shard.end), std::move(shard.proof), shard.loadPercent / 100.0});
         }
         gathered.records = std::move(answer->records);
         gathered.hedges = answer->hedges;
--- a/libs/gateway/src/relayed_request.cpp
+++ b/libs/gateway/src/relayed_request.cpp
@@ -3,6 +3,7 @@
 #include <gateway_state.h>
 #include <wire/codec.h>
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 
@@ -102,8 +103,13 @@
     auto result = m_run.takeResult();
     relay_answer message;
     message.end = static_cast<std::uint8_t>(result.end);
-    for (auto &shard : result.shards) {
-        message.shards.push_back({static_cast<std::uint8_t>(shard.end), std::move(shard.proof)});
+    const auto usual = state().profile(*m_part)->usual();
+    for (std::size_t i = 0; i < result.shards.size(); ++i) {
+        auto &shard = result.shards[i];
+        const auto expected = state().board.expectedTime(m_part->shards[i], usual, now);
+        const auto percent = expected && usual.count() > 0 ? expected->count() * 100 / usual.count() : 0;
+        message.shards.push_back(
+            {static_cast<std::uint8_t>(shard.end), std::move(shard.proof), static_cast<std::uint32_t>(std::min<std::int64_t>(percent, 100'000))});
     }
     message.records = std::move(result.records);
     message.hedges = result.hedges;
--- a/libs/search/include/search/gather_run.h
+++ b/libs/search/include/search/gather_run.h
@@ -55,6 +55,7 @@
 struct gathered_shard {
     attempt_end end = attempt_end::timedOut; ///< served when the shard's records are included.
     std::string proof; ///< By which the backend server vouches for the records.
+    double loadFactor = 0; ///< From another host: expected time of a further call against one without waiting; 0: unknown.
 };
 
 /// What another host has gathered.
--- a/libs/search/include/search/replica_board.h
+++ b/libs/search/include/search/replica_board.h
@@ -46,6 +46,8 @@
     static constexpr std::chrono::milliseconds failureCost{60};
     /// Added to the expected time of a backend server that seems to stand still: about what is left of a pause.
     static constexpr std::chrono::milliseconds pausedCost{100};
+    /// Age after which a hint of another host is not used.
+    static constexpr std::chrono::milliseconds hintLifetime{250};
     /// Added to the expected time of one that has been silent for long.
     static constexpr std::chrono::milliseconds stalledCost{2000};
 
@@ -90,6 +92,14 @@
     [[nodiscard]] std::optional<std::chrono::microseconds>
     expectedTime(const service_id &service, std::chrono::microseconds usual, time_point now) const;
 
+    /// Takes what another host says about a service that it calls for this one.
+    /// @param factor Expected time of a call, as a multiple of one without waiting.
+    void setHint(const service_id &service, double factor, time_point now);
+
+    /// @return Like expectedTime(), but by the latest hint when there is a fresh one.
+    [[nodiscard]] std::optional<std::chrono::microseconds>
+    hintedTime(const service_id &service, std::chrono::microseconds usual, time_point now) const;
+
     /// @return True when some backend server of the service may be called and has not stopped to answer.
     [[nodiscard]] bool reachable(const service_id &service, time_point now) const;
 
@@ -119,6 +129,8 @@
     struct service_state {
         std::vector<replica_ptr> replicas;
         std::unique_ptr<extra_call_budget> budget;
+        double hintedFactor = 0;
+        time_point hintedAt;
     };
 
     [[nodiscard]] static std::vector<replica_ptr>
--- a/libs/search/src/gather_run.cpp
+++ b/libs/search/src/gather_run.cpp
@@ -86,11 +86,19 @@
         std::size_t shard;
     };
     std::vector<expectation> expected;
+    std::vector<bool> relayed(m_shards.size(), false);
+    if (m_input.relay) {
+        for (const auto shard : m_input.relay->shards) {
+            relayed[shard] = true;
+        }
+    }
     for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
         if (!m_board.reachable(m_input.shards[shard], now)) {
             continue;
         }
-        if (const auto time = m_board.expectedTime(m_input.shards[shard], m_profile.usual(), now)) {
+        const auto &service = m_input.shards[shard];
+        const auto usual = m_profile.usual();
+        if (const auto time = relayed[shard] ? m_board.hintedTime(service, usual, now) : m_board.expectedTime(service, usual, now)) {
             expected.push_back({*time, shard});
         }
     }
@@ -98,9 +106,6 @@
         finish(gather_end::notStarted);
         return false;
     }
-    if (m_input.relay) {
-        return true; // The other host sees the backend servers' load; this one does not.
-    }
     std::sort(expected.begin(), expected.end(), [](const expectation &a, const expectation &b) { return a.time < b.time; });
     m_result.expected = expected[required() - 1].time;
     if (untilTarget > 0 && static_cast<double>(m_result.expected.count()) > untilTarget * refuseFactor) {
@@ -112,6 +117,9 @@
         if (static_cast<double>(each->time.count()) <= untilTarget * skipFactor) {
             break;
         }
+        if (relayed[each->shard]) {
+            continue; // The other host decides, with newer knowledge.
+        }
         m_shards[each->shard].skipped = true;
         ++m_result.skipped;
     }
@@ -215,6 +223,9 @@
     m_relayRecords = std::move(result.records);
     const auto &positions = m_input.relay->shards;
     for (std::size_t i = 0; i < positions.size() && i < result.shards.size(); ++i) {
+        if (result.shards[i].loadFactor > 0) {
+            m_board.setHint(m_input.shards[positions[i]], result.shards[i].loadFactor, now);
+        }
         if (result.shards[i].end != attempt_end::served) {
             continue;
         }
--- a/libs/search/src/replica_board.cpp
+++ b/libs/search/src/replica_board.cpp
@@ -276,6 +276,23 @@
     return zones;
 }
 
+void replica_board::setHint(const service_id &service, double factor, time_point now)
+{
+    auto &state = m_services[service];
+    state.hintedFactor = factor;
+    state.hintedAt = now;
+}
+
+std::optional<std::chrono::microseconds>
+replica_board::hintedTime(const service_id &service, std::chrono::microseconds usual, time_point now) const
+{
+    const auto found = m_services.find(service);
+    if (found != m_services.end() && found->second.hintedFactor > 0 && now - found->second.hintedAt <= hintLifetime) {
+        return std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(usual.count()) * found->second.hintedFactor));
+    }
+    return expectedTime(service, usual, now);
+}
+
 bool replica_board::reachable(const service_id &service, time_point now) const
 {
     const auto found = m_services.find(service);
--- a/libs/wire/include/wire/relay_messages.h
+++ b/libs/wire/include/wire/relay_messages.h
@@ -32,6 +32,7 @@
 struct relay_shard {
     std::uint8_t end = 0; ///< An attempt_end.
     std::string proof; ///< Empty unless the shard's records are included.
+    std::uint32_t loadPercent = 0; ///< Expected time of a further call, as a share of one without waiting; 0: unknown.
 };
 
 /// The answer to a relay_search.
