--- /dev/null
+++ b/libs/limits/tests/test_shared_limits.cpp
@@ -0,0 +1,102 @@
+#include <limits/cold_rate_limit.h>
+#include <limits/extra_call_budget.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <vector>
+
+using namespace orioledrum;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const time_point start = time_point(std::chrono::hours(1));
+
+} // namespace
+
+// Guards against hosts that together spend more extra calls in some window than the share of its requests plus the slack.
+// The pattern: requests and failures in bursts, spread unevenly over the hosts.
+RC_GTEST_PROP(ExtraCallBudgetTest, hostsTogetherStayWithinShareAndSlack, ())
+{
+    const extra_call_limits limits{0.2, 58};
+    const auto hosts = *rc::gen::inRange<std::uint32_t>(1, 12);
+    std::vector<extra_call_budget> budgets(hosts, extra_call_budget(limits, hosts));
+    struct step {
+        int at;
+        bool extra;
+    };
+    std::vector<step> history;
+    int now = 0;
+    for (int i = 0; i < 3000; ++i) {
+        now += *rc::gen::inRange(0, 30);
+        auto &budget = budgets[static_cast<std::size_t>(*rc::gen::inRange<std::uint32_t>(0, hosts))];
+        if (*rc::gen::inRange(0, 3) > 0) {
+            budget.firstCall();
+            history.push_back({now, false});
+        } else if (budget.takeRetry()) {
+            history.push_back({now, true});
+        }
+    }
+    constexpr int window = 10'000;
+    for (const auto &begin : history) {
+        const auto inWindow = [&](const step &each, bool extra) {
+            return each.extra == extra && each.at >= begin.at && each.at < begin.at + window;
+        };
+        const auto extra = std::count_if(history.begin(), history.end(), [&](const step &each) { return inWindow(each, true); });
+        const auto first = std::count_if(history.begin(), history.end(), [&](const step &each) { return inWindow(each, false); });
+        RC_ASSERT(static_cast<double>(extra) <= limits.share * static_cast<double>(first) + limits.slack);
+    }
+}
+
+// Guards against hedges that use up what failed calls need.
+TEST(ExtraCallBudgetTest, hedgesLeaveTokensForRetries)
+{
+    extra_call_budget budget({0.2, 20}, 2);
+    while (budget.takeHedge()) {
+    }
+    EXPECT_TRUE(budget.takeRetry());
+    EXPECT_FALSE(budget.canHedge());
+}
+
+TEST(ExtraCallBudgetTest, moreHostsShrinkTheCapacityAtOnce)
+{
+    extra_call_budget budget({0.2, 20}, 2);
+    budget.setHosts(10);
+    int taken = 0;
+    while (budget.takeRetry()) {
+        ++taken;
+    }
+    EXPECT_EQ(taken, 2);
+}
+
+// Guards against a cold backend server that gets more calls in some second than it bears, from all hosts together.
+RC_GTEST_PROP(ColdRateLimitTest, hostsTogetherStayWithinTheRate, ())
+{
+    const auto hosts = *rc::gen::inRange<std::uint32_t>(1, 9);
+    const double perWindow = 17;
+    std::vector<cold_rate_limit> limits(hosts);
+    std::deque<time_point> sent;
+    auto now = start;
+    for (int i = 0; i < 2000; ++i) {
+        now += milliseconds(*rc::gen::inRange(0, 20));
+        if (limits[static_cast<std::size_t>(*rc::gen::inRange<std::uint32_t>(0, hosts))].take(perWindow, hosts, now)) {
+            sent.push_back(now);
+        }
+        while (!sent.empty() && now - sent.front() >= std::chrono::seconds(1)) {
+            sent.pop_front();
+        }
+        RC_ASSERT(static_cast<double>(sent.size()) <= perWindow);
+    }
+}
+
+TEST(ColdRateLimitTest, servesAgainAfterTheWindow)
+{
+    cold_rate_limit limit;
+    EXPECT_TRUE(limit.take(2, 2, start));
+    EXPECT_FALSE(limit.take(2, 2, start + milliseconds(500)));
+    EXPECT_TRUE(limit.take(2, 2, start + cold_rate_limit::window));
+}
--- /dev/null
+++ b/libs/search/tests/test_forward_run.cpp
@@ -0,0 +1,150 @@
+#include <search/forward_run.h>
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+using namespace orioledrum;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const service_id service("s");
+
+class forward_fixture : public testing::Test
+{
+protected:
+    forward_fixture()
+        : m_board({zone_id("z"), {0.2, 20}, 1.5, 5}, random_source(3))
+    {
+        for (const char *id : {"a", "b", "c"}) {
+            replica_entry entry;
+            entry.id = backend_id(id);
+            entry.service = service;
+            entry.zone = zone_id("z");
+            entry.slots = 3;
+            m_board.put(entry, m_now);
+        }
+    }
+
+    forward_run makeRun(repeat_rule rule, std::uint32_t maxAttempts = 2)
+    {
+        return forward_run({service, rule, maxAttempts, m_now + milliseconds(500), m_now + milliseconds(2000)}, m_board, m_profile);
+    }
+
+    replica_board m_board;
+    latency_profile m_profile{milliseconds(100)};
+    time_point m_now = time_point(std::chrono::hours(1));
+};
+
+using ForwardRunTest = forward_fixture;
+
+} // namespace
+
+// Guards against an order that runs twice: after the connection broke it may have run, so no other backend server gets it.
+TEST_F(ForwardRunTest, doesNotRepeatAnOrderThatMayHaveRun)
+{
+    for (const auto end : {attempt_end::broken, attempt_end::timedOut, attempt_end::abandoned}) {
+        auto run = makeRun(repeat_rule::atMostOnce);
+        run.start(m_now);
+        ASSERT_EQ(run.takeCalls().size(), 1U);
+        run.ended(0, end, m_now + milliseconds(10));
+        EXPECT_TRUE(run.takeCalls().empty());
+        ASSERT_TRUE(run.finished());
+        EXPECT_EQ(run.end(), forward_end::failed);
+    }
+}
+
+// A failure answer of the backend server is an outcome: it is passed on, and the order is not sent again.
+TEST_F(ForwardRunTest, passesTheFailureOfAnOrderOn)
+{
+    auto run = makeRun(repeat_rule::atMostOnce);
+    run.start(m_now);
+    run.takeCalls();
+    run.ended(0, attempt_end::failed, m_now);
+    EXPECT_EQ(run.end(), forward_end::answered);
+    EXPECT_TRUE(run.takeCalls().empty());
+}
+
+// Guards against a refusal that says "not run" although an earlier call may have run.
+TEST_F(ForwardRunTest, saysNotRunOnlyWhenNoCallCanHaveRun)
+{
+    auto shedOnly = makeRun(repeat_rule::atMostOnce);
+    shedOnly.start(m_now);
+    std::uint64_t attempt = 0;
+    while (!shedOnly.finished()) {
+        ASSERT_EQ(shedOnly.takeCalls().size(), 1U);
+        shedOnly.ended(attempt++, attempt_end::shed, m_now);
+    }
+    EXPECT_EQ(shedOnly.end(), forward_end::notRun);
+
+    auto brokenFirst = makeRun(repeat_rule::idempotent);
+    brokenFirst.start(m_now);
+    brokenFirst.takeCalls();
+    brokenFirst.ended(0, attempt_end::broken, m_now);
+    for (attempt = 1; !brokenFirst.finished(); ++attempt) {
+        brokenFirst.takeCalls();
+        brokenFirst.ended(attempt, attempt_end::shed, m_now);
+    }
+    EXPECT_EQ(brokenFirst.end(), forward_end::failed);
+}
+
+TEST_F(ForwardRunTest, triesAnotherBackendServerAfterProofThatNothingRan)
+{
+    auto run = makeRun(repeat_rule::atMostOnce);
+    run.start(m_now);
+    const auto first = run.takeCalls().at(0).server;
+    run.ended(0, attempt_end::unreachable, m_now);
+    const auto second = run.takeCalls().at(0).server;
+    EXPECT_NE(first, second);
+    run.ended(1, attempt_end::served, m_now);
+    EXPECT_EQ(run.end(), forward_end::answered);
+    EXPECT_EQ(run.answeredBy(), 1U);
+}
+
+TEST_F(ForwardRunTest, keepsToTheNumberOfBackendServers)
+{
+    auto run = makeRun(repeat_rule::idempotent, 2);
+    run.start(m_now);
+    std::set<const replica *> asked;
+    for (std::uint64_t attempt = 0; !run.finished(); ++attempt) {
+        for (const auto &call : run.takeCalls()) {
+            asked.insert(call.server.get());
+        }
+        run.ended(attempt, attempt_end::broken, m_now);
+    }
+    EXPECT_LE(asked.size(), 2U);
+}
+
+TEST_F(ForwardRunTest, hedgesASlowIdempotentRequestOnce)
+{
+    auto run = makeRun(repeat_rule::idempotent);
+    run.start(m_now);
+    run.takeCalls();
+    m_now = run.nextWakeup();
+    run.wakeup(m_now);
+    EXPECT_EQ(run.takeCalls().size(), 1U);
+    EXPECT_EQ(run.nextWakeup(), time_point(std::chrono::hours(1)) + milliseconds(2000));
+    run.ended(1, attempt_end::served, m_now);
+    EXPECT_EQ(run.answeredBy(), 1U);
+}
+
+TEST_F(ForwardRunTest, neverHedgesAnOrder)
+{
+    auto run = makeRun(repeat_rule::atMostOnce);
+    run.start(m_now);
+    run.takeCalls();
+    m_now = run.nextWakeup();
+    run.wakeup(m_now);
+    EXPECT_TRUE(run.takeCalls().empty());
+    EXPECT_EQ(run.end(), forward_end::late);
+}
+
+TEST_F(ForwardRunTest, refusesAtOnceWithoutABackendServer)
+{
+    m_board.replaceAll({}, m_now);
+    auto run = makeRun(repeat_rule::atMostOnce);
+    run.start(m_now);
+    EXPECT_EQ(run.end(), forward_end::notRun);
+}
