Test gatewayd as a process against a stand-in of the platform

scripts/platform_standin.py plays the store, backend servers with faults, the operator and callers on loopback; tests/process/test_gateway.py checks merges, at-most-once, foreign and extra answers, callers that leave, configuration changes through outages, draining, planned stops, a cut-off host and a start without the platform.

--- /dev/null
+++ b/libs/gateway/tests/test_gateway_settings.cpp
@@ -0,0 +1,102 @@
+#include <gateway/gateway_settings.h>
+#include <service_split.h>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <map>
+
+using namespace orioledrum;
+
+namespace
+{
+
+nlohmann::json makeSettings()
+{
+    return {{"host", "h1"},
+            {"zone", "z1"},
+            {"callers", "127.0.0.1:8001"},
+            {"readiness", "127.0.0.1:8002"},
+            {"hosts", "127.0.0.1:8003"},
+            {"metrics", "127.0.0.1:8004"},
+            {"seeds", {"127.0.0.1:8003"}},
+            {"platform", "127.0.0.1:9000"},
+            {"maxDescriptors", 4096},
+            {"extraCallShare", 0.2},
+            {"extraCallSlack", 58},
+            {"coldFactor", 1.5},
+            {"coldSlack", 5},
+            {"configurationInForceMs", 3000},
+            {"contactLossMs", 4000},
+            {"stopTimeMs", 6000},
+            {"lapsedReturnMs", 2200},
+            {"callerDelayMs", 3}};
+}
+
+} // namespace
+
+TEST(GatewaySettingsTest, readsAllFields)
+{
+    const auto settings = gateway_settings::parse("// comment\n" + makeSettings().dump(), "f");
+    ASSERT_TRUE(settings) << settings.error().describe();
+    EXPECT_EQ(settings->callers.text(), "127.0.0.1:8001");
+    EXPECT_EQ(settings->seeds.size(), 1U);
+    EXPECT_EQ(settings->stopTime, std::chrono::milliseconds(6000));
+    EXPECT_DOUBLE_EQ(settings->extraCalls.slack, 58);
+}
+
+// Guards against a start with a field that is missing or wrong: the message must name it.
+TEST(GatewaySettingsTest, namesEachFieldThatIsMissingOrWrong)
+{
+    const auto whole = makeSettings();
+    for (const auto &[key, value] : whole.items()) {
+        auto missing = whole;
+        missing.erase(key);
+        auto result = gateway_settings::parse(missing.dump(), "f");
+        ASSERT_FALSE(result) << key;
+        EXPECT_NE(result.error().message.find("'" + key + "'"), std::string::npos) << result.error().message;
+        auto wrong = whole;
+        wrong[key] = nlohmann::json::object();
+        result = gateway_settings::parse(wrong.dump(), "f");
+        ASSERT_FALSE(result) << key;
+        EXPECT_NE(result.error().message.find("'" + key + "'"), std::string::npos) << result.error().message;
+    }
+}
+
+TEST(GatewaySettingsTest, refusesBrokenFiles)
+{
+    EXPECT_FALSE(gateway_settings::parse("", "f"));
+    EXPECT_FALSE(gateway_settings::parse("[]", "f"));
+    EXPECT_FALSE(gateway_settings::parse("{\"host\": ", "f"));
+    EXPECT_FALSE(gateway_settings::load("/nonexistent/settings"));
+    auto badPort = makeSettings();
+    badPort["callers"] = "127.0.0.1:99999";
+    EXPECT_FALSE(gateway_settings::parse(badPort.dump(), "f"));
+}
+
+// Guards against a service that gets more or less than the share of its weight, also over short spans.
+TEST(ServiceSplitTest, followsTheWeights)
+{
+    route split;
+    split.name = "r";
+    split.services = {{service_id("a"), 7}, {service_id("b"), 2}, {service_id("c"), 1}};
+    service_split chooser;
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 100; ++i) {
+        ++counts[chooser.next(split, 1).str()];
+    }
+    EXPECT_EQ(counts["a"], 70);
+    EXPECT_EQ(counts["b"], 20);
+    EXPECT_EQ(counts["c"], 10);
+}
+
+TEST(ServiceSplitTest, anEmptyWeightGetsNothing)
+{
+    route split;
+    split.name = "r";
+    split.services = {{service_id("a"), 0}, {service_id("b"), 3}};
+    service_split chooser;
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(chooser.next(split, 1).str(), "b");
+    }
+}
--- a/libs/search/include/search/latency_profile.h
+++ b/libs/search/include/search/latency_profile.h
@@ -31,7 +31,6 @@
     void refresh() const;
 
     latency_histogram m_histogram{halveAt};
-    std::chrono::microseconds m_initial;
     mutable std::chrono::microseconds m_usual;
     mutable std::chrono::microseconds m_slow;
     mutable std::uint32_t m_stale = 0; // Samples since the cached quantiles were computed.
--- a/libs/search/src/latency_profile.cpp
+++ b/libs/search/src/latency_profile.cpp
@@ -13,8 +13,7 @@
 } // namespace
 
 latency_profile::latency_profile(std::chrono::microseconds initial)
-    : m_initial(initial)
-    , m_usual(initial)
+    : m_usual(initial)
     , m_slow(initial * 3)
 {
 }
--- a/libs/transport/tests/test_http_client.cpp
+++ b/libs/transport/tests/test_http_client.cpp
@@ -8,6 +8,7 @@
 
 #include <cstdlib>
 #include <future>
+#include <mutex>
 
 using namespace orioledrum;
 using namespace std::chrono_literals;
@@ -124,6 +125,46 @@
     EXPECT_EQ(connections(server.address()), 1U) << "the fresh connection is kept, or the idle one was used";
 }
 
+// Guards against the same without a new connection for each call: libcurl's second attempt is stopped before it is written.
+TEST_F(HttpClientTest, SendOnceIsNeverResentOnAReusedConnection)
+{
+    scripted_http_server server([](const std::string &request) {
+        return request.find("/order") != std::string::npos ? scripted_http_server::action{"", true} : scripted_http_server::ok("");
+    });
+    ASSERT_TRUE(send(makeCall(server.url("/warm"))).has_value());
+    auto order = makeCall(server.url("/order"));
+    order.sendOnce = true;
+    const auto result = send(order);
+    ASSERT_FALSE(result.has_value());
+    EXPECT_EQ(result.error().failure.code, error_code::unreachable);
+    EXPECT_TRUE(result.error().mayHaveBeenSent);
+    EXPECT_EQ(server.requests(), 2);
+}
+
+// Guards against a target that is changed on its way, and against options of one call that stay for the next.
+TEST_F(HttpClientTest, TargetAndMethodAreSentUnchanged)
+{
+    std::mutex mutex;
+    std::vector<std::string> seen;
+    scripted_http_server server([&](const std::string &request) {
+        const std::lock_guard lock(mutex);
+        seen.push_back(request);
+        return scripted_http_server::ok("");
+    });
+    auto post = makeCall(server.url("/"));
+    post.target = "/a/../b%2f?x=1&y=%20";
+    post.defaultContentType = false;
+    ASSERT_TRUE(send(post).has_value());
+    http_call get;
+    get.url = server.url("/plain");
+    ASSERT_TRUE(send(get).has_value());
+    ASSERT_EQ(seen.size(), 2U);
+    EXPECT_TRUE(seen[0].starts_with("POST /a/../b%2f?x=1&y=%20 HTTP/1.1\r\n")) << seen[0];
+    EXPECT_EQ(seen[0].find("Content-Type"), std::string::npos) << seen[0];
+    EXPECT_TRUE(seen[1].starts_with("GET /plain HTTP/1.1\r\n")) << seen[1];
+    EXPECT_EQ(seen[1].find("Content-Length"), std::string::npos) << seen[1];
+}
+
 // Guards against a paused owner that writes after its lease has ended.
 TEST_F(HttpClientTest, BeforeSendStopsACall)
 {
--- a/libs/transport/tests/test_http_server.cpp
+++ b/libs/transport/tests/test_http_server.cpp
@@ -93,6 +93,28 @@
     EXPECT_THAT(response, HasSubstr("POST hello"));
 }
 
+// Guards against work for a caller that has gone, and against a report for one that was answered.
+TEST_F(HttpServerTest, ReportsACallerThatIsGone)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), server->port()});
+    asio::write(socket, asio::buffer(makeRequest("/hold", "", "keep-alive")));
+    auto first = handler.take();
+    ASSERT_TRUE(first);
+    std::atomic<int> reports = 0;
+    std::promise<void> gone;
+    first->onCallerGone([&] { ++reports; });
+    ASSERT_TRUE(first->respond({200, "text/plain", {}, "done"}));
+    asio::write(socket, asio::buffer(makeRequest("/hold", "", "keep-alive")));
+    auto second = handler.take();
+    ASSERT_TRUE(second);
+    second->onCallerGone([&] { gone.set_value(); });
+    socket.close();
+    EXPECT_EQ(gone.get_future().wait_for(10s), std::future_status::ready);
+    EXPECT_EQ(reports, 0);
+}
+
 // Guards against a body over the limit that is accepted, or refused without an answer the client can read.
 TEST_F(HttpServerTest, BodyOverLimitGets413)
 {
--- /dev/null
+++ b/scripts/platform_standin.py
@@ -0,0 +1,456 @@
+"""Plays the users' platform on loopback: a store that can be read and watched, backend servers, an operator and callers.
+
+One asyncio loop in a thread of its own serves everything, so a test drives it with plain calls. The protocol is the one that
+platform/ translates; faults are set per backend server.
+"""
+import asyncio
+import base64
+import collections
+import hashlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import threading
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+RECORD = 16
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+async def read_message(reader):
+    """Reads one HTTP/1.1 message; returns start line, header (lower case names) and body, or None at the end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    header = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            header[name.strip().lower()] = value.strip()
+    if header.get("transfer-encoding", "").lower() == "chunked":
+        body = b""
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            body += (await reader.readexactly(size + 2))[:-2]
+            if size == 0:
+                return lines[0], header, body
+    return lines[0], header, await reader.readexactly(int(header.get("content-length", 0)))
+
+
+def make_message(status, header=None, body=b"", close=False):
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (header or {}).items()]
+    if close:
+        lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Store:
+    """Keys with revisions, read by range and watched."""
+
+    def __init__(self):
+        self.items = {}
+        self.history = []
+        self.oldest = 0
+        self.revision = 1
+        self.changed = asyncio.Event()
+        self.down = False
+        self.calls = 0
+
+    def put(self, key, value):
+        self.revision += 1
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        item = {"key": key, "value": base64.b64encode(data).decode(), "revision": self.revision, "created": self.revision, "lease": 0}
+        self.items[key] = item
+        self.history.append(item)
+        self.wake()
+
+    def delete(self, key):
+        self.revision += 1
+        self.items.pop(key, None)
+        self.history.append({"key": key, "revision": self.revision, "deleted": True})
+        self.wake()
+
+    def forget_history(self):
+        self.history.clear()
+        self.oldest = self.revision
+        self.wake()
+
+    def wake(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        try:
+            await self.answer_all(reader, writer)
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer_all(self, reader, writer):
+        while message := await read_message(reader):
+            self.calls += 1
+            if self.down:
+                break
+            target = message[0].split(" ")[1]
+            path, _, query = target.partition("?")
+            given = dict(part.partition("=")[::2] for part in query.split("&") if part)
+            prefix = given.get("prefix", "").replace("%2F", "/")
+            if path == "/kv-range":
+                after = given.get("after", "").replace("%2F", "/")
+                keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+                page = keys[:7]  # Small pages, so that every list takes several.
+                body = {"items": [self.items[key] for key in page], "has_more": len(keys) > len(page), "store_revision": self.revision}
+                status = 200
+            else:
+                status, body = await self.watch(prefix, int(given["after"]), int(given["wait_ms"]))
+            if self.down:
+                break
+            writer.write(make_message(status, {"Content-Type": "application/json"}, json.dumps(body).encode()))
+
+    async def watch(self, prefix, after, wait_ms):
+        end = time.monotonic() + wait_ms / 1000
+        while True:
+            if after < self.oldest:
+                return 410, {}
+            events = [event for event in self.history if event["revision"] > after and event["key"].startswith(prefix)]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "store_revision": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+
+class Backend:
+    """One backend server. `mode` says what it does with requests."""
+
+    def __init__(self, platform, name, service, zone, slots=2):
+        self.platform, self.name, self.service, self.zone, self.slots = platform, name, service, zone, slots
+        self.mode = "serve"
+        self.work_s = 0.004
+        self.running = 0
+        self.ran = []  # (time, request id, method, target, body)
+        self.arrivals = []  # (time, request id)
+        self.cancelled = []  # Request ids whose connection closed while they ran.
+        self.server = None
+        self.connections = set()
+        self.draining = False
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.publish()
+
+    def publish(self, **changes):
+        entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": self.slots,
+                 "state": "draining" if self.draining else "ready", "warmup_left_ms": 0, "seq": 1, "born": 1}
+        entry.update(changes)
+        self.platform.store.put("servers/" + self.name, entry)
+
+    def crash(self):
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    def proof(self, request_id):
+        return hashlib.sha1(f"{self.name}/{request_id}".encode()).hexdigest()[:16]
+
+    def records(self, target):
+        seed = hashlib.sha1(f"{self.service}{target}".encode()).digest()
+        return [hashlib.md5(seed + bytes([i])).digest() for i in range(6)]
+
+    async def serve(self, reader, writer):
+        self.connections.add(writer)
+        try:
+            while message := await read_message(reader):
+                if not await self.answer(message, reader, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self.connections.discard(writer)
+            writer.close()
+
+    async def answer(self, message, reader, writer):
+        line, header, body = message
+        method, target, _ = line.split(" ", 2)
+        if target == "/health":
+            writer.write(make_message(200, {"Instance-Id": self.name}))
+            return True
+        request_id = header.get("request-id", "")
+        self.arrivals.append((time.monotonic(), request_id))
+        if header.get("expect-instance", self.name) != self.name:
+            writer.write(make_message(421, {"Instance-Id": self.name}))
+            return True
+        mode = self.mode() if callable(self.mode) else self.mode
+        if mode == "shed":
+            writer.write(make_message(503, {"Not-Run": "1", "Request-Id": request_id}))
+            return True
+        if mode == "reset":
+            writer.transport.abort()
+            return False
+        self.ran.append((time.monotonic(), request_id, method, target, body))
+        if mode == "hang":
+            await asyncio.sleep(30)
+        self.running += 1
+        ended = asyncio.ensure_future(reader.read(1)) if mode == "watch" else None
+        try:
+            work = asyncio.sleep(self.work_s)
+            if ended:
+                done, _ = await asyncio.wait([asyncio.ensure_future(work), ended], return_when=asyncio.FIRST_COMPLETED)
+                if ended in done:
+                    self.cancelled.append(request_id)
+                    return False
+                ended.cancel()
+            else:
+                await work
+        finally:
+            self.running -= 1
+        if mode == "lose":
+            writer.transport.abort()
+            return False
+        answer = {"Request-Id": request_id, "Server-Stamp": self.proof(request_id), "Server-Load": f"{self.running},0,{self.slots}"}
+        payload = b"".join(self.records(target)) if self.service.startswith("shard") else b"bytes of " + request_id.encode()
+        if mode == "fail":
+            writer.write(make_message(500, answer, b"failed"))
+        elif mode == "truncate":
+            whole = make_message(200, answer, payload)
+            writer.write(whole[:-5])
+            writer.close()
+            return False
+        elif mode == "stranger":
+            answer["Request-Id"] = "another"
+            writer.write(make_message(200, answer, payload))
+        elif mode == "extra":
+            writer.write(make_message(200, answer, payload))
+            writer.write(make_message(200, {**answer, "Request-Id": "extra"}, b"late"))
+        elif mode == "unframed":
+            writer.write((f"HTTP/1.1 200 OK\r\nServer-Stamp: {answer['Server-Stamp']}\r\n\r\n").encode() + payload)
+            writer.close()
+            return False
+        else:
+            writer.write(make_message(200, answer, payload))
+        return True
+
+
+class Answer(collections.namedtuple("Answer", "status header body seconds")):
+    """What a caller got; status 0 when the connection ended without an answer."""
+
+
+class Platform:
+    """The platform, its backend servers and the gateways under test. Use as a context manager."""
+
+    def __init__(self, folder, shards=6, replicas=2, zones=("z1", "z2")):
+        self.folder = pathlib.Path(folder)
+        self.binary = pathlib.Path(os.environ.get("ORIOLEDRUM_BUILD", ROOT / "build")) / "bin" / "gatewayd"
+        self.zones = zones
+        self.shards = ["shard%d" % i for i in range(shards)]
+        self.replicas = replicas
+        self.backends = {}
+        self.gateways = {}
+        self.version = 0
+        self.requests = 0
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+
+    def __enter__(self):
+        self.thread.start()
+        self.run(self._start())
+        return self
+
+    def __exit__(self, *_):
+        for gateway in self.gateways.values():
+            if gateway["process"].poll() is None:
+                gateway["process"].kill()
+            gateway["process"].wait()
+            gateway["log"].close()
+        self.run(self._end())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+    async def _end(self):
+        """Ends all that still serves, so that nothing outlives the loop."""
+        for backend in self.backends.values():
+            backend.server.close()
+            for writer in list(backend.connections):
+                writer.transport.abort()
+        self.server.close()
+        tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def run(self, coroutine, timeout=30):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(timeout)
+
+    def call(self, function, *arguments, **named):
+        """Calls a function on the loop's thread."""
+        async def body():
+            return function(*arguments, **named)
+        return self.run(body())
+
+    async def _start(self):
+        self.store = Store()
+        self.server = await asyncio.start_server(self.store.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        for index, shard in enumerate(self.shards):
+            for number in range(self.replicas):
+                await self._add_backend(f"{shard}-{number}", shard, self.zones[(index + number) % len(self.zones)])
+        for number in range(2):
+            await self._add_backend(f"single-{number}", "single", self.zones[number % len(self.zones)], slots=3)
+        await self._add_backend("other-0", "other", self.zones[0])
+        self.publish_routes_now()
+
+    async def _add_backend(self, name, service, zone, slots=2):
+        backend = self.backends[name] = Backend(self, name, service, zone, slots)
+        await backend.start()
+
+    def add_backend(self, name, service, zone):
+        self.run(self._add_backend(name, service, zone))
+
+    def publish_routes_now(self, single="single", extra=()):
+        self.version += 3
+        base = {"host": "h.example", "timeout_ms": 1500, "target_latency_ms": 120, "priority": 1, "max_attempts": 2}
+        search = {"kind": "idempotent", "gather": self.shards, "top_k": 10, "min_coverage": 0.75}
+        routes = [{**base, **search, "name": "search", "prefix": "/search/"},
+                  {**base, "name": "fetch", "prefix": "/fetch/", "kind": "idempotent", "service": single},
+                  {**base, "name": "order", "prefix": "/order/", "kind": "non_idempotent", "service": single}]
+        routes += [{**base, "name": name, "prefix": f"/{name}/", "kind": "idempotent", "service": single} for name in extra]
+        services = [{"name": name, "health_path": "/health", "max_conns": 60, "protocol": "h1", "tls": False, "warmup_s": 1.0,
+                     "cold_per_s": 0.0} for name in [*self.shards, "single", "other"]]
+        limits = {"max_header_bytes": 16384, "max_body_bytes": 10000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+        self.store.put("op/config", {"version": self.version, "routes": routes, "services": services, "limits": limits})
+
+    def publish_routes(self, **named):
+        self.call(self.publish_routes_now, **named)
+
+    def start_gateway(self, name, zone, wait=True):
+        ports = {key: free_port() for key in ("callers", "readiness", "hosts", "metrics")}
+        previous = self.gateways.get(name)
+        if previous:
+            ports = previous["ports"]
+        seeds = [f"127.0.0.1:{gateway['ports']['hosts']}" for gateway in self.gateways.values()][:3] or [f"127.0.0.1:{ports['hosts']}"]
+        settings = {"host": name, "zone": zone, "seeds": seeds, "platform": self.address, "maxDescriptors": 1024,
+                    "extraCallShare": 0.2, "extraCallSlack": 60, "coldFactor": 1.5, "coldSlack": 5, "configurationInForceMs": 3000,
+                    "contactLossMs": 4000, "stopTimeMs": 6000, "lapsedReturnMs": 1000, "callerDelayMs": 3}
+        settings.update({key: f"127.0.0.1:{port}" for key, port in ports.items()})
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        log = open(self.folder / f"{name}.log", "ab")
+        process = subprocess.Popen([str(self.binary), "--settings", str(path)], stdout=log, stderr=log)
+        self.gateways[name] = {"process": process, "ports": ports, "log": log, "zone": zone}
+        if wait:
+            self.wait_ready(name)
+
+    def wait_ready(self, name, seconds=10):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if self.get(name, "/ready", port="readiness").status == 200:
+                return
+            time.sleep(0.02)
+        raise AssertionError(f"{name} is not ready within {seconds} s: {self.log(name)[-2000:]}")
+
+    def wait_until(self, what, condition, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if condition():
+                return
+            time.sleep(0.02)
+        raise AssertionError(f"{what} did not happen within {seconds} s")
+
+    def signal(self, name, number):
+        self.gateways[name]["process"].send_signal(number)
+
+    def stop_gateway(self, name, seconds=8):
+        self.signal(name, signal.SIGTERM)
+        return self.gateways[name]["process"].wait(seconds)
+
+    def log(self, name):
+        return (self.folder / f"{name}.log").read_text(errors="replace")
+
+    def events(self, name):
+        """The structured log lines of a gateway."""
+        lines = []
+        for line in self.log(name).splitlines():
+            try:
+                lines.append(json.loads(line))
+            except ValueError:
+                pass
+        return lines
+
+    async def send(self, name, target, method="GET", body=b"", port="callers", request_id=None, time_left_ms=1500, give_up_s=None,
+                   connection=None, header=None):
+        """Sends one request; `connection` (a list) keeps the connection for further ones."""
+        self.requests += 1
+        request_id = request_id or "r%06d" % self.requests
+        began = time.monotonic()
+        try:
+            if connection:
+                reader, writer = connection
+            else:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.gateways[name]["ports"][port])
+                if connection is not None:
+                    connection += [reader, writer]
+            lines = [f"{method} {target} HTTP/1.1", "Host: h.example", f"Request-Id: {request_id}", f"Deadline-Ms: {time_left_ms}"]
+            lines += [f"{key}: {value}" for key, value in (header or {}).items()]
+            if body or method == "POST":
+                lines.append(f"Content-Length: {len(body)}")
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+            if give_up_s:
+                await asyncio.sleep(give_up_s)
+                writer.transport.abort()
+                return Answer(0, {}, b"", time.monotonic() - began)
+            message = await asyncio.wait_for(read_message(reader), 20)
+        except (ConnectionError, asyncio.IncompleteReadError, OSError):
+            message = None
+        seconds = time.monotonic() - began
+        if connection is None and "writer" in locals():
+            writer.close()
+        if message is None:
+            return Answer(0, {}, b"", seconds)
+        return Answer(int(message[0].split(" ")[1]), message[1], message[2], seconds)
+
+    def get(self, name, target, **named):
+        return self.run(self.send(name, target, **named))
+
+    def best_records(self, target, count=10, without=()):
+        """The records that a search must return when all shards but those are included."""
+        every = []
+        for shard in self.shards:
+            if shard not in without:
+                every += self.backends[f"{shard}-0"].records(target)
+        return b"".join(sorted(every, reverse=True)[:count])
+
+    def check_search(self, target, request_id, answer):
+        """Raises unless a successful search is whole and true: its proofs, its count and its records."""
+        proofs = [part.strip() for part in answer.header["part-stamps"].split(",")]
+        shards = {}
+        for backend in self.backends.values():
+            if backend.proof(request_id) in proofs:
+                assert backend.service not in shards, "two answers of one shard"
+                shards[backend.service] = backend
+        assert len(shards) == len(proofs), "a proof belongs to no backend server"
+        missing = int(answer.header.get("missing-parts", 0))
+        assert len(proofs) + missing == len(self.shards), "included and missing shards are not all shards"
+        assert len(proofs) >= 0.75 * len(self.shards), "below the least coverage"
+        without = [shard for shard in self.shards if shard not in shards]
+        assert answer.body == self.best_records(target, without=without), "not the greatest records"
+        return missing
+
+    def runs(self, request_id):
+        return sum(1 for backend in self.backends.values() for run in backend.ran if run[1] == request_id)
--- /dev/null
+++ b/tests/process/test_gateway.py
@@ -0,0 +1,239 @@
+"""gatewayd as a process between callers, backend servers and a stand-in of the users' platform."""
+import asyncio
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
+from platform_standin import Platform  # noqa: E402
+
+
+class GatewayTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory(prefix="orioledrum-test-", ignore_cleanup_errors=True)
+        self.addCleanup(folder.cleanup)
+        self.platform = Platform(folder.name)
+        self.platform.__enter__()
+        self.addCleanup(self.platform.__exit__)
+
+    def search(self, name="g1", request_id=None, **named):
+        self.platform.requests += 1
+        request_id = request_id or "s%06d" % self.platform.requests
+        target = "/search/" + request_id
+        answer = self.platform.get(name, target, request_id=request_id, **named)
+        if answer.status == 200:
+            self.platform.check_search(target, request_id, answer)
+        return answer
+
+    def test_serves_searches_and_single_requests(self):
+        """Guards against wrong merges, lost headers and changed bodies on the whole path."""
+        self.platform.start_gateway("g1", "z1")
+        for _ in range(20):
+            answer = self.search()
+            self.assertEqual((answer.status, answer.header["missing-parts"]), (200, "0"))
+        answer = self.platform.get("g1", "/fetch/x?q=%20a", request_id="f1")
+        self.assertEqual((answer.status, answer.body), (200, b"bytes of f1"))
+        self.assertIn("server-stamp", answer.header)
+        answer = self.platform.get("g1", "/order/x", method="POST", body=b"two tonnes", request_id="o1")
+        self.assertEqual(answer.status, 200)
+        run = [run for backend in self.platform.backends.values() for run in backend.ran if run[1] == "o1"]
+        self.assertEqual([entry[2:] for entry in run], [("POST", "/order/x", b"two tonnes")])
+        self.assertEqual(self.platform.get("g1", "/none/x").status, 404)
+        self.assertEqual(self.platform.get("g1", "/order/x", method="POST", body=b"x" * 10001).status, 413)
+        metrics = self.platform.get("g1", "/metrics", port="metrics").body.decode()
+        self.assertIn('orioledrum_requests_total{outcome="complete",route="search"} 20', metrics)
+
+    def test_shards_of_other_zones_are_gathered_there(self):
+        """Guards against a search that is dropped while only the answer of the other entry host is awaited."""
+        self.platform.start_gateway("g1", "z3")  # No backend server is in this zone: everything is relayed.
+        self.platform.start_gateway("g2", "z1")
+        self.platform.start_gateway("g3", "z2")
+        self.platform.wait_until("a relayed search", lambda: any(
+            event.get("relay") for event in self.platform.events("g1") if self.search().status == 200 or True), 10)
+        for _ in range(30):
+            answer = self.search()
+            self.assertEqual((answer.status, answer.header["missing-parts"]), (200, "0"))
+        relayed = [event for event in self.platform.events("g1") if event.get("relay")]
+        self.assertGreater(len(relayed), 10)
+        # The other hosts end: searches go on, directly.
+        for name in ("g2", "g3"):
+            self.platform.signal(name, signal.SIGKILL)
+        answers = [self.search().status for _ in range(40)]
+        self.assertGreaterEqual(answers.count(200), 38, answers)
+
+    def test_orders_run_at_most_once(self):
+        """Guards against repeated orders and untrue refusals, whatever the backend servers do with them."""
+        self.platform.start_gateway("g1", "z1")
+        modes = ["serve", "lose", "reset", "shed", "fail", "truncate", "stranger", "extra", "unframed", "serve"]
+        for number in range(120):
+            for index in range(2):
+                self.platform.backends[f"single-{index}"].mode = modes[(number + index * 3) % len(modes)]
+            request_id = f"order{number}"
+            answer = self.platform.get("g1", "/order/x", method="POST", body=b"one", request_id=request_id, time_left_ms=800)
+            runs = self.platform.runs(request_id)
+            self.assertLessEqual(runs, 1, modes[number % len(modes)])
+            if answer.status in (408, 421, 429, 503):
+                self.assertEqual(runs, 0)
+            if answer.status == 200:
+                self.assertEqual(answer.body, b"bytes of " + request_id.encode())
+
+    def test_answers_belong_to_their_requests(self):
+        """Guards against late, extra and foreign answers on kept connections that are taken for another request's."""
+        self.platform.start_gateway("g1", "z1")
+        for backend in self.platform.backends.values():
+            modes = iter(["extra", "serve", "stranger", "serve", "truncate", "serve", "unframed"] * 1000)
+            backend.mode = lambda modes=modes: next(modes)
+        for number in range(80):
+            request_id = f"fetch{number}"
+            answer = self.platform.get("g1", "/fetch/x", request_id=request_id)
+            if answer.status == 200:
+                self.assertEqual(answer.body, b"bytes of " + request_id.encode())
+            self.search()
+
+    def test_a_paused_backend_server_does_not_hold_a_search(self):
+        """The pattern: one backend server of a shard hangs. Searches stay within their target."""
+        self.platform.start_gateway("g1", "z1")
+        for _ in range(60):
+            self.search()
+        self.platform.backends["shard2-0"].mode = "hang"
+        times = []
+        for _ in range(20):
+            answer = self.search()
+            self.assertEqual(answer.status, 200)
+            times.append(answer.seconds)
+        times.sort()
+        self.assertLess(times[-3], 0.2)
+
+    def test_breaks_off_for_callers_that_leave(self):
+        """Guards against backend servers that work on for callers which have gone."""
+        self.platform.start_gateway("g1", "z1")
+        for index in range(2):
+            self.platform.backends[f"single-{index}"].mode = "watch"
+            self.platform.backends[f"single-{index}"].work_s = 1.0
+        for number in range(5):
+            self.platform.get("g1", "/fetch/x", request_id=f"left{number}", give_up_s=0.1)
+        time.sleep(0.3)
+        cancelled = {entry for index in range(2) for entry in self.platform.backends[f"single-{index}"].cancelled}
+        self.assertEqual(cancelled, {f"left{number}" for number in range(5)})
+
+    def test_configuration_changes_take_effect_and_never_revert(self):
+        """Guards against late, lost or reverted configurations, also while the platform is away or forgets its history."""
+        self.platform.start_gateway("g1", "z1")
+        self.assertEqual(self.platform.get("g1", "/later/x").status, 404)
+        self.platform.publish_routes(extra=["later"])
+        self.platform.wait_until("the new route", lambda: self.platform.get("g1", "/later/x").status == 200, 3)
+        self.platform.store.down = True
+        self.platform.call(self.platform.store.wake)
+        time.sleep(0.5)
+        self.assertEqual(self.search().status, 200)
+        self.platform.publish_routes(extra=["later", "last"])
+        self.platform.call(self.platform.store.forget_history)
+        self.platform.store.down = False
+        self.platform.wait_until("the route after the outage", lambda: self.platform.get("g1", "/last/x").status == 200, 4)
+        self.platform.version -= 9  # An older version arrives late.
+        self.platform.publish_routes()
+        time.sleep(0.8)
+        self.assertEqual(self.platform.get("g1", "/last/x").status, 200)
+
+    def test_leaving_and_excluded_backend_servers_get_nothing(self):
+        """Guards against new work for backend servers that drain, are gone, have lost their address, or whose zone is out."""
+        self.platform.start_gateway("g1", "z1")
+        leaving = self.platform.backends["single-0"]
+        leaving.draining = True
+        self.platform.call(leaving.publish)
+        time.sleep(1.2)
+        before = len(leaving.arrivals)
+        for _ in range(20):
+            self.assertEqual(self.platform.get("g1", "/fetch/x").status, 200)
+        self.assertEqual(len(leaving.arrivals), before)
+        self.platform.call(self.platform.store.put, "op/evacuate/z2", {})
+        time.sleep(0.8)
+        out = [backend for backend in self.platform.backends.values() if backend.zone == "z2"]
+        before = [len(backend.arrivals) for backend in out]
+        for _ in range(10):
+            self.search()
+        self.assertEqual([len(backend.arrivals) for backend in out], before)
+        self.platform.call(self.platform.store.delete, "op/evacuate/z2")
+        self.platform.wait_until("work for the zone", lambda: self.search() and sum(len(backend.arrivals) for backend in out) > sum(before), 5)
+
+    def test_unreadable_entries_do_no_harm(self):
+        """Guards against entries of other writers that end the process or hide the readable ones."""
+        for index, value in enumerate([b"\xff\xfe", b"[]", b'{"service":5}', b'{"service":"single"}']):
+            self.platform.call(self.platform.store.put, f"servers/odd-{index}", value)
+        self.platform.call(self.platform.store.put, "op/other", b"?")
+        self.platform.start_gateway("g1", "z1")
+        self.assertEqual(self.search().status, 200)
+        self.platform.call(self.platform.store.put, "op/config", b"{broken")
+        time.sleep(0.6)
+        self.assertEqual(self.search().status, 200)
+        self.assertTrue([event for event in self.platform.events("g1") if event["event"] == "unreadable"])
+
+    def test_a_planned_stop_cuts_no_request(self):
+        """Guards against requests that are cut while a host stops, on kept and on new connections."""
+        self.platform.start_gateway("g1", "z1")
+        for index in range(2):
+            self.platform.backends[f"single-{index}"].work_s = 0.3
+        answers = []
+
+        async def caller(number):
+            connection = []
+            end = time.monotonic() + 2.0
+            while time.monotonic() < end:
+                answer = await self.platform.send("g1", "/fetch/x", connection=connection, request_id=f"stop{number}-{len(answers)}")
+                answers.append(answer.status)
+                if answer.header.get("connection") == "close" or answer.status == 0:
+                    connection.clear()
+
+        async def load():
+            await asyncio.gather(*(caller(number) for number in range(3)))
+
+        future = asyncio.run_coroutine_threadsafe(load(), self.platform.loop)
+        time.sleep(0.5)
+        began = time.monotonic()
+        self.platform.signal("g1", signal.SIGTERM)
+        future.result(20)
+        self.assertEqual(self.platform.gateways["g1"]["process"].wait(8), 0)
+        self.assertLess(time.monotonic() - began, 6)
+        self.assertEqual(set(answers), {200})
+
+    def test_refuses_and_reports_itself_when_cut_off(self):
+        """The pattern: all backend servers are gone. Searches are refused at once, callers are sent elsewhere, and back."""
+        self.platform.start_gateway("g1", "z1")
+        self.assertEqual(self.search().status, 200)
+        ports = {}
+        for name, backend in self.platform.backends.items():
+            ports[name] = int(backend.address.split(":")[1])
+            self.platform.call(backend.crash)
+        for _ in range(4):
+            self.search()
+        self.platform.wait_until("not ready", lambda: self.platform.get("g1", "/ready", port="readiness").status == 503, 4)
+        answer = self.search()
+        self.assertEqual(answer.status, 503)
+        self.assertLess(answer.seconds, 0.1)
+        self.assertGreater(float(answer.header["retry-after"]), 0)
+        self.assertEqual(answer.header["connection"], "close")
+
+        async def back():
+            for name, backend in self.platform.backends.items():
+                backend.server = await asyncio.start_server(backend.serve, "127.0.0.1", ports[name])
+
+        self.platform.run(back())
+        self.platform.wait_ready("g1", 5)
+        self.assertEqual(self.search().status, 200)
+
+    def test_starts_without_the_platform_and_says_so(self):
+        """Guards against answers that deny routes which are only not known yet."""
+        self.platform.store.down = True
+        self.platform.start_gateway("g1", "z1", wait=False)
+        self.platform.wait_until("an answer", lambda: self.platform.get("g1", "/fetch/x").status == 503, 5)
+        self.assertEqual(self.platform.get("g1", "/ready", port="readiness").status, 503)
+        self.platform.store.down = False
+        self.platform.wait_ready("g1")
+        self.assertEqual(self.search().status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
