--- a/libs/gateway/src/caller_request.h
+++ b/libs/gateway/src/caller_request.h
@@ -59,7 +59,7 @@
     virtual void answer(time_point now) = 0;
 
     /// Breaks off what the run has going on besides its calls, when the caller is gone.
-    virtual void cancelRun() { }
+    virtual void cancelRun() {}
     /// Sends what the run wants sent, answers when it has finished, and sets the timer.
     void advance(time_point now);
     /// @return True after the answer, or when the caller is gone.
--- a/libs/gateway/src/gateway_state.h
+++ b/libs/gateway/src/gateway_state.h
@@ -4,8 +4,8 @@
 #include <gateway/gateway_settings.h>
 #include <gateway/message_codec.h>
 #include <gateway_metrics.h>
-#include <relay_client.h>
 #include <logging/event_log.h>
+#include <relay_client.h>
 #include <service_split.h>
 
 #include <base/random_source.h>
--- a/libs/gateway/src/gathered_request.cpp
+++ b/libs/gateway/src/gathered_request.cpp
@@ -73,10 +73,8 @@
     message.minCoverage = route.minCoverage;
     message.targetLatency = route.targetLatency;
     message.remaining = std::chrono::duration_cast<std::chrono::microseconds>(m_run.relayTarget() - now);
-    m_relayCall = state().relays.send(
-        m_plan->address,
-        message,
-        [self = shared_from_this(), this](std::optional<relay_result> result, bool notSent) {
+    m_relayCall =
+        state().relays.send(m_plan->address, message, [self = shared_from_this(), this](std::optional<relay_result> result, bool notSent) {
             if (ended()) {
                 return;
             }
@@ -147,7 +145,8 @@
     } else if (end == gather_end::overloaded) {
         const error reason{error_code::overloaded, "too few shards would answer in time", "search", worst};
         const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(expected);
-        latency = respond(state().codec.encodeNotRun(reason, std::clamp(wait / 2, retryAfterNoServer / 4, retryAfterNoServer)), toString(end), now);
+        latency = respond(
+            state().codec.encodeNotRun(reason, std::clamp(wait / 2, retryAfterNoServer / 4, retryAfterNoServer)), toString(end), now);
     } else if (end == gather_end::notStarted) {
         const error reason{error_code::unreachable, "too few shards have a backend server", "search", worst};
         latency = respond(state().codec.encodeNotRun(reason, retryAfterNoServer), toString(end), now);
--- a/libs/gateway/src/relayed_request.cpp
+++ b/libs/gateway/src/relayed_request.cpp
@@ -108,8 +108,9 @@
         auto &shard = result.shards[i];
         const auto expected = state().board.expectedTime(m_part->shards[i], usual, now);
         const auto percent = expected && usual.count() > 0 ? expected->count() * 100 / usual.count() : 0;
-        message.shards.push_back(
-            {static_cast<std::uint8_t>(shard.end), std::move(shard.proof), static_cast<std::uint32_t>(std::min<std::int64_t>(percent, 100'000))});
+        message.shards.push_back({static_cast<std::uint8_t>(shard.end),
+                                  std::move(shard.proof),
+                                  static_cast<std::uint32_t>(std::min<std::int64_t>(percent, 100'000))});
     }
     message.records = std::move(result.records);
     message.hedges = result.hedges;
