--- a/libs/search/src/gather_run.cpp
+++ b/libs/search/src/gather_run.cpp
@@ -130,7 +130,14 @@
 {
     auto &state = m_shards[shard];
     const auto usual = m_profile.usual();
-    const auto server = m_board.choose({&m_input.shards[shard], usual, &state.asked, again, onlyIfFree, m_input.preference ? &*m_input.preference : nullptr, m_input.maxAttempts}, now);
+    const auto server = m_board.choose({&m_input.shards[shard],
+                                        usual,
+                                        &state.asked,
+                                        again,
+                                        onlyIfFree,
+                                        m_input.preference ? &*m_input.preference : nullptr,
+                                        m_input.maxAttempts},
+                                       now);
     if (!server) {
         return false;
     }
--- a/libs/search/tests/fakes/scripted_backends.h
+++ b/libs/search/tests/fakes/scripted_backends.h
@@ -31,7 +31,8 @@
     void script(const std::string &server, behaviour next) { m_script[server] = std::move(next); }
 
     /// @return Input for a search over all shards.
-    [[nodiscard]] gather_input search(std::chrono::milliseconds target, std::chrono::milliseconds deadline, double minCoverage = 0.75) const;
+    [[nodiscard]] gather_input
+    search(std::chrono::milliseconds target, std::chrono::milliseconds deadline, double minCoverage = 0.75) const;
 
     /// Plays a search to its end.
     gather_result play(gather_input input);
