--- a/daemons/gatewayd/main.cpp
+++ b/daemons/gatewayd/main.cpp
@@ -54,6 +54,9 @@
         return 0;
     }
     asio::io_context context(1);
+    // Installed first: a signal that arrives during the start waits for its handler and does not end the process.
+    asio::signal_set stops(context, SIGTERM, SIGINT);
+    asio::signal_set reloads(context, SIGHUP);
     http_client_settings limits;
     limits.connectTimeout = connectTimeout;
     limits.maxIdleConnections = settings->maxDescriptors / 3;
@@ -67,9 +70,7 @@
     if (!host) {
         return fail(exitStart, host.error().describe());
     }
-    asio::signal_set stops(context, SIGTERM, SIGINT);
     onSignal(stops, [&] { (*host)->stop(); });
-    asio::signal_set reloads(context, SIGHUP);
     onSignal(reloads, [&] {
         if (const auto changed = gateway_settings::load(file)) {
             (*host)->reload(*changed);
--- a/libs/search/include/search/replica_board.h
+++ b/libs/search/include/search/replica_board.h
@@ -46,6 +46,9 @@
     static constexpr std::chrono::milliseconds failureCost{60};
     /// Added to the expected time of a backend server that seems to stand still: about what is left of a pause.
     static constexpr std::chrono::milliseconds pausedCost{100};
+    /// Added to the expected time of one that has more than half of this host's part of its connections in use. The other
+    /// half is left for connections that it still counts although their host has lost power.
+    static constexpr std::chrono::milliseconds crowdedCost{40};
     /// Age after which a hint of another host is not used.
     static constexpr std::chrono::milliseconds hintLifetime{250};
     /// Added to the expected time of one that has been silent for long.
--- a/libs/search/src/replica_board.cpp
+++ b/libs/search/src/replica_board.cpp
@@ -152,6 +152,10 @@
     } else if (candidate.paused(now)) {
         cost += pausedCost;
     }
+    const auto limit = callLimit(candidate);
+    if (limit != SIZE_MAX && candidate.openCalls() >= std::max<std::size_t>(2, limit / 2)) {
+        cost += crowdedCost;
+    }
     if (candidate.entry().draining) {
         cost += std::chrono::seconds(10); // Only when no other may be called.
     }
