--- a/libs/search/include/search/gather_run.h
+++ b/libs/search/include/search/gather_run.h
@@ -125,7 +125,7 @@
     /// Most shards that are not asked, as a share of those that may be missing.
     static constexpr double skipShare = 0.5;
     /// A search is refused when too few shards are expected to answer within this multiple of the time until the target.
-    static constexpr double refuseFactor = 1.0;
+    static constexpr double refuseFactor = 1.25;
 
     gather_run(gather_input input, replica_board &board, latency_profile &profile);
 
