Split large searches over several hosts, also of the own zone

A search is split into parts of at most 26 shards: those without a near backend server go to hosts of a zone that has them, and of the others those beyond the first part to hosts of the own zone. Three calls to a backend server may be open in any case, since after a restart the assumed number of hosts left two.

--- a/libs/gateway/src/gathered_request.cpp
+++ b/libs/gateway/src/gathered_request.cpp
@@ -16,7 +16,7 @@
 /// connection, after which they are tried again.
 constexpr std::chrono::milliseconds retryAfterNoServer = replica::unreachableFirst;
 
-gather_input makeInput(const caller_request::arrival &arrival, const std::optional<relay_client::plan> &plan)
+gather_input makeInput(const caller_request::arrival &arrival, const relay_client::plan &plan)
 {
     const auto &route = *arrival.matched;
     gather_input input;
@@ -26,10 +26,10 @@
     input.maxAttempts = route.maxAttempts;
     input.target = arrival.target;
     input.deadline = arrival.deadline;
-    if (plan) {
-        input.relay = plan->part;
-        input.preference = replica_preference{plan->part.zone, std::hash<std::string>{}(arrival.requestId)};
+    for (const auto &each : plan) {
+        input.relays.push_back(each.part);
     }
+    input.preferenceSeed = std::hash<std::string>{}(arrival.requestId);
     return input;
 }
 
@@ -45,12 +45,14 @@
 void gathered_request::startRun(time_point now)
 {
     m_run.start(now);
-    if (m_run.relayOpen()) {
-        sendRelayed(now);
+    for (std::size_t part = 0; part < m_plan.size(); ++part) {
+        if (m_run.relayOpen(part)) {
+            sendRelayed(part, now);
+        }
     }
 }
 
-void gathered_request::sendRelayed(time_point now)
+void gathered_request::sendRelayed(std::size_t part, time_point now)
 {
     const auto &route = *input().matched;
     const auto &call = callTemplate();
@@ -65,7 +67,7 @@
         message.headerNames.push_back(header.name);
         message.headerValues.push_back(header.value);
     }
-    for (const auto position : m_plan->part.shards) {
+    for (const auto position : m_plan[part].part.shards) {
         message.shards.push_back(route.shards[position].str());
     }
     message.topRecords = route.topRecords;
@@ -73,17 +75,18 @@
     message.minCoverage = route.minCoverage;
     message.targetLatency = route.targetLatency;
     message.remaining = std::chrono::duration_cast<std::chrono::microseconds>(m_run.relayTarget() - now);
-    m_relayCall =
-        state().relays.send(m_plan->address, message, [self = shared_from_this(), this](std::optional<relay_result> result, bool notSent) {
+    m_relayCalls.resize(m_plan.size());
+    m_relayCalls[part] = state().relays.send(
+        m_plan[part].address, message, [self = shared_from_this(), this, part](std::optional<relay_result> result, bool notSent) {
             if (ended()) {
                 return;
             }
-            m_relayCall.reset();
+            m_relayCalls[part].reset();
             const auto at = monotonic_clock::now();
             if (result) {
-                m_run.relayAnswered(std::move(*result), at);
+                m_run.relayAnswered(part, std::move(*result), at);
             } else {
-                m_run.relayFailed(notSent, at);
+                m_run.relayFailed(part, notSent, at);
             }
             advance(at);
         });
@@ -91,8 +94,10 @@
 
 void gathered_request::cancelRun()
 {
-    if (m_relayCall) {
-        state().relays.cancel(*m_relayCall);
+    for (const auto &call : m_relayCalls) {
+        if (call) {
+            state().relays.cancel(*call);
+        }
     }
 }
 
@@ -104,10 +109,15 @@
 
 void gathered_request::wakeupRun(time_point now)
 {
-    const bool waited = m_run.relayOpen();
+    std::vector<bool> waited;
+    for (std::size_t part = 0; part < m_plan.size(); ++part) {
+        waited.push_back(m_run.relayOpen(part));
+    }
     m_run.wakeup(now);
-    if (waited && !m_run.relayOpen()) {
-        state().relays.late(m_plan->address, now);
+    for (std::size_t part = 0; part < m_plan.size(); ++part) {
+        if (waited[part] && !m_run.relayOpen(part)) {
+            state().relays.late(m_plan[part].address, now);
+        }
     }
 }
 
@@ -139,6 +149,10 @@
     const auto expected = result.expected;
     const std::string worst = result.worstShard.str();
     const auto worstEnd = result.worstEnd;
+    std::string relays;
+    for (const auto &each : m_plan) {
+        relays += (relays.empty() ? "" : ",") + each.address;
+    }
     std::chrono::microseconds latency{0};
     if (result.succeeded()) {
         latency = respond(state().codec.encodeGathered(std::move(result)), toString(end), now);
@@ -171,7 +185,7 @@
                               {"hedges", std::int64_t{hedges}},
                               {"retries", std::int64_t{retries}},
                               {"skipped", std::int64_t{skipped}},
-                              {"relay", m_plan ? m_plan->address : std::string()},
+                              {"relays", relays},
                               {"expectedMs", static_cast<double>(expected.count()) / 1000},
                               {"slowestMs", static_cast<double>(slowest.count()) / 1000},
                               {"missingShard", worst},
--- a/libs/gateway/src/gathered_request.h
+++ b/libs/gateway/src/gathered_request.h
@@ -26,11 +26,11 @@
     void cancelRun() override;
 
 private:
-    void sendRelayed(time_point now);
+    void sendRelayed(std::size_t part, time_point now);
 
-    std::optional<relay_client::plan> m_plan;
+    relay_client::plan m_plan;
     gather_run m_run;
-    std::optional<http_call_handle> m_relayCall;
+    std::vector<std::optional<http_call_handle>> m_relayCalls; // By part; empty once ended.
 };
 
 } // namespace orioledrum
--- a/libs/gateway/src/relay_client.cpp
+++ b/libs/gateway/src/relay_client.cpp
@@ -24,39 +24,63 @@
 {
 }
 
-std::optional<relay_client::plan> relay_client::choose(const std::vector<service_id> &shards, time_point target, time_point now)
+relay_client::plan relay_client::choose(const std::vector<service_id> &shards, time_point target, time_point now)
 {
+    plan chosen;
     if (target - now < leastTime) {
-        return std::nullopt;
+        return chosen;
     }
-    plan chosen;
-    std::map<zone_id, std::size_t> shardsInZone;
+    std::vector<std::size_t> near;
+    std::vector<std::size_t> far;
     for (std::size_t position = 0; position < shards.size(); ++position) {
-        const auto &shard = shards[position];
-        if (m_board.reachableIn(shard, m_board.ownZone(), now)) {
-            continue;
-        }
-        chosen.part.shards.push_back(position);
-        for (const auto &zone : m_board.zones(shard)) {
-            shardsInZone[zone] += m_board.reachableIn(shard, zone, now) ? 1 : 0;
-        }
+        (m_board.reachableIn(shards[position], m_board.ownZone(), now) ? near : far).push_back(position);
     }
-    if (chosen.part.shards.size() < leastShards) {
-        return std::nullopt;
+    addParts(chosen, far, zonesOf(shards, far, now), now);
+    if (near.size() > mostShards) {
+        const auto own = near.size() / ((near.size() + mostShards - 1) / mostShards);
+        addParts(chosen, {near.begin() + static_cast<std::ptrdiff_t>(own), near.end()}, {m_board.ownZone()}, now);
+    }
+    return chosen;
+}
+
+std::vector<zone_id>
+relay_client::zonesOf(const std::vector<service_id> &shards, const std::vector<std::size_t> &positions, time_point now) const
+{
+    std::map<zone_id, std::size_t> shardsInZone;
+    for (const auto position : positions) {
+        for (const auto &zone : m_board.zones(shards[position])) {
+            shardsInZone[zone] += m_board.reachableIn(shards[position], zone, now) ? 1 : 0;
+        }
     }
     std::vector<zone_id> zones;
     for (const auto &[zone, count] : shardsInZone) {
-        if (static_cast<double>(count) >= leastShare * static_cast<double>(chosen.part.shards.size())) {
+        if (static_cast<double>(count) >= leastShare * static_cast<double>(positions.size())) {
             zones.push_back(zone);
         }
     }
-    const auto host = m_selector.choose(zones, now);
-    if (!host) {
-        return std::nullopt;
+    return zones;
+}
+
+void relay_client::addParts(plan &chosen, const std::vector<std::size_t> &positions, const std::vector<zone_id> &zones, time_point now)
+{
+    if (positions.size() < leastShards) {
+        return;
+    }
+    const auto parts = (positions.size() + mostShards - 1) / mostShards;
+    std::vector<std::string> taken;
+    for (const auto &part : chosen) {
+        taken.push_back(part.address);
+    }
+    for (std::size_t i = 0; i < parts; ++i) {
+        const auto host = m_selector.choose(zones, now, taken);
+        if (!host) {
+            return; // The rest is asked directly.
+        }
+        taken.push_back(host->address);
+        const auto begin = positions.begin() + static_cast<std::ptrdiff_t>(positions.size() * i / parts);
+        const auto end = positions.begin() + static_cast<std::ptrdiff_t>(positions.size() * (i + 1) / parts);
+        chosen.push_back({{{begin, end}, host->zone}, host->address});
     }
-    chosen.part.zone = host->zone;
-    chosen.address = host->address;
-    return chosen;
 }
 
 http_call_handle relay_client::send(const std::string &address, const relay_search &message, callback done)
--- a/libs/gateway/src/relay_client.h
+++ b/libs/gateway/src/relay_client.h
@@ -29,11 +29,15 @@
     /// @param notSent Meaningful without a result: the other host surely has not got the search.
     using callback = std::function<void(std::optional<relay_result> result, bool notSent)>;
 
+    /// Most shards in a part: more take a quarter of a core some 10 ms to send and as long to read.
+    static constexpr std::size_t mostShards = 26;
+
     /// A part of a search and the host that is to gather it.
-    struct plan {
+    struct planned_part {
         relay_part part;
         std::string address;
     };
+    using plan = std::vector<planned_part>;
 
     relay_client(http_client &client, replica_board &board);
 
@@ -41,8 +45,9 @@
     void setHosts(const std::vector<relay_host> &hosts) { m_selector.setHosts(hosts); }
 
     /// @param shards All shards of a search.
-    /// @return What is left to another host, if anything: shards without a backend server in the own zone.
-    [[nodiscard]] std::optional<plan> choose(const std::vector<service_id> &shards, time_point target, time_point now);
+    /// @return What is left to other hosts: shards without a backend server in the own zone, and of the others those beyond
+    /// mostShards, to hosts of the own zone.
+    [[nodiscard]] plan choose(const std::vector<service_id> &shards, time_point target, time_point now);
 
     /// Asks a host.
     /// @param address The host.
@@ -57,6 +62,10 @@
     void late(const std::string &address, time_point now) { m_selector.failed(address, now); }
 
 private:
+    void addParts(plan &chosen, const std::vector<std::size_t> &positions, const std::vector<zone_id> &zones, time_point now);
+    [[nodiscard]] std::vector<zone_id>
+    zonesOf(const std::vector<service_id> &shards, const std::vector<std::size_t> &positions, time_point now) const;
+
     http_client &m_client;
     replica_board &m_board;
     relay_selector m_selector;
--- a/libs/gateway/src/relayed_request.cpp
+++ b/libs/gateway/src/relayed_request.cpp
@@ -24,7 +24,8 @@
     input.target = arrival.target;
     input.deadline = arrival.deadline;
     input.keepPartial = true;
-    input.preference = replica_preference{zone, std::hash<std::string>{}(arrival.requestId)};
+    input.preferredZone = zone;
+    input.preferenceSeed = std::hash<std::string>{}(arrival.requestId);
     return input;
 }
 
--- a/libs/search/include/search/gather_run.h
+++ b/libs/search/include/search/gather_run.h
@@ -32,10 +32,12 @@
     std::uint32_t maxAttempts = 1; ///< Most backend servers asked for one shard.
     time_point target; ///< An answer is worth most until then.
     time_point deadline; ///< The final answer must be given by then.
-    std::optional<relay_part> relay; ///< Shards that are left to another host; others are asked directly.
+    std::vector<relay_part> relays; ///< Shards that are left to other hosts; the remaining ones are asked directly.
     bool keepPartial = false; ///< Records are merged however the run ends.
-    /// Where set, only maxAttempts backend servers of each shard are asked: the same ones on each host that takes part.
-    std::optional<replica_preference> preference;
+    /// Orders the backend servers of shards that several hosts work on, so that all of them ask the same few.
+    std::uint64_t preferenceSeed = 0;
+    /// Zone whose backend servers come first where this host gathers for another one; empty elsewhere.
+    std::optional<zone_id> preferredZone;
 };
 
 /// How a search ended.
@@ -135,17 +137,20 @@
     /// A call has ended.
     void ended(std::uint64_t attempt, call_outcome &&outcome, time_point now);
 
-    /// The other host has answered. Ignored when the run went on without it.
-    void relayAnswered(relay_result &&result, time_point now);
+    /// Another host has answered. Ignored when the run went on without it.
+    /// @param part Position in gather_input::relays.
+    void relayAnswered(std::size_t part, relay_result &&result, time_point now);
 
-    /// The other host will not answer. @param notSent It surely has not got the search.
-    void relayFailed(bool notSent, time_point now);
+    /// Another host will not answer.
+    /// @param part Position in gather_input::relays.
+    /// @param notSent It surely has not got the search.
+    void relayFailed(std::size_t part, bool notSent, time_point now);
 
     /// Applies the passing of time. Called at nextWakeup or later.
     void wakeup(time_point now);
 
-    /// @return True while the answer of the other host is awaited.
-    [[nodiscard]] bool relayOpen() const { return m_relayOpen; }
+    /// @return True while the answer of the host of a part is awaited.
+    [[nodiscard]] bool relayOpen(std::size_t part) const { return m_relayOpen[part]; }
 
     /// @return When the other host should send its answer.
     [[nodiscard]] time_point relayTarget() const { return m_input.target - relayLead; }
@@ -179,6 +184,7 @@
         bool hedged = false;
         bool skipped = false;
         bool relayed = false; // Another host has been asked for it.
+        std::optional<replica_preference> preference; // Where several hosts may ask its backend servers.
         std::uint32_t sends = 0;
         attempt_end lastEnd = attempt_end::timedOut;
         std::string proof;
@@ -196,6 +202,7 @@
     void settle(time_point now);
     void finish(gather_end end);
     void merge();
+    [[nodiscard]] bool anyRelayOpen() const;
     void plan(time_point now);
 
     gather_input m_input;
@@ -209,8 +216,8 @@
     std::size_t m_answered = 0;
     std::size_t m_failed = 0;
     std::size_t m_hedgesLeft = 0;
-    bool m_relayOpen = false;
-    std::string m_relayRecords; // Of the shards that the other host has gathered.
+    std::vector<bool> m_relayOpen; // By part.
+    std::string m_relayRecords; // Of the shards that other hosts have gathered.
     bool m_finished = false;
     time_point m_next = time_point::max();
     gather_result m_result;
--- a/libs/search/include/search/relay_selector.h
+++ b/libs/search/include/search/relay_selector.h
@@ -33,8 +33,10 @@
     void setHosts(const std::vector<relay_host> &hosts);
 
     /// @param zones Availability zones that would do, all alike.
+    /// @param taken Addresses of hosts that are not wanted.
     /// @return A host in one of them, or nothing.
-    [[nodiscard]] std::optional<relay_host> choose(const std::vector<zone_id> &zones, time_point now);
+    [[nodiscard]] std::optional<relay_host>
+    choose(const std::vector<zone_id> &zones, time_point now, const std::vector<std::string> &taken = {});
 
     /// @param address A host that did not answer in time or could not be reached.
     void failed(const std::string &address, time_point now);
--- a/libs/search/include/search/replica_board.h
+++ b/libs/search/include/search/replica_board.h
@@ -49,6 +49,8 @@
     /// Added to the expected time of one that has more than half of this host's part of its connections in use. The other
     /// half is left for connections that it still counts although their host has lost power.
     static constexpr std::chrono::milliseconds crowdedCost{40};
+    /// Calls that may be open to one backend server in any case: with one, a single paused call would hide it.
+    static constexpr std::uint32_t leastCalls = 3;
     /// Age after which a hint of another host is not used.
     static constexpr std::chrono::milliseconds hintLifetime{250};
     /// Added to the expected time of one that has been silent for long.
--- a/libs/search/src/gather_run.cpp
+++ b/libs/search/src/gather_run.cpp
@@ -42,7 +42,19 @@
     , m_board(board)
     , m_profile(profile)
     , m_shards(m_input.shards.size())
+    , m_relayOpen(m_input.relays.size(), false)
 {
+    for (const auto &part : m_input.relays) {
+        for (const auto shard : part.shards) {
+            m_shards[shard].relayed = true;
+            m_shards[shard].preference = replica_preference{part.zone, m_input.preferenceSeed};
+        }
+    }
+    if (m_input.preferredZone) {
+        for (auto &shard : m_shards) {
+            shard.preference = replica_preference{*m_input.preferredZone, m_input.preferenceSeed};
+        }
+    }
 }
 
 void gather_run::start(time_point now)
@@ -57,12 +69,7 @@
     m_hedgeAfter = std::min(std::chrono::microseconds(static_cast<std::int64_t>(slow)), latest);
     m_hedgeAfter = std::max<std::chrono::microseconds>(hedgeMinimum, m_hedgeAfter);
     m_hedgesLeft = static_cast<std::size_t>(std::ceil(static_cast<double>(m_shards.size()) * hedgeShare));
-    if (m_input.relay) {
-        m_relayOpen = true;
-        for (const auto shard : m_input.relay->shards) {
-            m_shards[shard].relayed = true;
-        }
-    }
+    std::fill(m_relayOpen.begin(), m_relayOpen.end(), true);
     for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
         if (m_shards[shard].relayed) {
             continue;
@@ -86,19 +93,14 @@
         std::size_t shard;
     };
     std::vector<expectation> expected;
-    std::vector<bool> relayed(m_shards.size(), false);
-    if (m_input.relay) {
-        for (const auto shard : m_input.relay->shards) {
-            relayed[shard] = true;
-        }
-    }
     for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
         if (!m_board.reachable(m_input.shards[shard], now)) {
             continue;
         }
         const auto &service = m_input.shards[shard];
         const auto usual = m_profile.usual();
-        if (const auto time = relayed[shard] ? m_board.hintedTime(service, usual, now) : m_board.expectedTime(service, usual, now)) {
+        if (const auto time =
+                m_shards[shard].relayed ? m_board.hintedTime(service, usual, now) : m_board.expectedTime(service, usual, now)) {
             expected.push_back({*time, shard});
         }
     }
@@ -117,7 +119,7 @@
         if (static_cast<double>(each->time.count()) <= untilTarget * skipFactor) {
             break;
         }
-        if (relayed[each->shard]) {
+        if (m_shards[each->shard].relayed) {
             continue; // The other host decides, with newer knowledge.
         }
         m_shards[each->shard].skipped = true;
@@ -135,7 +137,7 @@
                                         &state.asked,
                                         again,
                                         onlyIfFree,
-                                        m_input.preference ? &*m_input.preference : nullptr,
+                                        state.preference ? &*state.preference : nullptr,
                                         m_input.maxAttempts},
                                        now);
     if (!server) {
@@ -211,24 +213,24 @@
     return sent;
 }
 
-void gather_run::relayAnswered(relay_result &&result, time_point now)
+void gather_run::relayAnswered(std::size_t part, relay_result &&result, time_point now)
 {
-    if (m_finished || !m_relayOpen) {
+    if (m_finished || !m_relayOpen[part]) {
         return;
     }
     if (result.end == gather_end::notStarted) {
-        relayFailed(true, now); // It reaches too few backend servers; this host may reach them.
+        relayFailed(part, true, now); // It reaches too few backend servers; this host may reach them.
         return;
     }
-    m_relayOpen = false;
-    if (result.end == gather_end::overloaded && m_answered < required() && m_shardOfAttempt.empty()) {
+    m_relayOpen[part] = false;
+    if (result.end == gather_end::overloaded && !covered() && m_shardOfAttempt.empty() && m_relayOpen.size() == 1) {
         finish(gather_end::overloaded);
         return;
     }
     m_result.hedges += result.hedges;
     m_result.retries += result.retries;
-    m_relayRecords = std::move(result.records);
-    const auto &positions = m_input.relay->shards;
+    m_relayRecords += result.records;
+    const auto &positions = m_input.relays[part].shards;
     for (std::size_t i = 0; i < positions.size() && i < result.shards.size(); ++i) {
         if (result.shards[i].loadFactor > 0) {
             m_board.setHint(m_input.shards[positions[i]], result.shards[i].loadFactor, now);
@@ -249,7 +251,8 @@
         state.lastEnd = i < result.shards.size() ? result.shards[i].end : attempt_end::broken;
         ++state.sends; // By the other host.
         // What is missing is asked for here only where the answer could not be given without it.
-        if (covered() || !retry(positions[i], state.lastEnd, now)) {
+        const bool useless = covered() || anyRelayOpen() || result.end == gather_end::overloaded;
+        if (useless || !retry(positions[i], state.lastEnd, now)) {
             state.failed = true;
             ++m_failed;
         }
@@ -257,13 +260,13 @@
     settle(now);
 }
 
-void gather_run::relayFailed(bool notSent, time_point now)
+void gather_run::relayFailed(std::size_t part, bool notSent, time_point now)
 {
-    if (m_finished || !m_relayOpen) {
+    if (m_finished || !m_relayOpen[part]) {
         return;
     }
-    m_relayOpen = false;
-    for (const auto shard : m_input.relay->shards) {
+    m_relayOpen[part] = false;
+    for (const auto shard : m_input.relays[part].shards) {
         auto &state = m_shards[shard];
         auto &budget = m_board.budget(m_input.shards[shard]);
         const bool allowed = notSent || budget.tokens() >= 1;
@@ -328,8 +331,10 @@
     if (m_finished) {
         return;
     }
-    if (m_relayOpen && now >= m_input.target - relayMargin) {
-        relayFailed(false, now);
+    for (std::size_t part = 0; part < m_relayOpen.size(); ++part) {
+        if (m_relayOpen[part] && now >= m_input.target - relayMargin) {
+            relayFailed(part, false, now);
+        }
     }
     hedge(now);
     settle(now);
@@ -355,13 +360,18 @@
     }
 }
 
+bool gather_run::anyRelayOpen() const
+{
+    return std::find(m_relayOpen.begin(), m_relayOpen.end(), true) != m_relayOpen.end();
+}
+
 void gather_run::plan(time_point now)
 {
     m_next = m_input.deadline;
     if (now < m_input.target) {
         m_next = std::min(m_next, m_input.target);
     }
-    if (m_relayOpen) {
+    if (anyRelayOpen()) {
         m_next = std::min(m_next, std::max(now, m_input.target - relayMargin));
     }
     if (m_hedgesLeft == 0) {
--- a/libs/search/src/relay_selector.cpp
+++ b/libs/search/src/relay_selector.cpp
@@ -25,12 +25,13 @@
     m_hosts = std::move(next);
 }
 
-std::optional<relay_host> relay_selector::choose(const std::vector<zone_id> &zones, time_point now)
+std::optional<relay_host> relay_selector::choose(const std::vector<zone_id> &zones, time_point now, const std::vector<std::string> &taken)
 {
     // First a zone, then a host in it: the backend servers of the zones get the same share however many hosts each has.
     std::map<zone_id, std::vector<const std::string *>> candidates;
     for (const auto &[address, state] : m_hosts) {
-        if (now >= state.blockedUntil && std::find(zones.begin(), zones.end(), state.zone) != zones.end()) {
+        const bool wanted = std::find(taken.begin(), taken.end(), address) == taken.end();
+        if (wanted && now >= state.blockedUntil && std::find(zones.begin(), zones.end(), state.zone) != zones.end()) {
             candidates[state.zone].push_back(&address);
         }
     }
--- a/libs/search/src/replica_board.cpp
+++ b/libs/search/src/replica_board.cpp
@@ -138,7 +138,7 @@
 std::size_t replica_board::callLimit(const replica &candidate) const
 {
     const std::uint32_t connections = m_table ? m_table->service(candidate.entry().service).maxConnections : 0;
-    return connections == 0 ? SIZE_MAX : std::max(1U, connections / m_hosts);
+    return connections == 0 ? SIZE_MAX : std::max(leastCalls, connections / m_hosts);
 }
 
 std::chrono::microseconds replica_board::cost(const replica &candidate, std::chrono::microseconds usual, time_point now) const
