--- a/libs/gateway/src/relay_client.h
+++ b/libs/gateway/src/relay_client.h
@@ -30,7 +30,7 @@
     using callback = std::function<void(std::optional<relay_result> result, bool notSent)>;
 
     /// Most shards in a part: more take a quarter of a core some 10 ms to send and as long to read.
-    static constexpr std::size_t mostShards = 26;
+    static constexpr std::size_t mostShards = 16;
 
     /// A part of a search and the host that is to gather it.
     struct planned_part {
