Drive searches and parts of them by one class; check answers of other hosts

Cause: gathered_request and relayed_request repeated the same seven functions around a gather_run, and an answer of another host was used without a check of its values.

shard_request holds the run. An answer with unknown values, or a served shard without a proof, counts as a failure of the other host.

--- a/libs/gateway/src/gathered_request.cpp
+++ b/libs/gateway/src/gathered_request.cpp
@@ -16,37 +16,24 @@
 /// connection, after which they are tried again.
 constexpr std::chrono::milliseconds retryAfterNoServer = replica::unreachableFirst;
 
-gather_input makeInput(const caller_request::arrival &arrival, const relay_client::plan &plan)
-{
-    const auto &route = *arrival.matched;
-    gather_input input;
-    input.shards = route.shards;
-    input.topRecords = route.topRecords;
-    input.minCoverage = route.minCoverage;
-    input.maxAttempts = route.maxAttempts;
-    input.target = arrival.target;
-    input.deadline = arrival.deadline;
-    for (const auto &each : plan) {
-        input.relays.push_back(each.part);
-    }
-    input.preferenceSeed = std::hash<std::string>{}(arrival.requestId);
-    return input;
-}
-
 } // namespace
 
 gathered_request::gathered_request(gateway_state &state, arrival received)
-    : caller_request(state, std::move(received))
+    : shard_request(state, std::move(received))
     , m_plan(state.relays.choose(input().matched->shards, input().target, monotonic_clock::now()))
-    , m_run(makeInput(input(), m_plan), state.board, *state.profile(*input().matched))
 {
+    auto parts = makeInput();
+    for (const auto &each : m_plan) {
+        parts.relays.push_back(each.part);
+    }
+    prepare(std::move(parts));
 }
 
 void gathered_request::startRun(time_point now)
 {
-    m_run.start(now);
+    shard_request::startRun(now);
     for (std::size_t part = 0; part < m_plan.size(); ++part) {
-        if (m_run.relayOpen(part)) {
+        if (run().relayOpen(part)) {
             sendRelayed(part, now);
         }
     }
@@ -74,7 +61,7 @@
     message.maxAttempts = route.maxAttempts;
     message.minCoverage = route.minCoverage;
     message.targetLatency = route.targetLatency;
-    message.remaining = std::chrono::duration_cast<std::chrono::microseconds>(m_run.relayTarget() - now);
+    message.remaining = std::chrono::duration_cast<std::chrono::microseconds>(run().relayTarget() - now);
     m_relayCalls.resize(m_plan.size());
     m_relayCalls[part] = state().relays.send(
         m_plan[part].address, message, [self = shared_from_this(), this, part](std::optional<relay_result> result, bool notSent) {
@@ -84,9 +71,9 @@
             m_relayCalls[part].reset();
             const auto at = monotonic_clock::now();
             if (result) {
-                m_run.relayAnswered(part, std::move(*result), at);
+                run().relayAnswered(part, std::move(*result), at);
             } else {
-                m_run.relayFailed(part, notSent, at);
+                run().relayFailed(part, notSent, at);
             }
             advance(at);
         });
@@ -101,44 +88,23 @@
     }
 }
 
-void gathered_request::callEnded(std::uint64_t attempt, call_outcome &&outcome, http_reply &&reply, time_point now)
-{
-    outcome.body = std::move(reply.body);
-    m_run.ended(attempt, std::move(outcome), now);
-}
-
 void gathered_request::wakeupRun(time_point now)
 {
     std::vector<bool> waited;
     for (std::size_t part = 0; part < m_plan.size(); ++part) {
-        waited.push_back(m_run.relayOpen(part));
+        waited.push_back(run().relayOpen(part));
     }
-    m_run.wakeup(now);
+    shard_request::wakeupRun(now);
     for (std::size_t part = 0; part < m_plan.size(); ++part) {
-        if (waited[part] && !m_run.relayOpen(part)) {
+        if (waited[part] && !run().relayOpen(part)) {
             state().relays.late(m_plan[part].address, now);
         }
     }
 }
 
-time_point gathered_request::nextWakeup() const
-{
-    return m_run.nextWakeup();
-}
-
-bool gathered_request::runFinished() const
-{
-    return m_run.finished();
-}
-
-std::vector<send_call> gathered_request::takeCalls()
-{
-    return m_run.takeCalls();
-}
-
 void gathered_request::answer(time_point now)
 {
-    auto result = m_run.takeResult();
+    auto result = run().takeResult();
     const auto &route = *input().matched;
     const auto end = result.end;
     const auto missing = result.missing;
--- a/libs/gateway/src/relay_client.cpp
+++ b/libs/gateway/src/relay_client.cpp
@@ -15,6 +15,16 @@
 /// Time after which the connection of an unanswered relayed search is closed: the other host answers by the target.
 constexpr std::chrono::milliseconds answerWay{40};
 
+/// @return True when the values are ones that this host knows; another version may send others.
+bool isValid(const relay_answer &answer)
+{
+    return answer.end <= static_cast<std::uint8_t>(gather_end::late)
+        && std::all_of(answer.shards.begin(), answer.shards.end(), [](const relay_shard &shard) {
+               const bool served = shard.end == static_cast<std::uint8_t>(attempt_end::served);
+               return shard.end <= static_cast<std::uint8_t>(attempt_end::abandoned) && (!served || !shard.proof.empty());
+           });
+}
+
 } // namespace
 
 relay_client::relay_client(http_client &client, replica_board &board)
@@ -103,7 +113,7 @@
         }
         auto answer = result->status == 200 ? decode<relay_answer>(result->body)
                                             : expected<relay_answer>(makeError(error_code::notReady, "relay search", "refused", address));
-        if (!answer) {
+        if (!answer || !isValid(*answer)) {
             m_selector.failed(address, now);
             done(std::nullopt, false);
             return;
--- a/libs/gateway/src/relayed_request.cpp
+++ b/libs/gateway/src/relayed_request.cpp
@@ -4,33 +4,11 @@
 #include <wire/codec.h>
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 namespace orioledrum
 {
 
-namespace
-{
-
-gather_input makeInput(const caller_request::arrival &arrival, const zone_id &zone)
-{
-    const auto &route = *arrival.matched;
-    gather_input input;
-    input.shards = route.shards;
-    input.topRecords = route.topRecords;
-    input.minCoverage = route.minCoverage;
-    input.maxAttempts = route.maxAttempts;
-    input.target = arrival.target;
-    input.deadline = arrival.deadline;
-    input.keepPartial = true;
-    input.preferredZone = zone;
-    input.preferenceSeed = std::hash<std::string>{}(arrival.requestId);
-    return input;
-}
-
-} // namespace
-
 std::shared_ptr<relayed_request>
 relayed_request::create(gateway_state &state, const relay_search &message, std::shared_ptr<http_exchange> exchange)
 {
@@ -62,46 +40,18 @@
 }
 
 relayed_request::relayed_request(gateway_state &state, arrival received, std::shared_ptr<const route> part)
-    : caller_request(state, std::move(received))
+    : shard_request(state, std::move(received))
     , m_part(std::move(part))
-    , m_run(makeInput(input(), state.settings.zone), state.board, *state.profile(*m_part))
-{
-}
-
-void relayed_request::startRun(time_point now)
-{
-    m_run.start(now);
-}
-
-void relayed_request::callEnded(std::uint64_t attempt, call_outcome &&outcome, http_reply &&reply, time_point now)
-{
-    outcome.body = std::move(reply.body);
-    m_run.ended(attempt, std::move(outcome), now);
-}
-
-void relayed_request::wakeupRun(time_point now)
-{
-    m_run.wakeup(now);
-}
-
-time_point relayed_request::nextWakeup() const
-{
-    return m_run.nextWakeup();
-}
-
-bool relayed_request::runFinished() const
-{
-    return m_run.finished();
-}
-
-std::vector<send_call> relayed_request::takeCalls()
 {
-    return m_run.takeCalls();
+    auto shards = makeInput();
+    shards.keepPartial = true;
+    shards.preferredZone = state.settings.zone;
+    prepare(std::move(shards));
 }
 
 void relayed_request::answer(time_point now)
 {
-    auto result = m_run.takeResult();
+    auto result = run().takeResult();
     relay_answer message;
     message.end = static_cast<std::uint8_t>(result.end);
     const auto usual = state().profile(*m_part)->usual();
--- a/libs/gateway/src/relayed_request.h
+++ b/libs/gateway/src/relayed_request.h
@@ -1,15 +1,14 @@
 #pragma once
 
-#include <caller_request.h>
+#include <shard_request.h>
 
-#include <search/gather_run.h>
 #include <wire/relay_messages.h>
 
 namespace orioledrum
 {
 
 /// A part of a search that this host gathers for another entry host.
-class relayed_request final : public caller_request
+class relayed_request final : public shard_request
 {
 public:
     /// @param message What the other host wants.
@@ -21,17 +20,10 @@
     relayed_request(gateway_state &state, arrival received, std::shared_ptr<const route> part);
 
 protected:
-    void startRun(time_point now) override;
-    void callEnded(std::uint64_t attempt, call_outcome &&outcome, http_reply &&reply, time_point now) override;
-    void wakeupRun(time_point now) override;
-    [[nodiscard]] time_point nextWakeup() const override;
-    [[nodiscard]] bool runFinished() const override;
-    std::vector<send_call> takeCalls() override;
     void answer(time_point now) override;
 
 private:
     std::shared_ptr<const route> m_part; // Keeps the matched route valid.
-    gather_run m_run;
 };
 
 } // namespace orioledrum
--- /dev/null
+++ b/libs/gateway/src/shard_request.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <caller_request.h>
+
+#include <search/gather_run.h>
+
+namespace orioledrum
+{
+
+/// A request that is answered from many shards: drives a gather_run.
+class shard_request : public caller_request
+{
+protected:
+    shard_request(gateway_state &state, arrival received);
+
+    /// Sets up the run. Called once, in the constructor of the derived class.
+    void prepare(gather_input input);
+
+    void startRun(time_point now) override;
+    void callEnded(std::uint64_t attempt, call_outcome &&outcome, http_reply &&reply, time_point now) override;
+    void wakeupRun(time_point now) override;
+    [[nodiscard]] time_point nextWakeup() const override;
+    [[nodiscard]] bool runFinished() const override;
+    std::vector<send_call> takeCalls() override;
+
+    /// @return What a run over the shards of the matched route needs.
+    [[nodiscard]] gather_input makeInput() const;
+    [[nodiscard]] gather_run &run() { return *m_run; }
+
+private:
+    std::optional<gather_run> m_run;
+};
+
+} // namespace orioledrum
