Let a host that gathers a part wait for all its shards

Cause: a relayed part had the least coverage of the whole search. With one of seven shards late it ended as soon as that could not be met, or was refused whole, and shards in progress were lost; found while reading the change.

A part has no least coverage: it ends when complete or at its target. The new test shows a part with failing and slow shards; with a least coverage of 0.75 the same run ends after 4 ms without a record.

--- a/libs/gateway/src/relayed_request.cpp
+++ b/libs/gateway/src/relayed_request.cpp
@@ -19,7 +19,6 @@
     part->repeat = repeat_rule::idempotent;
     part->targetLatency = std::chrono::duration_cast<std::chrono::milliseconds>(message.targetLatency);
     part->maxAttempts = message.maxAttempts;
-    part->minCoverage = message.minCoverage;
     part->topRecords = message.topRecords;
     for (const auto &shard : message.shards) {
         part->shards.emplace_back(shard);
@@ -45,6 +44,7 @@
 {
     auto shards = makeInput();
     shards.keepPartial = true;
+    shards.minCoverage = 0; // Only the asking host knows how many shards of the whole search may be missing.
     shards.preferredZone = state.settings.zone;
     prepare(std::move(shards));
 }
--- a/libs/search/tests/test_gather_run.cpp
+++ b/libs/search/tests/test_gather_run.cpp
@@ -288,3 +288,21 @@
     EXPECT_EQ(backends.calls("s4-a") + backends.calls("s4-b"), 0);
     EXPECT_EQ(result.records.substr(0, recordBytes), makeRecord(7));
 }
+
+// Guards against a part that ends early for another host, and loses shards that would have answered: some of its shards fail,
+// the others are slow but in time. With a least coverage of its own, the part ended as soon as that could not be met.
+TEST(GatherRunTest, aPartWaitsForItsShardsWhateverFails)
+{
+    scripted_backends backends(10, 2);
+    scriptAll(backends, 10, {milliseconds(30), attempt_end::served, makeRecord(1)});
+    for (std::size_t shard = 0; shard < 4; ++shard) {
+        backends.script(serverOf(shard, 'a'), {milliseconds(2), attempt_end::failed, {}});
+        backends.script(serverOf(shard, 'b'), {milliseconds(2), attempt_end::failed, {}});
+    }
+    auto input = backends.search(milliseconds(60), milliseconds(60), 0);
+    input.keepPartial = true;
+    const auto result = backends.play(input);
+    EXPECT_EQ(servedCount(result), 6U);
+    EXPECT_EQ(result.end, gather_end::partial);
+    EXPECT_EQ(result.records.size(), 5 * recordBytes);
+}
--- a/libs/wire/include/wire/relay_messages.h
+++ b/libs/wire/include/wire/relay_messages.h
@@ -23,7 +23,6 @@
     std::vector<std::string> shards; ///< Services to ask.
     std::uint32_t topRecords = 0;
     std::uint32_t maxAttempts = 1;
-    double minCoverage = 1; ///< Of the route.
     std::chrono::microseconds targetLatency{0}; ///< Of the route.
     std::chrono::microseconds remaining{0}; ///< Time until the answer must be sent, complete or not.
 };
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -61,7 +61,6 @@
           value.shards,
           value.topRecords,
           value.maxAttempts,
-          value.minCoverage,
           value.targetLatency,
           value.remaining);
 }
