--- a/libs/limits/tests/test_shared_limits.cpp
+++ b/libs/limits/tests/test_shared_limits.cpp
@@ -42,12 +42,12 @@
         }
     }
     constexpr int window = 10'000;
-    for (const auto &begin : history) {
-        const auto inWindow = [&](const step &each, bool extra) {
-            return each.extra == extra && each.at >= begin.at && each.at < begin.at + window;
-        };
-        const auto extra = std::count_if(history.begin(), history.end(), [&](const step &each) { return inWindow(each, true); });
-        const auto first = std::count_if(history.begin(), history.end(), [&](const step &each) { return inWindow(each, false); });
+    for (std::size_t begin = 0; begin < history.size(); ++begin) {
+        int extra = 0;
+        int first = 0;
+        for (std::size_t i = begin; i < history.size() && history[i].at < history[begin].at + window; ++i) {
+            ++(history[i].extra ? extra : first);
+        }
         RC_ASSERT(static_cast<double>(extra) <= limits.share * static_cast<double>(first) + limits.slack);
     }
 }
