--- a/libs/config/include/config/route.h
+++ b/libs/config/include/config/route.h
@@ -37,6 +37,9 @@
     std::uint32_t topRecords = 0; ///< Records in a merged answer.
     double minCoverage = 1; ///< Least share of the shards in a successful merged answer.
 
+    /// @return What tells the kind of request apart in all versions of the routes: host and prefix.
+    [[nodiscard]] std::string key() const { return host + prefix; }
+
     /// @return True when the route is a search over shards.
     [[nodiscard]] bool isSearch() const { return !shards.empty(); }
 };
--- a/libs/gateway/include/gateway/change_follower.h
+++ b/libs/gateway/include/gateway/change_follower.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <base/error.h>
-#include <base/monotonic_clock.h>
 #include <gateway/published_change.h>
 
 #include <chrono>
@@ -51,12 +50,10 @@
     [[nodiscard]] source_read next() const;
 
     /// A read has ended.
-    follower_news ended(expected<change_page> &&page, time_point now);
+    follower_news ended(expected<change_page> &&page);
 
     /// @return True after the whole list was read once.
     [[nodiscard]] bool synchronized() const { return m_synchronized; }
-    /// @return When a read last succeeded.
-    [[nodiscard]] time_point lastContact() const { return m_lastContact; }
     /// @return The revision up to which everything is known.
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
     /// @return Failed reads in a row.
@@ -72,7 +69,6 @@
     std::uint64_t m_revision = 0;
     std::uint32_t m_failures = 0;
     bool m_changed = false; // The last read brought changes.
-    time_point m_lastContact;
 };
 
 } // namespace orioledrum
--- a/libs/gateway/include/gateway/message_codec.h
+++ b/libs/gateway/include/gateway/message_codec.h
@@ -54,10 +54,9 @@
     /// @param requestId Id of the request that it was sent.
     [[nodiscard]] virtual backend_fields decodeReply(const http_reply &reply, const std::string &requestId) const = 0;
 
-    /// @param reply A backend server's answer to a forwarded request.
-    /// @param notRun The answer says that the request has not run.
-    /// @return The answer for the caller.
-    [[nodiscard]] virtual http_response encodeForwarded(http_reply reply, bool notRun) const = 0;
+    /// @param reply A backend server's answer to a forwarded request that it may have run.
+    /// @return The answer for the caller; it promises nothing that the backend server did not.
+    [[nodiscard]] virtual http_response encodeForwarded(http_reply reply) const = 0;
 
     /// @param result A search that has succeeded.
     /// @return The answer for the caller.
--- a/libs/gateway/src/caller_front.cpp
+++ b/libs/gateway/src/caller_front.cpp
@@ -92,7 +92,7 @@
     arrival.target = now + route->targetLatency - m_state.settings.callerDelay * wayCount - targetMargin;
     arrival.request = std::move(request);
     arrival.exchange = std::move(exchange);
-    ++m_state.requestsByRoute[route->host + route->prefix];
+    ++m_state.requestsByRoute[route->key()];
     makeCallerRequest(m_state, std::move(arrival))->start();
 }
 
--- a/libs/gateway/src/change_follower.cpp
+++ b/libs/gateway/src/change_follower.cpp
@@ -29,7 +29,7 @@
     return read;
 }
 
-follower_news change_follower::ended(expected<change_page> &&page, time_point now)
+follower_news change_follower::ended(expected<change_page> &&page)
 {
     follower_news news;
     m_changed = page && !m_listing && !page->changes.empty();
@@ -46,7 +46,6 @@
     }
     news.regained = m_failures > 0;
     m_failures = 0;
-    m_lastContact = now;
     if (!m_listing) {
         m_revision = std::max(m_revision, page->revision);
         news.changes = std::move(page->changes);
--- a/libs/gateway/src/gateway_state.cpp
+++ b/libs/gateway/src/gateway_state.cpp
@@ -32,7 +32,7 @@
     double all = 0;
     double served = 0;
     for (const auto &route : table->routes()) {
-        const auto seen = requestsByRoute.find(route.host + route.prefix);
+        const auto seen = requestsByRoute.find(route.key());
         // Before the first requests all routes count alike.
         const double weight = requestsByRoute.empty() ? 1.0 : (seen == requestsByRoute.end() ? 0.0 : static_cast<double>(seen->second));
         if (weight == 0) {
@@ -46,7 +46,7 @@
 
 const std::shared_ptr<latency_profile> &gateway_state::profile(const route &route)
 {
-    auto &known = m_profiles[route.host + route.prefix];
+    auto &known = m_profiles[route.key()];
     if (!known) {
         known = std::make_shared<latency_profile>(std::chrono::microseconds(route.targetLatency) / initialShare);
     }
--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -75,13 +75,7 @@
     if (hosts == 1 || now - m_started < settleTime) {
         hosts = std::max(hosts, assumedHosts);
     }
-    std::vector<relay_host> relays;
-    for (const auto &member : m_membership.view()->members) {
-        if (!member.self && member.state == host_state::live && !member.address.empty()) {
-            relays.push_back({member.address, member.zone});
-        }
-    }
-    m_state.relays.setHosts(relays);
+    updateRelays();
     if (hosts != std::exchange(m_hosts, hosts)) {
         m_state.board.setHosts(hosts);
         m_state.log.write("hosts", "sharingHosts", {{"hosts", std::int64_t{hosts}}});
@@ -100,6 +94,22 @@
     }
 }
 
+void host_link::updateRelays()
+{
+    const auto view = m_membership.view();
+    if (view == m_relayView) {
+        return;
+    }
+    m_relayView = view;
+    std::vector<relay_host> relays;
+    for (const auto &member : view->members) {
+        if (!member.self && member.state == host_state::live && !member.address.empty()) {
+            relays.push_back({member.address, member.zone});
+        }
+    }
+    m_state.relays.setHosts(relays);
+}
+
 void host_link::apply(const membership_actions &actions)
 {
     for (const auto &action : actions) {
--- a/libs/gateway/src/host_link.h
+++ b/libs/gateway/src/host_link.h
@@ -41,10 +41,13 @@
     void apply(const membership_actions &actions);
     void send(const send_digest &action);
     void countHosts();
+    /// Tells which hosts can gather parts of searches, when the view has changed.
+    void updateRelays();
 
     gateway_state &m_state;
     http_client &m_client;
     membership m_membership;
+    std::shared_ptr<const membership_view> m_relayView; // The view that the relays were told of.
     asio::steady_timer m_timer;
     time_point m_started;
     std::uint32_t m_hosts = 0;
--- a/libs/gateway/src/publication_reader.cpp
+++ b/libs/gateway/src/publication_reader.cpp
@@ -69,7 +69,7 @@
         m_state.metrics.platformReadFailed();
     }
     const std::string problem = page ? std::string() : page.error().describe();
-    auto news = m_follower.ended(std::move(page), now);
+    auto news = m_follower.ended(std::move(page));
     if (news.lost) {
         m_state.log.write("platform", "contactLost", {{"error", problem}, {"revision", static_cast<std::int64_t>(m_follower.revision())}});
     }
--- a/libs/gateway/tests/test_change_follower.cpp
+++ b/libs/gateway/tests/test_change_follower.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-const time_point start = time_point(std::chrono::hours(1));
-
 change_page makePage(std::uint64_t revision, const std::string &next = {}, std::vector<std::string> gone = {})
 {
     change_page page;
@@ -33,10 +31,10 @@
 {
     change_follower follower({});
     EXPECT_TRUE(follower.next().list);
-    EXPECT_FALSE(follower.ended(makePage(10, "next", {"a"}), start).whole);
+    EXPECT_FALSE(follower.ended(makePage(10, "next", {"a"})).whole);
     EXPECT_FALSE(follower.synchronized());
     EXPECT_EQ(follower.next().from, "next");
-    const auto news = follower.ended(makePage(20, "", {"b"}), start);
+    const auto news = follower.ended(makePage(20, "", {"b"}));
     EXPECT_TRUE(news.whole);
     EXPECT_EQ(news.changes.size(), 2U);
     EXPECT_FALSE(follower.next().list);
@@ -46,13 +44,13 @@
 TEST(ChangeFollowerTest, readsEverythingAgainWhenHistoryIsLost)
 {
     change_follower follower({});
-    follower.ended(makePage(10), start);
-    follower.ended(makePage(12, "", {"a"}), start);
+    follower.ended(makePage(10));
+    follower.ended(makePage(12, "", {"a"}));
     EXPECT_EQ(follower.next().after, 12U);
-    follower.ended(failure(error_code::historyLost), start);
+    follower.ended(failure(error_code::historyLost));
     EXPECT_TRUE(follower.next().list);
     EXPECT_TRUE(follower.next().from.empty());
-    EXPECT_TRUE(follower.ended(makePage(50, "", {"a"}), start).whole);
+    EXPECT_TRUE(follower.ended(makePage(50, "", {"a"})).whole);
     EXPECT_EQ(follower.next().after, 50U);
 }
 
@@ -61,16 +59,16 @@
 {
     change_follower_settings settings;
     change_follower follower(settings);
-    follower.ended(makePage(10), start);
-    EXPECT_TRUE(follower.ended(failure(error_code::unreachable), start).lost);
-    EXPECT_FALSE(follower.ended(failure(error_code::unreachable), start).lost);
+    follower.ended(makePage(10));
+    EXPECT_TRUE(follower.ended(failure(error_code::unreachable)).lost);
+    EXPECT_FALSE(follower.ended(failure(error_code::unreachable)).lost);
     EXPECT_EQ(follower.next().delay, settings.retryFirst * 2);
     for (int i = 0; i < 50; ++i) {
-        follower.ended(failure(error_code::unreachable), start);
+        follower.ended(failure(error_code::unreachable));
     }
     EXPECT_EQ(follower.next().delay, settings.retryLongest);
-    EXPECT_TRUE(follower.ended(makePage(11), start).regained);
-    EXPECT_FALSE(follower.ended(makePage(12), start).regained);
+    EXPECT_TRUE(follower.ended(makePage(11)).regained);
+    EXPECT_FALSE(follower.ended(makePage(12)).regained);
     EXPECT_EQ(follower.next().delay, milliseconds(0));
 }
 
@@ -78,10 +76,10 @@
 TEST(ChangeFollowerTest, goesOnInsideAList)
 {
     change_follower follower({});
-    follower.ended(makePage(10, "next", {"a"}), start);
-    follower.ended(failure(error_code::deadlineExceeded), start);
+    follower.ended(makePage(10, "next", {"a"}));
+    follower.ended(failure(error_code::deadlineExceeded));
     EXPECT_EQ(follower.next().from, "next");
-    EXPECT_EQ(follower.ended(makePage(11, "", {"b"}), start).changes.size(), 2U);
+    EXPECT_EQ(follower.ended(makePage(11, "", {"b"})).changes.size(), 2U);
 }
 
 // Guards against a call for each of many changes that come together.
@@ -89,10 +87,10 @@
 {
     change_follower_settings settings;
     change_follower follower(settings);
-    follower.ended(makePage(10), start);
+    follower.ended(makePage(10));
     EXPECT_EQ(follower.next().delay, milliseconds(0));
-    follower.ended(makePage(11, "", {"a"}), start);
+    follower.ended(makePage(11, "", {"a"}));
     EXPECT_EQ(follower.next().delay, settings.batch);
-    follower.ended(makePage(11), start);
+    follower.ended(makePage(11));
     EXPECT_EQ(follower.next().delay, milliseconds(0));
 }
--- a/libs/limits/include/limits/extra_call_budget.h
+++ b/libs/limits/include/limits/extra_call_budget.h
@@ -43,7 +43,6 @@
     [[nodiscard]] bool canHedge() const;
 
     [[nodiscard]] double tokens() const { return m_tokens; }
-    [[nodiscard]] double capacity() const { return m_capacity; }
 
 private:
     extra_call_limits m_limits;
--- a/libs/search/include/search/call_outcome.h
+++ b/libs/search/include/search/call_outcome.h
@@ -14,12 +14,6 @@
     std::string proof; ///< Text by which the backend server vouches for the answer; set when served.
     std::string body; ///< Body of the answer; set when served.
     std::chrono::microseconds latency{0}; ///< From sending to the end.
-
-    /// @return True when the backend server surely has not run the call and will not.
-    [[nodiscard]] bool notRun() const
-    {
-        return end == attempt_end::shed || end == attempt_end::misdirected || end == attempt_end::unreachable;
-    }
 };
 
 } // namespace orioledrum
--- a/libs/search/include/search/gather_run.h
+++ b/libs/search/include/search/gather_run.h
@@ -166,9 +166,6 @@
     /// @return The result; meaningful once finished. Moved out by the first call.
     gather_result takeResult() { return std::move(m_result); }
 
-    /// @return Number of shards that have answered.
-    [[nodiscard]] std::size_t answered() const { return m_answered; }
-
 private:
     struct open_attempt {
         std::uint64_t number = 0;
@@ -208,7 +205,6 @@
     gather_input m_input;
     replica_board &m_board;
     latency_profile &m_profile;
-    time_point m_started;
     std::chrono::microseconds m_hedgeAfter{0};
     std::vector<shard_state> m_shards;
     std::vector<std::size_t> m_shardOfAttempt;
--- a/libs/search/include/search/replica.h
+++ b/libs/search/include/search/replica.h
@@ -44,6 +44,12 @@
     abandoned, ///< Given up by this host; says nothing about the backend server.
 };
 
+/// @return True when a call that ended so surely has not run and will not.
+constexpr bool provesNotRun(attempt_end end)
+{
+    return end == attempt_end::shed || end == attempt_end::misdirected || end == attempt_end::unreachable;
+}
+
 /// One backend server as this host sees it: what is published, and what its own calls have shown. Not thread-safe.
 class replica
 {
--- a/libs/search/src/forward_run.cpp
+++ b/libs/search/src/forward_run.cpp
@@ -73,8 +73,7 @@
         finish(forward_end::answered);
         return;
     }
-    const bool notRun = end == attempt_end::shed || end == attempt_end::misdirected || end == attempt_end::unreachable;
-    m_mayHaveRun = m_mayHaveRun || !notRun;
+    m_mayHaveRun = m_mayHaveRun || !provesNotRun(end);
     if (end == attempt_end::failed) {
         m_failureKept = true;
         m_failureOf = attempt;
--- a/libs/search/src/gather_run.cpp
+++ b/libs/search/src/gather_run.cpp
@@ -59,7 +59,6 @@
 
 void gather_run::start(time_point now)
 {
-    m_started = now;
     if (!admit(now)) {
         return;
     }
--- a/libs/transport/src/http_headers.cpp
+++ b/libs/transport/src/http_headers.cpp
@@ -13,17 +13,17 @@
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
-bool equalIgnoringCase(std::string_view a, std::string_view b)
+} // namespace
+
+bool sameFieldName(std::string_view a, std::string_view b)
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return lower(x) == lower(y); });
 }
 
-} // namespace
-
 std::string_view headerValue(const http_headers &headers, std::string_view name)
 {
     const auto found =
-        std::find_if(headers.begin(), headers.end(), [&](const http_header &header) { return equalIgnoringCase(header.name, name); });
+        std::find_if(headers.begin(), headers.end(), [&](const http_header &header) { return sameFieldName(header.name, name); });
     return found == headers.end() ? std::string_view{} : std::string_view(found->value);
 }
 
