Refuse a part of a search whose backend servers the asking host does not allow

Ruled out: entries that change during a request on one host; that stays within the backend servers asked before. Change: both hosts fix the allowed backend servers of each shard at the start; the asking host sends a digest of its own with the part, and the other one refuses the part, with nothing sent, when its digest differs. The property test with two hosts failed before the check at its first tries and passes with it.

--- a/libs/search/include/search/replica_board.h
+++ b/libs/search/include/search/replica_board.h
@@ -84,10 +84,14 @@
         const std::vector<const replica *> *asked = nullptr; ///< Backend servers that this request was sent to already.
         bool again = false; ///< Choose among the asked ones; otherwise among the others.
         bool onlyIfFree = false; ///< Only one that can start the call at once.
-        const replica_preference *preference = nullptr; ///< Restricts the choice to the first `most` in its order.
-        std::uint32_t most = 1;
+        const std::vector<replica_ptr> *among = nullptr; ///< Restricts the choice to these, where they still have entries.
     };
 
+    /// @return The first `most` backend servers of a service in the order of a preference. Hosts with the same entries get the
+    /// same ones.
+    [[nodiscard]] std::vector<replica_ptr>
+    preferred(const service_id &service, const replica_preference &preference, std::uint32_t most) const;
+
     /// Chooses a backend server for a call. A cold one has the call counted against its rate.
     /// @return The backend server, or null when none may be called.
     [[nodiscard]] replica_ptr choose(const question &wanted, time_point now);
@@ -138,8 +142,6 @@
         time_point hintedAt;
     };
 
-    [[nodiscard]] static std::vector<replica_ptr>
-    preferred(const std::vector<replica_ptr> &replicas, const replica_preference &preference, std::uint32_t most);
     void drop(const backend_id &id);
     [[nodiscard]] bool callable(const replica &candidate, time_point now) const;
     [[nodiscard]] std::size_t callLimit(const replica &candidate) const;
--- a/libs/search/src/gather_run.cpp
+++ b/libs/search/src/gather_run.cpp
@@ -16,6 +16,17 @@
 /// Least time before the deadline in which a retry can still be of use.
 constexpr std::chrono::milliseconds retryTime{3};
 
+/// @return The digest with the servers of one more shard. Their order does not matter: entries come in any order.
+std::uint64_t addServers(std::uint64_t digest, const std::vector<replica_board::replica_ptr> &servers)
+{
+    std::uint64_t sum = 0;
+    for (const auto &server : servers) {
+        // The standard library's hash is the same on all hosts, which run the same program.
+        sum += random_source(std::hash<backend_id>{}(server->entry().id)).next();
+    }
+    return random_source(digest ^ sum).next();
+}
+
 } // namespace
 
 std::string_view toString(gather_end end)
@@ -33,6 +44,8 @@
         return "tooFew";
     case gather_end::late:
         return "late";
+    case gather_end::otherServers:
+        return "otherServers";
     }
     return "late";
 }
@@ -47,18 +60,43 @@
     for (const auto &part : m_input.relays) {
         for (const auto shard : part.shards) {
             m_shards[shard].relayed = true;
-            m_shards[shard].preference = replica_preference{part.zone, m_input.preferenceSeed};
+            restrictServers(shard, part.zone);
         }
     }
     if (m_input.preferredZone) {
-        for (auto &shard : m_shards) {
-            shard.preference = replica_preference{*m_input.preferredZone, m_input.preferenceSeed};
+        for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
+            restrictServers(shard, *m_input.preferredZone);
         }
     }
 }
 
+void gather_run::restrictServers(std::size_t shard, const zone_id &zone)
+{
+    const replica_preference preference{zone, m_input.preferenceSeed};
+    m_shards[shard].allowed = m_board.preferred(m_input.shards[shard], preference, m_input.maxAttempts);
+}
+
+std::uint64_t gather_run::serversDigest(std::size_t part) const
+{
+    std::uint64_t digest = 0;
+    for (const auto shard : m_input.relays[part].shards) {
+        digest = addServers(digest, *m_shards[shard].allowed);
+    }
+    return digest;
+}
+
 void gather_run::start(time_point now)
 {
+    if (m_input.preferredZone) {
+        std::uint64_t digest = 0;
+        for (const auto &shard : m_shards) {
+            digest = addServers(digest, *shard.allowed);
+        }
+        if (digest != m_input.serversDigest) {
+            finish(gather_end::otherServers);
+            return;
+        }
+    }
     if (!admit(now)) {
         return;
     }
@@ -131,14 +169,8 @@
 {
     auto &state = m_shards[shard];
     const auto usual = m_profile.usual();
-    const auto server = m_board.choose({&m_input.shards[shard],
-                                        usual,
-                                        &state.asked,
-                                        again,
-                                        onlyIfFree,
-                                        state.preference ? &*state.preference : nullptr,
-                                        m_input.maxAttempts},
-                                       now);
+    const auto server =
+        m_board.choose({&m_input.shards[shard], usual, &state.asked, again, onlyIfFree, state.allowed ? &*state.allowed : nullptr}, now);
     if (!server) {
         return false;
     }
@@ -217,8 +249,8 @@
     if (m_finished || !m_relayOpen[part]) {
         return;
     }
-    if (result.end == gather_end::notStarted) {
-        relayFailed(part, true, now); // It reaches too few backend servers; this host may reach them.
+    if (result.end == gather_end::notStarted || result.end == gather_end::otherServers) {
+        relayFailed(part, true, now); // It has sent nothing; this host may reach the backend servers.
         return;
     }
     m_relayOpen[part] = false;
--- a/libs/search/src/replica_board.cpp
+++ b/libs/search/src/replica_board.cpp
@@ -188,9 +188,10 @@
         replica_ptr server;
     };
     std::vector<candidate> candidates;
-    const auto &all = found->second.replicas;
-    const bool restricted = wanted.preference != nullptr && all.size() > wanted.most;
-    for (const auto &server : restricted ? preferred(all, *wanted.preference, wanted.most) : all) {
+    for (const auto &server : found->second.replicas) {
+        if (wanted.among != nullptr && std::find(wanted.among->begin(), wanted.among->end(), server) == wanted.among->end()) {
+            continue;
+        }
         const bool asked =
             wanted.asked != nullptr && std::find(wanted.asked->begin(), wanted.asked->end(), server.get()) != wanted.asked->end();
         if (asked != wanted.again || !callable(*server, now)) {
@@ -236,8 +237,16 @@
 }
 
 std::vector<replica_board::replica_ptr>
-replica_board::preferred(const std::vector<replica_ptr> &replicas, const replica_preference &preference, std::uint32_t most)
+replica_board::preferred(const service_id &service, const replica_preference &preference, std::uint32_t most) const
 {
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return {};
+    }
+    const auto &replicas = found->second.replicas;
+    if (replicas.size() <= most) {
+        return replicas;
+    }
     struct ranked {
         bool otherZone;
         std::uint64_t order;
--- a/libs/search/tests/test_gather_run.cpp
+++ b/libs/search/tests/test_gather_run.cpp
@@ -306,3 +306,84 @@
     EXPECT_EQ(result.end, gather_end::partial);
     EXPECT_EQ(result.records.size(), 5 * recordBytes);
 }
+
+// Guards against more backend servers for one request than its route allows, asked by two hosts with different entries. The
+// pattern: one host has lost the source of entries while backend servers are replaced; it gathers a part of a search, its
+// answer is late, and the host that asked goes on itself. Both together reached three backend servers of a shard.
+RC_GTEST_PROP(GatherRunTest, twoHostsWithDifferentEntriesAskNoMoreBackendServersThanAllowed, ())
+{
+    scripted_backends asking(4, 3);
+    scripted_backends gathering(4, 3);
+    const auto changes = *rc::gen::inRange(0, 6);
+    for (int i = 0; i < changes; ++i) {
+        const auto shard = *rc::gen::inRange(0, 4);
+        replica_entry entry;
+        entry.id = backend_id(serverOf(static_cast<std::size_t>(shard), static_cast<char>('d' + i)));
+        entry.service = service_id("s" + std::to_string(shard));
+        entry.zone = zone_id(*rc::gen::element<std::string>("za", "zb", "zc"));
+        entry.address = "127.0.0.1:1";
+        entry.slots = 2;
+        auto &changed = *rc::gen::arbitrary<bool>() ? asking : gathering;
+        changed.board().remove(backend_id(serverOf(static_cast<std::size_t>(shard), *rc::gen::element('a', 'b', 'c'))), changed.now());
+        changed.board().put(entry, changed.now());
+    }
+    const bool fails = *rc::gen::arbitrary<bool>();
+    for (auto *host : {&asking, &gathering}) {
+        for (std::size_t shard = 0; shard < 4; ++shard) {
+            for (char letter = 'a'; letter <= 'i'; ++letter) {
+                host->script(serverOf(shard, letter),
+                             {milliseconds(fails ? 2 : 500), fails ? attempt_end::failed : attempt_end::served, {}});
+            }
+        }
+    }
+    auto input = asking.search(milliseconds(100), milliseconds(600));
+    input.relays = {relay_part{{0, 1, 2, 3}, zone_id("zb")}};
+    input.preferenceSeed = *rc::gen::arbitrary<std::uint64_t>();
+    bool relayed = false;
+    asking.play(input, [&](gather_run &run, time_point now) {
+        if (std::exchange(relayed, true)) {
+            return;
+        }
+        auto part = gathering.search(milliseconds(90), milliseconds(90), 0);
+        part.keepPartial = true;
+        part.preferredZone = zone_id("zb");
+        part.preferenceSeed = input.preferenceSeed;
+        part.serversDigest = run.serversDigest(0);
+        const auto result = gathering.play(part);
+        if (result.end == gather_end::otherServers) {
+            RC_ASSERT(gathering.allCalls() == 0);
+            run.relayAnswered(0, {result.end, {}, {}, 0, 0}, now);
+            return;
+        }
+        run.relayFailed(0, false, now);
+    });
+    for (std::size_t shard = 0; shard < 4; ++shard) {
+        int reached = 0;
+        for (char letter = 'a'; letter <= 'i'; ++letter) {
+            const auto server = serverOf(shard, letter);
+            reached += asking.calls(server) + gathering.calls(server) > 0 ? 1 : 0;
+        }
+        RC_ASSERT(reached <= 2);
+    }
+}
+
+// Guards against parts that are refused although both hosts have the same entries, taken in another order.
+TEST(GatherRunTest, hostsWithTheSameEntriesAgreeOnTheBackendServers)
+{
+    scripted_backends asking(3, 3);
+    scripted_backends gathering(3, 3);
+    scriptAll(gathering, 3, {milliseconds(5), attempt_end::served, makeRecord(1)});
+    gathering.script("s0-c", {milliseconds(5), attempt_end::served, makeRecord(1)});
+    replica_entry entry = gathering.board().replicas(service_id("s0")).front()->entry();
+    gathering.board().remove(entry.id, gathering.now());
+    gathering.board().put(entry, gathering.now());
+    auto input = asking.search(milliseconds(100), milliseconds(600));
+    input.relays = {relay_part{{0, 1, 2}, zone_id("zb")}};
+    input.preferenceSeed = 5;
+    gather_run run(input, asking.board(), asking.profile());
+    auto part = gathering.search(milliseconds(90), milliseconds(90), 0);
+    part.preferredZone = zone_id("zb");
+    part.preferenceSeed = input.preferenceSeed;
+    part.serversDigest = run.serversDigest(0);
+    EXPECT_EQ(gathering.play(part).end, gather_end::complete);
+}
--- a/libs/search/tests/test_replica_board.cpp
+++ b/libs/search/tests/test_replica_board.cpp
@@ -222,12 +222,11 @@
             board.put(makeEntry(id, std::string("z") + id[1]), now);
         }
         for (std::uint64_t seed = 0; seed < 50; ++seed) {
-            const replica_preference preference{zone_id("z2"), seed};
+            const auto among = board.preferred(service, {zone_id("z2"), seed}, 2);
             replica_board::question wanted;
             wanted.service = &service;
             wanted.usual = usual;
-            wanted.preference = &preference;
-            wanted.most = 2;
+            wanted.among = &among;
             for (int i = 0; i < 4; ++i) {
                 asked[seed].insert(board.choose(wanted, now)->entry().id.str());
             }
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -61,6 +61,7 @@
           value.shards,
           value.topRecords,
           value.maxAttempts,
+          value.serversDigest,
           value.targetLatency,
           value.remaining);
 }
