Name the allowed backend servers to the host that gathers a part

Change: the part names the allowed backend servers by short hashes. The other host asks those that it knows, or one of its own where it knows none; the asking host then asks one fewer than the route allows. Both together stay within the limit.

--- a/libs/gateway/src/gathered_request.cpp
+++ b/libs/gateway/src/gathered_request.cpp
@@ -59,7 +59,7 @@
     }
     message.topRecords = route.topRecords;
     message.maxAttempts = route.maxAttempts;
-    message.serversDigest = run().serversDigest(part);
+    message.allowedServers = run().allowedServers(part);
     message.targetLatency = route.targetLatency;
     message.remaining = std::chrono::duration_cast<std::chrono::microseconds>(run().relayTarget() - now);
     m_relayCalls.resize(m_plan.size());
--- a/libs/gateway/src/relay_client.cpp
+++ b/libs/gateway/src/relay_client.cpp
@@ -18,7 +18,7 @@
 /// @return True when the values are ones that this host knows; another version may send others.
 bool isValid(const relay_answer &answer)
 {
-    return answer.end <= static_cast<std::uint8_t>(gather_end::otherServers)
+    return answer.end <= static_cast<std::uint8_t>(gather_end::late)
         && std::all_of(answer.shards.begin(), answer.shards.end(), [](const relay_shard &shard) {
                const bool served = shard.end == static_cast<std::uint8_t>(attempt_end::served);
                return shard.end <= static_cast<std::uint8_t>(attempt_end::abandoned) && (!served || !shard.proof.empty());
--- a/libs/gateway/src/relayed_request.cpp
+++ b/libs/gateway/src/relayed_request.cpp
@@ -35,10 +35,13 @@
     received.at = monotonic_clock::now();
     received.target = received.at + message.remaining;
     received.deadline = received.target;
-    return std::make_shared<relayed_request>(state, std::move(received), std::move(part), message.serversDigest);
+    return std::make_shared<relayed_request>(state, std::move(received), std::move(part), message.allowedServers);
 }
 
-relayed_request::relayed_request(gateway_state &state, arrival received, std::shared_ptr<const route> part, std::uint64_t serversDigest)
+relayed_request::relayed_request(gateway_state &state,
+                                 arrival received,
+                                 std::shared_ptr<const route> part,
+                                 std::vector<server_marks> allowedServers)
     : shard_request(state, std::move(received))
     , m_part(std::move(part))
 {
@@ -46,7 +49,7 @@
     shards.keepPartial = true;
     shards.minCoverage = 0; // Only the asking host knows how many shards of the whole search may be missing.
     shards.preferredZone = state.settings.zone;
-    shards.serversDigest = serversDigest;
+    shards.allowedServers = std::move(allowedServers);
     prepare(std::move(shards));
 }
 
--- a/libs/gateway/src/relayed_request.h
+++ b/libs/gateway/src/relayed_request.h
@@ -17,7 +17,7 @@
     create(gateway_state &state, const relay_search &message, std::shared_ptr<http_exchange> exchange);
 
     /// Use create().
-    relayed_request(gateway_state &state, arrival received, std::shared_ptr<const route> part, std::uint64_t serversDigest);
+    relayed_request(gateway_state &state, arrival received, std::shared_ptr<const route> part, std::vector<server_marks> allowedServers);
 
 protected:
     void answer(time_point now) override;
--- a/libs/search/include/search/gather_run.h
+++ b/libs/search/include/search/gather_run.h
@@ -24,6 +24,9 @@
     zone_id zone; ///< Zone of that host.
 };
 
+/// The backend servers that may be asked for one shard, each as a hash of its id: short, since it is sent for every shard.
+using server_marks = std::vector<std::uint32_t>;
+
 /// A search over all shards of a route.
 struct gather_input {
     std::vector<service_id> shards;
@@ -38,9 +41,9 @@
     std::uint64_t preferenceSeed = 0;
     /// Zone whose backend servers come first where this host gathers for another one; empty elsewhere.
     std::optional<zone_id> preferredZone;
-    /// With preferredZone: gather_run::serversDigest() of the host that asks. With other entries this host could ask further
-    /// backend servers of a shard than that one does, and both together more than maxAttempts.
-    std::uint64_t serversDigest = 0;
+    /// With preferredZone: gather_run::allowedServers() of the host that asks. With other entries this host would choose other
+    /// backend servers of a shard than that one does, and both together could ask more than maxAttempts.
+    std::vector<server_marks> allowedServers;
 };
 
 /// How a search ended.
@@ -51,7 +54,6 @@
     overloaded, ///< Too few shards would answer before the target; nothing was sent.
     tooFew, ///< Too few shards can answer any more.
     late, ///< Too few shards answered before the deadline.
-    otherServers, ///< The host that asked knows other backend servers of the shards; nothing was sent.
 };
 
 /// @return The camelCase name of the end.
@@ -135,7 +137,7 @@
 
     gather_run(gather_input input, replica_board &board, latency_profile &profile);
 
-    /// Sends the first calls, or ends with notStarted, overloaded or otherServers.
+    /// Sends the first calls, or ends with notStarted or overloaded.
     void start(time_point now);
 
     /// A call has ended.
@@ -156,8 +158,8 @@
     /// @return True while the answer of the host of a part is awaited.
     [[nodiscard]] bool relayOpen(std::size_t part) const { return m_relayOpen[part]; }
 
-    /// @return Digest of the backend servers that may be asked for the shards of a part, by this host or the other one.
-    [[nodiscard]] std::uint64_t serversDigest(std::size_t part) const;
+    /// @return The backend servers that this host and the one of the part may ask, by shard of the part.
+    [[nodiscard]] std::vector<server_marks> allowedServers(std::size_t part) const;
 
     /// @return When the other host should send its answer.
     [[nodiscard]] time_point relayTarget() const { return m_input.target - relayLead; }
@@ -188,15 +190,18 @@
         bool hedged = false;
         bool skipped = false;
         bool relayed = false; // Another host has been asked for it.
-        // Where several hosts may ask its backend servers: those that any of them may ask, as they were at the start.
+        // Where two hosts may ask its backend servers: those that both may ask, as they were at the start.
         std::optional<std::vector<replica_board::replica_ptr>> allowed;
+        std::uint32_t mostServers = 1; // Most backend servers that this host asks.
         std::uint32_t sends = 0;
         attempt_end lastEnd = attempt_end::timedOut;
         std::string proof;
         std::string body;
     };
 
-    void restrictServers(std::size_t shard, const zone_id &zone);
+    void restrictToOwnChoice(std::size_t shard, const zone_id &zone);
+    void restrictToChoiceOfOther(std::size_t shard);
+    [[nodiscard]] std::uint32_t leftBesideRelay() const;
     bool admit(time_point now);
     bool send(std::size_t shard, bool again, bool onlyIfFree, time_point now);
     bool retry(std::size_t shard, attempt_end end, time_point now);
--- a/libs/search/src/gather_run.cpp
+++ b/libs/search/src/gather_run.cpp
@@ -16,15 +16,10 @@
 /// Least time before the deadline in which a retry can still be of use.
 constexpr std::chrono::milliseconds retryTime{3};
 
-/// @return The digest with the servers of one more shard. Their order does not matter: entries come in any order.
-std::uint64_t addServers(std::uint64_t digest, const std::vector<replica_board::replica_ptr> &servers)
+std::uint32_t markOf(const replica &server)
 {
-    std::uint64_t sum = 0;
-    for (const auto &server : servers) {
-        // The standard library's hash is the same on all hosts, which run the same program.
-        sum += random_source(std::hash<backend_id>{}(server->entry().id)).next();
-    }
-    return random_source(digest ^ sum).next();
+    // The standard library's hash is the same on all hosts, which run the same program.
+    return static_cast<std::uint32_t>(std::hash<backend_id>{}(server.entry().id));
 }
 
 } // namespace
@@ -44,8 +39,6 @@
         return "tooFew";
     case gather_end::late:
         return "late";
-    case gather_end::otherServers:
-        return "otherServers";
     }
     return "late";
 }
@@ -57,46 +50,65 @@
     , m_shards(m_input.shards.size())
     , m_relayOpen(m_input.relays.size(), false)
 {
+    for (auto &shard : m_shards) {
+        shard.mostServers = m_input.maxAttempts;
+    }
     for (const auto &part : m_input.relays) {
         for (const auto shard : part.shards) {
             m_shards[shard].relayed = true;
-            restrictServers(shard, part.zone);
+            restrictToOwnChoice(shard, part.zone);
         }
     }
     if (m_input.preferredZone) {
         for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
-            restrictServers(shard, *m_input.preferredZone);
+            restrictToChoiceOfOther(shard);
         }
     }
 }
 
-void gather_run::restrictServers(std::size_t shard, const zone_id &zone)
+void gather_run::restrictToOwnChoice(std::size_t shard, const zone_id &zone)
 {
     const replica_preference preference{zone, m_input.preferenceSeed};
     m_shards[shard].allowed = m_board.preferred(m_input.shards[shard], preference, m_input.maxAttempts);
 }
 
-std::uint64_t gather_run::serversDigest(std::size_t part) const
+void gather_run::restrictToChoiceOfOther(std::size_t shard)
 {
-    std::uint64_t digest = 0;
-    for (const auto shard : m_input.relays[part].shards) {
-        digest = addServers(digest, *m_shards[shard].allowed);
+    auto &allowed = m_shards[shard].allowed.emplace();
+    if (shard < m_input.allowedServers.size()) {
+        const auto &marks = m_input.allowedServers[shard];
+        for (auto &server : m_board.replicas(m_input.shards[shard])) {
+            if (std::find(marks.begin(), marks.end(), markOf(*server)) != marks.end()) {
+                allowed.push_back(std::move(server));
+            }
+        }
+    }
+    if (allowed.empty() && m_input.maxAttempts > 1) {
+        // The entries differ altogether, and either host may have the newer ones. The other one leaves one attempt for this.
+        allowed = m_board.preferred(m_input.shards[shard], {*m_input.preferredZone, m_input.preferenceSeed}, 1);
     }
-    return digest;
 }
 
-void gather_run::start(time_point now)
+std::vector<server_marks> gather_run::allowedServers(std::size_t part) const
 {
-    if (m_input.preferredZone) {
-        std::uint64_t digest = 0;
-        for (const auto &shard : m_shards) {
-            digest = addServers(digest, *shard.allowed);
-        }
-        if (digest != m_input.serversDigest) {
-            finish(gather_end::otherServers);
-            return;
+    std::vector<server_marks> servers;
+    for (const auto shard : m_input.relays[part].shards) {
+        auto &marks = servers.emplace_back();
+        for (const auto &server : *m_shards[shard].allowed) {
+            marks.push_back(markOf(*server));
         }
     }
+    return servers;
+}
+
+std::uint32_t gather_run::leftBesideRelay() const
+{
+    // The other host asks only allowed backend servers, or a single other one.
+    return std::max(1U, m_input.maxAttempts - 1);
+}
+
+void gather_run::start(time_point now)
+{
     if (!admit(now)) {
         return;
     }
@@ -236,7 +248,7 @@
     // A backend server that only shed the call, or broke its connection, may be asked again when no other is left.
     const bool mayAskAgain = end == attempt_end::shed || end == attempt_end::broken;
     const bool sent =
-        (state.asked.size() < m_input.maxAttempts && send(shard, false, false, now)) || (mayAskAgain && send(shard, true, false, now));
+        (state.asked.size() < state.mostServers && send(shard, false, false, now)) || (mayAskAgain && send(shard, true, false, now));
     if (sent) {
         budget.takeRetry();
         ++m_result.retries;
@@ -249,8 +261,8 @@
     if (m_finished || !m_relayOpen[part]) {
         return;
     }
-    if (result.end == gather_end::notStarted || result.end == gather_end::otherServers) {
-        relayFailed(part, true, now); // It has sent nothing; this host may reach the backend servers.
+    if (result.end == gather_end::notStarted) {
+        relayFailed(part, true, now); // It reaches too few backend servers; this host may reach them.
         return;
     }
     m_relayOpen[part] = false;
@@ -281,6 +293,7 @@
         }
         state.lastEnd = i < result.shards.size() ? result.shards[i].end : attempt_end::broken;
         ++state.sends; // By the other host.
+        state.mostServers = leftBesideRelay();
         // What is missing is asked for here only where the answer could not be given without it.
         const bool useless = covered() || anyRelayOpen() || result.end == gather_end::overloaded;
         if (useless || !retry(positions[i], state.lastEnd, now)) {
@@ -300,8 +313,11 @@
     for (const auto shard : m_input.relays[part].shards) {
         auto &state = m_shards[shard];
         auto &budget = m_board.budget(m_input.shards[shard]);
-        const bool allowed = notSent || budget.tokens() >= 1;
-        if (allowed && send(shard, false, false, now)) {
+        if (!notSent) {
+            m_shards[shard].mostServers = leftBesideRelay();
+        }
+        const bool affordable = notSent || budget.tokens() >= 1;
+        if (affordable && send(shard, false, false, now)) {
             if (notSent) {
                 budget.firstCall();
             } else {
@@ -318,7 +334,7 @@
 
 bool gather_run::hedgeDue(const shard_state &shard, time_point now) const
 {
-    if (shard.done || shard.failed || shard.hedged || shard.open.size() != 1 || shard.asked.size() >= m_input.maxAttempts) {
+    if (shard.done || shard.failed || shard.hedged || shard.open.size() != 1 || shard.asked.size() >= shard.mostServers) {
         return false;
     }
     const auto &open = shard.open.front();
@@ -409,7 +425,7 @@
         return;
     }
     for (const auto &shard : m_shards) {
-        if (!shard.done && !shard.failed && !shard.hedged && shard.open.size() == 1 && shard.asked.size() < m_input.maxAttempts) {
+        if (!shard.done && !shard.failed && !shard.hedged && shard.open.size() == 1 && shard.asked.size() < shard.mostServers) {
             const auto due = std::max(shard.open.front().sentAt + std::min<std::chrono::microseconds>(m_hedgeAfter, replica::pausedMinimum),
                                       now + hedgeInterval);
             m_next = std::min(m_next, due);
--- a/libs/wire/include/wire/relay_messages.h
+++ b/libs/wire/include/wire/relay_messages.h
@@ -23,7 +23,7 @@
     std::vector<std::string> shards; ///< Services to ask.
     std::uint32_t topRecords = 0;
     std::uint32_t maxAttempts = 1;
-    std::uint64_t serversDigest = 0; ///< Of the backend servers that the asking host allows for the shards.
+    std::vector<std::vector<std::uint32_t>> allowedServers; ///< By shard: hashes of the backend servers that may be asked.
     std::chrono::microseconds targetLatency{0}; ///< Of the route.
     std::chrono::microseconds remaining{0}; ///< Time until the answer must be sent, complete or not.
 };
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -61,7 +61,7 @@
           value.shards,
           value.topRecords,
           value.maxAttempts,
-          value.serversDigest,
+          value.allowedServers,
           value.targetLatency,
           value.remaining);
 }
