Explain a request from the logs of all hosts

Found with it: the log did not say which hosts of parts were lost (now lostRelays) nor the address that other hosts know a host by (now in the line of the start), and the list of all backend servers is one line, so explain says what it cannot know. Tested on recorded logs with malformed lines, and on real processes for a partial, a late and a refused search.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -68,8 +68,12 @@
             }
             *server = std::move(*made);
         }
-        m_state.log.write(
-            "main", "started", {{"zone", settings.zone.str()}, {"callers", settings.callers.text()}, {"platform", settings.platform}});
+        m_state.log.write("main",
+                          "started",
+                          {{"zone", settings.zone.str()},
+                           {"callers", settings.callers.text()},
+                           {"hosts", settings.hosts.text()},
+                           {"platform", settings.platform}});
         m_link.start();
         m_reader.start();
         m_prober.start();
--- a/libs/gateway/src/gathered_request.cpp
+++ b/libs/gateway/src/gathered_request.cpp
@@ -73,12 +73,18 @@
             if (result) {
                 run().relayAnswered(part, std::move(*result), at);
             } else {
+                lostRelay(part);
                 run().relayFailed(part, notSent, at);
             }
             advance(at);
         });
 }
 
+void gathered_request::lostRelay(std::size_t part)
+{
+    m_lostRelays += (m_lostRelays.empty() ? "" : ",") + m_plan[part].address;
+}
+
 void gathered_request::cancelRun()
 {
     for (const auto &call : m_relayCalls) {
@@ -98,6 +104,7 @@
     for (std::size_t part = 0; part < m_plan.size(); ++part) {
         if (waited[part] && !run().relayOpen(part)) {
             state().relays.late(m_plan[part].address, now);
+            lostRelay(part);
         }
     }
 }
@@ -152,6 +159,7 @@
                               {"retries", std::int64_t{retries}},
                               {"skipped", std::int64_t{skipped}},
                               {"relays", relays},
+                              {"lostRelays", m_lostRelays},
                               {"expectedMs", static_cast<double>(expected.count()) / 1000},
                               {"slowestMs", static_cast<double>(slowest.count()) / 1000},
                               {"missingShard", worst},
--- a/libs/gateway/src/gathered_request.h
+++ b/libs/gateway/src/gathered_request.h
@@ -20,9 +20,11 @@
 
 private:
     void sendRelayed(std::size_t part, time_point now);
+    void lostRelay(std::size_t part);
 
     relay_client::plan m_plan;
     std::vector<std::optional<http_call_handle>> m_relayCalls; // By part; empty once ended.
+    std::string m_lostRelays; // Addresses of hosts that did not answer in time, for the log.
 };
 
 } // namespace orioledrum
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -1,7 +1,9 @@
 """gatewayd as a process between callers, backend servers and a stand-in of the users' platform."""
 import asyncio
+import json
 import pathlib
 import signal
+import subprocess
 import sys
 import tempfile
 import time
@@ -231,6 +233,49 @@
         self.platform.wait_ready("g1", 5)
         self.assertEqual(self.search().status, 200)
 
+    def explain(self, request_id):
+        command = self.platform.binary.parent / "orioledrumctl"
+        logs = [str(path) for path in sorted(self.platform.folder.glob("*.log"))]
+        done = subprocess.run([str(command), "explain", "--json", request_id, *logs],
+                              capture_output=True, text=True, timeout=20)
+        self.assertEqual(done.returncode, 0, done.stderr)
+        return json.loads(done.stdout)
+
+    def wait_logged(self, request_id, outcome):
+        self.platform.wait_until(f"the line of {request_id}", lambda: any(
+            event.get("id") == request_id and event["event"] == outcome for event in self.platform.events("g1")), 5)
+
+    def test_logs_explain_failed_requests(self):
+        """Guards against logs from which the cause of a refused, a partial and a late request cannot be told."""
+        self.platform.start_gateway("g1", "z1")
+        for _ in range(30):
+            self.search()
+        for index in range(2):
+            self.platform.backends[f"shard2-{index}"].mode = "hang"
+        self.assertEqual(self.search(request_id="partial1").header["missing-parts"], "1")
+        self.wait_logged("partial1", "partial")
+        partial = self.explain("partial1")
+        self.assertEqual(partial["outcome"], "search partial")
+        self.assertIn("1 of 6 shards were missing, for example shard2: its backend servers were asked", partial["cause"])
+        believed = [belief["what"] for belief in partial["beliefs"]]
+        self.assertTrue(any("had contact with the platform" in what for what in believed), believed)
+
+        for shard in (0, 1, 3):
+            for index in range(2):
+                self.platform.backends[f"shard{shard}-{index}"].mode = "hang"
+        self.assertEqual(self.search(request_id="late1", time_left_ms=400).status, 504)
+        self.wait_logged("late1", "late")
+        self.assertIn("had not answered in time", self.explain("late1")["cause"])
+
+        for backend in self.platform.backends.values():
+            self.platform.call(backend.crash)
+        self.platform.wait_until("a refusal", lambda: self.search().status == 503, 10)
+        self.assertEqual(self.search(request_id="refused1").status, 503)
+        self.wait_logged("refused1", "notStarted")
+        refused = self.explain("refused1")
+        self.assertIn("refused before anything was sent", refused["cause"])
+        self.assertEqual([line["part"] for line in refused["path"]], ["search"])
+
     def test_starts_without_the_platform_and_says_so(self):
         """Guards against answers that deny routes which are only not known yet."""
         self.platform.store.down = True
--- a/tools/orioledrumctl/command_line.cpp
+++ b/tools/orioledrumctl/command_line.cpp
@@ -11,26 +11,26 @@
                                          const std::string &summary,
                                          const std::vector<std::string> &arguments,
                                          const po::options_description &options,
-                                         std::size_t folders,
+                                         const std::vector<std::string> &positional,
                                          int &exitCode)
 {
     po::options_description visible("Options");
     visible.add_options()("help,h", "print this help")("json", "print JSON");
     visible.add(options);
     po::options_description all;
-    all.add(visible).add_options()("folder", po::value<std::vector<std::string>>());
-    po::positional_options_description positional;
-    positional.add("folder", -1);
+    all.add(visible).add_options()("positional", po::value<std::vector<std::string>>());
+    po::positional_options_description anyNumber;
+    anyNumber.add("positional", -1);
 
     std::string usage = "Usage: orioledrumctl " + name;
-    for (std::size_t count = 0; count < folders; ++count) {
-        usage += " FOLDER";
+    for (const auto &each : positional) {
+        usage += ' ' + each;
     }
     usage += " [options]\n";
 
     command_line line;
     try {
-        po::store(po::command_line_parser(arguments).options(all).positional(positional).run(), line.values);
+        po::store(po::command_line_parser(arguments).options(all).positional(anyNumber).run(), line.values);
         if (line.values.count("help") > 0) {
             std::cout << usage << summary << "\n\n" << visible;
             exitCode = exitOk;
@@ -42,11 +42,14 @@
         exitCode = exitUsage;
         return std::nullopt;
     }
-    if (line.values.count("folder") > 0) {
-        line.folders = line.values["folder"].as<std::vector<std::string>>();
+    if (line.values.count("positional") > 0) {
+        line.positional = line.values["positional"].as<std::vector<std::string>>();
     }
-    if (line.folders.size() != folders) {
-        std::cerr << "orioledrumctl " << name << ": expected " << folders << " folder(s), found " << line.folders.size() << '\n' << usage;
+    const bool repeats = !positional.empty() && positional.back().ends_with("...");
+    if (repeats ? line.positional.size() < positional.size() : line.positional.size() != positional.size()) {
+        std::cerr << "orioledrumctl " << name << ": expected " << (repeats ? "at least " : "") << positional.size()
+                  << " argument(s), found " << line.positional.size() << '\n'
+                  << usage;
         exitCode = exitUsage;
         return std::nullopt;
     }
--- a/tools/orioledrumctl/command_line.h
+++ b/tools/orioledrumctl/command_line.h
@@ -20,7 +20,7 @@
 /// Arguments of one subcommand.
 struct command_line {
     boost::program_options::variables_map values;
-    std::vector<std::string> folders; ///< Positional arguments.
+    std::vector<std::string> positional;
 
     [[nodiscard]] bool json() const { return values.count("json") > 0; }
 };
@@ -30,14 +30,15 @@
 /// @param summary What it does, for --help.
 /// @param arguments What follows the name.
 /// @param options Options besides --help and --json.
-/// @param folders Number of folders that the subcommand takes.
+/// @param positional Names of the arguments without an option, for example "FOLDER". A last name that ends in "..." stands for
+/// one or more.
 /// @param exitCode Set when the result is empty.
 /// @return The arguments, or nothing when the command is finished.
 std::optional<command_line> parseCommand(const std::string &name,
                                          const std::string &summary,
                                          const std::vector<std::string> &arguments,
                                          const boost::program_options::options_description &options,
-                                         std::size_t folders,
+                                         const std::vector<std::string> &positional,
                                          int &exitCode);
 
 } // namespace orioledrum
--- a/tools/orioledrumctl/folder_commands.cpp
+++ b/tools/orioledrumctl/folder_commands.cpp
@@ -95,12 +95,12 @@
                                    "Checks a configuration folder and prints every problem with its file and key path.",
                                    arguments,
                                    po::options_description(),
-                                   1,
+                                   {"FOLDER"},
                                    exitCode);
     if (!line) {
         return exitCode;
     }
-    const auto &folder = line->folders[0];
+    const auto &folder = line->positional[0];
     const auto files = readConfigFolder(folder);
     if (!files) {
         return printError(folder, files.error(), line->json());
@@ -145,14 +145,14 @@
                                    "Prints each value of the merged configuration with the file it comes from.",
                                    arguments,
                                    po::options_description(),
-                                   1,
+                                   {"FOLDER"},
                                    exitCode);
     if (!line) {
         return exitCode;
     }
     config_files files;
     std::vector<merged_value> values;
-    if (!readMerged(line->folders[0], line->json(), files, values)) {
+    if (!readMerged(line->positional[0], line->json(), files, values)) {
         return exitWrong;
     }
     if (line->json()) {
@@ -177,7 +177,7 @@
                                    "the second, '~' changed. Differences do not change the exit code.",
                                    arguments,
                                    po::options_description(),
-                                   2,
+                                   {"FOLDER", "FOLDER"},
                                    exitCode);
     if (!line) {
         return exitCode;
@@ -186,7 +186,7 @@
     std::vector<std::map<std::string, merged_value>> sides(2);
     for (std::size_t side = 0; side < 2; ++side) {
         std::vector<merged_value> values;
-        if (!readMerged(line->folders[side], line->json(), files[side], values)) {
+        if (!readMerged(line->positional[side], line->json(), files[side], values)) {
             return exitWrong;
         }
         for (auto &value : values) {
--- a/tools/orioledrumctl/host_commands.cpp
+++ b/tools/orioledrumctl/host_commands.cpp
@@ -2,6 +2,7 @@
 
 #include "admin_client.h"
 #include "command_line.h"
+#include "log_commands.h"
 #include "timeline.h"
 
 #include <nlohmann/json.hpp>
@@ -46,8 +47,9 @@
 
 void addHostOptions(po::options_description &options, bool several)
 {
+    auto *hosts = po::value<std::vector<std::string>>();
     options.add_options()("host",
-                          po::value<std::vector<std::string>>()->required(),
+                          several ? hosts : hosts->required(),
                           several ? "ip:port of an entry host's admin address; may be repeated"
                                   : "ip:port of the entry host's admin address")(
         "token", po::value<std::string>(), "admin token; other users of this machine may see it, --token-file does not show it")(
@@ -130,6 +132,24 @@
               << '\n';
 }
 
+/// Reads the events of all hosts. Hosts that do not answer are named on standard error.
+/// @return The exit code.
+int fetchTimelines(const host_options &options, std::vector<timeline_entry> &entries)
+{
+    int exitCode = exitOk;
+    const admin_client client(options.token, options.timeout);
+    for (const auto &host : options.hosts) {
+        auto fetched = fetchTimeline(client, host);
+        if (!fetched) {
+            std::cerr << "orioledrumctl: " << fetched.error().describe() << '\n';
+            exitCode = std::max(exitCode, exitCodeFor(fetched.error()));
+            continue;
+        }
+        std::move(fetched->begin(), fetched->end(), std::back_inserter(entries));
+    }
+    return exitCode;
+}
+
 } // namespace
 
 int runStatus(const std::vector<std::string> &arguments)
@@ -137,7 +157,7 @@
     int exitCode = exitOk;
     po::options_description options;
     addHostOptions(options, false);
-    const auto line = parseCommand("status", "Prints the status of an entry host.", arguments, options, 0, exitCode);
+    const auto line = parseCommand("status", "Prints the status of an entry host.", arguments, options, {}, exitCode);
     if (!line) {
         return exitCode;
     }
@@ -173,35 +193,45 @@
     po::options_description options;
     addHostOptions(options, true);
     options.add_options()("request", po::value<std::string>(), "only events of this request")(
-        "svg", po::value<std::string>(), "write a picture to this file as well");
+        "svg", po::value<std::string>(), "write a picture to this file as well")(
+        "log", po::value<std::vector<std::string>>()->multitoken()->composing(), "log files of gatewayd instead of --host");
     const auto line = parseCommand("timeline",
-                                   "Gathers the events of entry hosts and prints them in the order of their wall time. Hosts that do not "
-                                   "answer are named on standard error; the events of the others are still printed.",
+                                   "Gathers the events of entry hosts, or of their log files, and prints them in the order of their wall "
+                                   "time. Hosts that do not answer are named on standard error; the events of the others are still "
+                                   "printed. From log files, lines of requests are left out unless --request names one.",
                                    arguments,
                                    options,
-                                   0,
+                                   {},
                                    exitCode);
     if (!line) {
         return exitCode;
     }
-    const auto hostOptions = readHostOptions("timeline", line->values);
-    if (!hostOptions) {
-        return exitUsage;
-    }
-    const admin_client client(hostOptions->token, hostOptions->timeout);
+    const auto request = line->values.count("request") > 0 ? line->values["request"].as<std::string>() : std::string();
     std::vector<timeline_entry> entries;
-    for (const auto &host : hostOptions->hosts) {
-        auto fetched = fetchTimeline(client, host);
-        if (!fetched) {
-            std::cerr << "orioledrumctl: " << fetched.error().describe() << '\n';
-            exitCode = std::max(exitCode, exitCodeFor(fetched.error()));
-            continue;
+    if (line->values.count("log") > 0) {
+        std::size_t unreadable = 0;
+        auto read = readTimeline(line->values["log"].as<std::vector<std::string>>(), request, unreadable);
+        if (!read) {
+            std::cerr << "orioledrumctl: " << read.error().describe() << '\n';
+            return exitWrong;
+        }
+        if (unreadable > 0) {
+            std::cerr << "orioledrumctl: " << unreadable << " lines hold no log entry\n";
+        }
+        entries = std::move(*read);
+    } else {
+        if (line->values.count("host") == 0) {
+            std::cerr << "orioledrumctl timeline: --host or --log is needed\n";
+            return exitUsage;
+        }
+        const auto hostOptions = readHostOptions("timeline", line->values);
+        if (!hostOptions) {
+            return exitUsage;
+        }
+        exitCode = fetchTimelines(*hostOptions, entries);
+        if (!request.empty()) {
+            std::erase_if(entries, [&request](const timeline_entry &entry) { return entry.request != request; });
         }
-        std::move(fetched->begin(), fetched->end(), std::back_inserter(entries));
-    }
-    if (line->values.count("request") > 0) {
-        const auto request = line->values["request"].as<std::string>();
-        std::erase_if(entries, [&request](const timeline_entry &entry) { return entry.request != request; });
     }
     orderTimeline(entries);
     std::cout << (line->json() ? timelineJson(entries) + "\n" : timelineText(entries));
--- a/tools/orioledrumctl/main.cpp
+++ b/tools/orioledrumctl/main.cpp
@@ -1,6 +1,7 @@
 #include "command_line.h"
 #include "folder_commands.h"
 #include "host_commands.h"
+#include "log_commands.h"
 
 #include <curl/curl.h>
 
@@ -21,6 +22,8 @@
                               "  diff FOLDER FOLDER      print how two folders differ\n"
                               "  status --host ip:port   print the status of an entry host\n"
                               "  timeline --host ip:port [--host ...]   print the events of entry hosts\n"
+                              "  timeline --log FILE...  print what hosts came to believe, from their logs\n"
+                              "  explain ID LOGFILE...   explain how a request ended, from the logs of all hosts\n"
                               "\n"
                               "'orioledrumctl COMMAND --help' lists the options of a command.\n"
                               "Exit codes: 0 ok, 1 the checked thing is wrong, 2 usage, 3 unreachable.\n";
@@ -33,6 +36,7 @@
         {"diff", runDiff},
         {"status", runStatus},
         {"timeline", runTimeline},
+        {"explain", runExplain},
     };
     if (!arguments.empty() && (arguments[0] == "--help" || arguments[0] == "-h")) {
         std::cout << usage;
--- /dev/null
+++ b/tools/orioledrumctl/tests/test_log_commands.cpp
@@ -0,0 +1,133 @@
+#include "tests/fakes/run_command.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+using namespace orioledrum;
+using nlohmann::json;
+
+namespace
+{
+
+const std::string logs = ORIOLEDRUM_TEST_LOGS;
+const std::string both = logs + "/g1.log " + logs + "/g2.log";
+
+/// @return The beliefs of one host, each followed by its age in ms.
+std::vector<std::pair<std::string, json>> beliefsOf(const json &explained, const std::string &host)
+{
+    std::vector<std::pair<std::string, json>> found;
+    for (const auto &each : explained.at("beliefs")) {
+        if (each.at("host") == host) {
+            found.emplace_back(each.at("what"), each.at("ageMs"));
+        }
+    }
+    return found;
+}
+
+bool contains(const std::vector<std::pair<std::string, json>> &beliefs, const std::string &what, const json &age)
+{
+    return std::find(beliefs.begin(), beliefs.end(), std::pair<std::string, json>(what, age)) != beliefs.end();
+}
+
+} // namespace
+
+TEST(ExplainCommand, namesTheShardThatWasMissingAndWhy)
+{
+    const auto outcome = runCommand("explain --json partial1 " + both);
+    ASSERT_EQ(outcome.exitCode, 0);
+    const auto explained = json::parse(outcome.output);
+    EXPECT_EQ(explained.at("outcome"), "search partial");
+    EXPECT_EQ(
+        explained.at("cause"),
+        "1 of 6 shards were missing, for example shard2: its backend servers were asked and had not answered in time (slow, paused or "
+        "silent); hedges 1, retries 0");
+    EXPECT_EQ(explained.at("path").size(), 1U);
+    EXPECT_TRUE(contains(beliefsOf(explained, "g1"), "routes of version 3 were in force", 572));
+}
+
+// Guards against explanations that stop at the host which answered, while the cause is what another host believed.
+TEST(ExplainCommand, followsARequestOverAllHosts)
+{
+    const auto explained = json::parse(runCommand("explain --json relayed1 " + both).output);
+    EXPECT_EQ(explained.at("path").size(), 2U);
+    EXPECT_NE(explained.at("cause").get<std::string>().find("did not answer in time: 127.0.0.1:40003"), std::string::npos);
+    const auto answering = beliefsOf(explained, "g1");
+    EXPECT_TRUE(contains(answering, "backend server shard4-9 at 127.0.0.1:40109: listed, cold for 2500 ms", 1000));
+    const auto gathering = beliefsOf(explained, "g2");
+    EXPECT_TRUE(contains(gathering, "had lost the platform: call server: timed out", 1995));
+    EXPECT_TRUE(contains(gathering, "no line on a backend server of shard5 since the list of all 15 was read", 2385));
+    const auto gaps = explained.at("gaps").dump();
+    EXPECT_NE(gaps.find("no line names the host at 127.0.0.1:40003"), std::string::npos);
+    EXPECT_NE(gaps.find("g1 left out 12 lines"), std::string::npos);
+}
+
+TEST(ExplainCommand, printsTheDecisionForPeople)
+{
+    const auto text = runCommand("explain refused1 " + both + " 2>/dev/null").output;
+    EXPECT_NE(text.find("outcome: search notStarted\ncause: refused before anything was sent"), std::string::npos);
+    EXPECT_NE(text.find("believed by g1: had contact with the platform (for "), std::string::npos);
+}
+
+// Guards against logs of killed processes that cannot be read because of their last line, and against lines lost in silence.
+TEST(ExplainCommand, countsLinesThatHoldNoEntry)
+{
+    const auto outcome = runCommand("explain partial1 " + both + " 2>&1");
+    EXPECT_EQ(outcome.exitCode, 0);
+    EXPECT_NE(outcome.output.find("4 lines hold no log entry"), std::string::npos);
+}
+
+TEST(ExplainCommand, saysWhatIsWrongWithItsInput)
+{
+    const auto unknown = runCommand("explain nobody " + both + " 2>&1");
+    EXPECT_EQ(unknown.exitCode, 1);
+    EXPECT_NE(unknown.output.find("no line names request nobody"), std::string::npos);
+    const auto absent = runCommand("explain partial1 " + logs + "/absent.log 2>&1");
+    EXPECT_EQ(absent.exitCode, 1);
+    EXPECT_NE(absent.output.find("absent.log"), std::string::npos);
+    EXPECT_EQ(runCommand("explain partial1 2>&1").exitCode, 2);
+}
+
+TEST(TimelineCommand, showsWhatHostsCameToBelieve)
+{
+    const auto outcome = runCommand("timeline --json --log " + both + " 2>/dev/null");
+    ASSERT_EQ(outcome.exitCode, 0);
+    const auto events = json::parse(outcome.output);
+    std::vector<std::string> kinds;
+    for (const auto &event : events) {
+        kinds.push_back(event.at("host").get<std::string>() + ' ' + event.at("kind").get<std::string>());
+    }
+    EXPECT_EQ(std::count(kinds.begin(), kinds.end(), "g2 platform.contactLost"), 1);
+    EXPECT_TRUE(
+        std::none_of(kinds.begin(), kinds.end(), [](const std::string &kind) { return kind.find("search.") != std::string::npos; }));
+}
+
+TEST(TimelineCommand, showsOneRequest)
+{
+    const auto events = json::parse(runCommand("timeline --json --request relayed1 --log " + both + " 2>/dev/null").output);
+    ASSERT_EQ(events.size(), 2U);
+    EXPECT_EQ(events[0].at("kind"), "relay.partial");
+    EXPECT_EQ(events[1].at("kind"), "search.partial");
+}
+
+// Guards against pictures of thousands of marks when the platform publishes many backend servers at once.
+TEST(TimelineCommand, mergesEventsOfOneKind)
+{
+    const auto path = std::filesystem::temp_directory_path() / ("orioledrum-timeline-" + std::to_string(getpid()) + ".log");
+    {
+        std::ofstream stream(path);
+        for (int i = 0; i < 500; ++i) {
+            stream << R"({"at":"2026-12-04T16:00:00.)" << 100 + i
+                   << R"(Z","host":"g1","part":"platform","event":"backendServer","server":"b)" << i << "\"}\n";
+        }
+    }
+    const auto events = json::parse(runCommand("timeline --json --log " + path.string()).output);
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events[0].at("detail"), "500 events within 1 s");
+    std::filesystem::remove(path);
+}
--- a/tools/orioledrumctl/tests/test_orioledrumctl.cpp
+++ b/tools/orioledrumctl/tests/test_orioledrumctl.cpp
@@ -1,12 +1,9 @@
 #include "tests/fakes/fake_admin_host.h"
+#include "tests/fakes/run_command.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
-#include <sys/wait.h>
-
-#include <array>
-#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -19,29 +16,6 @@
 
 const std::string example = ORIOLEDRUM_EXAMPLE_CONFIG;
 
-struct result {
-    int exitCode = -1;
-    std::string output;
-};
-
-/// Runs the command; standard error is part of the output only when the arguments end in 2>&1.
-result run(const std::string &arguments)
-{
-    result outcome;
-    const auto command = std::string(ORIOLEDRUMCTL) + " " + arguments;
-    FILE *pipe = popen(command.c_str(), "r");
-    if (pipe == nullptr) {
-        return outcome;
-    }
-    std::array<char, 4096> buffer{};
-    for (std::size_t count = 0; (count = fread(buffer.data(), 1, buffer.size(), pipe)) > 0;) {
-        outcome.output.append(buffer.data(), count);
-    }
-    const int status = pclose(pipe);
-    outcome.exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-    return outcome;
-}
-
 class OrioledrumctlTest : public testing::Test
 {
 protected:
@@ -75,8 +49,8 @@
 // Guards against a good folder being refused and against an output that scripts cannot read.
 TEST_F(OrioledrumctlTest, CheckAcceptsAGoodFolder)
 {
-    EXPECT_EQ(run("check " + folder()).exitCode, 0);
-    const auto outcome = run("check --json " + folder());
+    EXPECT_EQ(runCommand("check " + folder()).exitCode, 0);
+    const auto outcome = runCommand("check --json " + folder());
     EXPECT_EQ(outcome.exitCode, 0);
     const auto value = json::parse(outcome.output);
     EXPECT_EQ(value["ok"], true);
@@ -87,25 +61,25 @@
 TEST_F(OrioledrumctlTest, CheckNamesEveryProblem)
 {
     write("90.json", R"({"availabilityZones": {"nroth": {"state": "out"}}, "customers": {"cabs": {"weight": "x"}}})");
-    const auto text = run("check " + folder());
+    const auto text = runCommand("check " + folder());
     EXPECT_EQ(text.exitCode, 1);
     EXPECT_NE(text.output.find("90.json: customers/cabs/weight: found \"x\", allowed: a number"), std::string::npos) << text.output;
     EXPECT_NE(text.output.find("90.json: availabilityZones/nroth"), std::string::npos) << text.output;
-    const auto outcome = run("check --json " + folder());
+    const auto outcome = runCommand("check --json " + folder());
     EXPECT_EQ(outcome.exitCode, 1);
     EXPECT_EQ(json::parse(outcome.output)["problems"].size(), 2U);
     write("90.json", "{");
-    EXPECT_EQ(run("check " + folder()).exitCode, 1);
-    EXPECT_EQ(run("merged " + folder()).exitCode, 1);
-    EXPECT_EQ(run("diff " + folder() + " " + example).exitCode, 1);
+    EXPECT_EQ(runCommand("check " + folder()).exitCode, 1);
+    EXPECT_EQ(runCommand("merged " + folder()).exitCode, 1);
+    EXPECT_EQ(runCommand("diff " + folder() + " " + example).exitCode, 1);
 }
 
 // Guards against a missing or empty folder that counts as correct.
 TEST_F(OrioledrumctlTest, CheckRefusesMissingAndEmptyFolders)
 {
-    EXPECT_EQ(run("check " + folder() + "/missing 2>/dev/null").exitCode, 1);
+    EXPECT_EQ(runCommand("check " + folder() + "/missing 2>/dev/null").exitCode, 1);
     std::filesystem::create_directory(m_folder / "empty");
-    const auto outcome = run("check " + (m_folder / "empty").string() + " 2>&1");
+    const auto outcome = runCommand("check " + (m_folder / "empty").string() + " 2>&1");
     EXPECT_EQ(outcome.exitCode, 1);
     EXPECT_NE(outcome.output.find("no file"), std::string::npos) << outcome.output;
 }
@@ -114,14 +88,14 @@
 TEST_F(OrioledrumctlTest, MergedAndDiffNameTheFiles)
 {
     write("90-north-out.json", R"({"availabilityZones": {"north": {"state": "out"}}})");
-    const auto merged = run("merged " + folder());
+    const auto merged = runCommand("merged " + folder());
     EXPECT_EQ(merged.exitCode, 0);
     EXPECT_NE(merged.output.find("availabilityZones/north/state = \"out\"  (90-north-out.json)\n"), std::string::npos);
-    EXPECT_EQ(json::parse(run("merged --json " + folder()).output)["customers/cabs/weight"]["file"], "40-customers.json");
-    const auto diff = run("diff " + example + " " + folder());
+    EXPECT_EQ(json::parse(runCommand("merged --json " + folder()).output)["customers/cabs/weight"]["file"], "40-customers.json");
+    const auto diff = runCommand("diff " + example + " " + folder());
     EXPECT_EQ(diff.exitCode, 0);
     EXPECT_EQ(diff.output, "~ availabilityZones/north/state = \"in\"  (10-zones.json) -> \"out\"  (90-north-out.json)\n");
-    const auto value = json::parse(run("diff --json " + folder() + " " + example).output);
+    const auto value = json::parse(runCommand("diff --json " + folder() + " " + example).output);
     EXPECT_EQ(value["removedFiles"], json::array({"90-north-out.json"}));
     EXPECT_EQ(value["changed"].size(), 1U);
 }
@@ -142,10 +116,10 @@
                                         "status --token 'a b' --host 127.0.0.1:1",
                                         "status --token-file /nonexistent --host 127.0.0.1:1",
                                         "timeline --token x"}) {
-        EXPECT_EQ(run(arguments + " 2>/dev/null").exitCode, 2) << arguments;
+        EXPECT_EQ(runCommand(arguments + " 2>/dev/null").exitCode, 2) << arguments;
     }
     for (const std::string arguments : {"--help", "check --help", "merged --help", "diff --help", "status --help", "timeline --help"}) {
-        const auto outcome = run(arguments);
+        const auto outcome = runCommand(arguments);
         EXPECT_EQ(outcome.exitCode, 0) << arguments;
         EXPECT_NE(outcome.output.find("Usage: orioledrumctl"), std::string::npos) << arguments;
     }
@@ -158,16 +132,16 @@
     {
         const fake_admin_host host("north-1", "[]", 10);
         address = host.address();
-        const auto text = run("status --token secret --host " + address);
+        const auto text = runCommand("status --token secret --host " + address);
         EXPECT_EQ(text.exitCode, 0);
         EXPECT_NE(text.output.find("config/revision: 7\n"), std::string::npos) << text.output;
         std::ofstream(m_folder / "token") << "secret\n";
-        const auto outcome = run("status --json --token-file " + (m_folder / "token").string() + " --host " + address);
+        const auto outcome = runCommand("status --json --token-file " + (m_folder / "token").string() + " --host " + address);
         EXPECT_EQ(outcome.exitCode, 0);
         EXPECT_EQ(json::parse(outcome.output)["host"], "north-1");
-        EXPECT_EQ(run("status --token wrong --host " + address + " 2>/dev/null").exitCode, 1);
+        EXPECT_EQ(runCommand("status --token wrong --host " + address + " 2>/dev/null").exitCode, 1);
     }
-    EXPECT_EQ(run("status --token secret --host " + address + " 2>/dev/null").exitCode, 3);
+    EXPECT_EQ(runCommand("status --token secret --host " + address + " 2>/dev/null").exitCode, 3);
 }
 
 // Guards against events that are lost between pages, wrongly ordered across hosts, or not filtered.
@@ -176,14 +150,14 @@
     const fake_admin_host north("north-1", northEvents, 2);
     const fake_admin_host south("south-1", southEvents, 10);
     const auto hosts = "timeline --token secret --host " + north.address() + " --host " + south.address();
-    const auto outcome = run(hosts + " --json");
+    const auto outcome = runCommand(hosts + " --json");
     EXPECT_EQ(outcome.exitCode, 0);
     std::string order;
     for (const auto &event : json::parse(outcome.output)) {
         order += event["host"].get<std::string>()[0] + std::to_string(event["sequence"].get<int>()) + " ";
     }
     EXPECT_EQ(order, "n1 n2 s1 s2 n3 ");
-    const auto text = run(hosts + " --request r1");
+    const auto text = runCommand(hosts + " --request r1");
     EXPECT_EQ(std::count(text.output.begin(), text.output.end(), '\n'), 4);
     EXPECT_EQ(text.output.substr(0, text.output.find('\n')), "1970-01-01T00:00:01.000000Z  north-1  searchStarted  request=r1  peer=p<1>");
 }
@@ -194,7 +168,7 @@
     const fake_admin_host north("north-1", northEvents, 10);
     const auto path = (m_folder / "timeline.svg").string();
     const auto command = "timeline --token secret --host " + north.address() + " --svg ";
-    EXPECT_EQ(run(command + path).exitCode, 0);
+    EXPECT_EQ(runCommand(command + path).exitCode, 0);
     std::ostringstream text;
     text << std::ifstream(path).rdbuf();
     const auto svg = text.str();
@@ -206,7 +180,7 @@
     EXPECT_NE(svg.find("p&lt;1&gt;"), std::string::npos);
     EXPECT_EQ(svg.find("p<1>"), std::string::npos);
     EXPECT_NE(svg.find("searchFinished"), std::string::npos);
-    EXPECT_EQ(run(command + "/nonexistent/x.svg 2>/dev/null").exitCode, 1);
+    EXPECT_EQ(runCommand(command + "/nonexistent/x.svg 2>/dev/null").exitCode, 1);
 }
 
 // Guards against one lost host hiding the events of the others, or going unnoticed.
@@ -218,7 +192,7 @@
         lost = host.address();
     }
     const fake_admin_host north("north-1", northEvents, 10);
-    const auto outcome = run("timeline --json --token secret --host " + lost + " --host " + north.address() + " 2>/dev/null");
+    const auto outcome = runCommand("timeline --json --token secret --host " + lost + " --host " + north.address() + " 2>/dev/null");
     EXPECT_EQ(outcome.exitCode, 3);
     EXPECT_EQ(json::parse(outcome.output).size(), 3U);
 }
--- a/tools/orioledrumctl/timeline_svg.cpp
+++ b/tools/orioledrumctl/timeline_svg.cpp
@@ -64,6 +64,15 @@
         {"leaseReleased", "#6a1b9a"},
         {"configApplied", "#6a1b9a"},
         {"hostListApplied", "#6a1b9a"},
+        {"platform.contactLost", "#c62828"},
+        {"platform.contactRegained", "#2e7d32"},
+        {"platform.backendServerGone", "#ef6c00"},
+        {"platform.routesInForce", "#6a1b9a"},
+        {"platform.zonesOut", "#6a1b9a"},
+        {"probe.backendServerSilent", "#c62828"},
+        {"probe.backendServerAnswers", "#2e7d32"},
+        {"status.notReady", "#c62828"},
+        {"status.ready", "#2e7d32"},
     };
     const auto found = colours.find(kind);
     return found == colours.end() ? "#1565c0" : found->second;
