--- a/tools/orioledrumctl/log_commands.cpp
+++ b/tools/orioledrumctl/log_commands.cpp
@@ -30,7 +30,8 @@
     entry.peer = line.field("server").empty() ? line.field("peer") : line.field("server");
     for (const auto &[name, value] : line.fields) {
         if (name != "id" && name != "server" && name != "peer" && !value.empty()) {
-            entry.detail += (entry.detail.empty() ? "" : " ") + name + '=' + value;
+            entry.detail += entry.detail.empty() ? "" : " ";
+            entry.detail.append(name).append("=").append(value);
         }
     }
     return entry;
