Move rendezvous hashing to base

Cause: gatewayd is built without the ownership library's lease code, but needs ranks that are equal on all hosts. std::hash of an id differs between builds. Change: rendezvous.h moves unchanged from ownership to base. Conclusion: no change of behaviour; test_ownership_parts covers it as before.

--- a/libs/ownership/src/rendezvous.cpp
+++ b/libs/base/src/rendezvous.cpp
@@ -1,4 +1,4 @@
-#include <ownership/rendezvous.h>
+#include <base/rendezvous.h>
 
 #include <algorithm>
 #include <utility>
--- a/libs/entryhost/src/control_membership.cpp
+++ b/libs/entryhost/src/control_membership.cpp
@@ -1,7 +1,7 @@
 #include "control_plane_impl.h"
 
+#include <base/rendezvous.h>
 #include <logging/component_logger.h>
-#include <ownership/rendezvous.h>
 #include <wire/codec.h>
 
 namespace orioledrum
--- a/libs/entryhost/src/order_coordinator.cpp
+++ b/libs/entryhost/src/order_coordinator.cpp
@@ -4,10 +4,10 @@
 #include "order_executor.h"
 #include "worker.h"
 
+#include <base/rendezvous.h>
 #include <config/configuration.h>
 #include <orders/order_run.h>
 #include <orders/ticket_store.h>
-#include <ownership/rendezvous.h>
 #include <transport/peer_client.h>
 #include <wire/codec.h>
 
--- a/libs/entryhost/src/routing_state.cpp
+++ b/libs/entryhost/src/routing_state.cpp
@@ -1,9 +1,9 @@
 #include "routing_state.h"
 
+#include <base/rendezvous.h>
 #include <config/configuration.h>
 #include <membership/membership_view.h>
 #include <ownership/backend_group.h>
-#include <ownership/rendezvous.h>
 #include <search/search_topology.h>
 
 #include <map>
--- a/libs/ownership/src/voter_set.cpp
+++ b/libs/ownership/src/voter_set.cpp
@@ -1,7 +1,7 @@
 #include <ownership/voter_set.h>
 
+#include <base/rendezvous.h>
 #include <ownership/backend_group.h>
-#include <ownership/rendezvous.h>
 
 #include <algorithm>
 #include <cstdint>
--- a/libs/ownership/tests/test_ownership_parts.cpp
+++ b/libs/ownership/tests/test_ownership_parts.cpp
@@ -1,8 +1,8 @@
+#include <base/rendezvous.h>
 #include <ownership/backend_group.h>
 #include <ownership/host_list_tracker.h>
 #include <ownership/lease_table.h>
 #include <ownership/lease_voter.h>
-#include <ownership/rendezvous.h>
 #include <ownership/voter_set.h>
 
 #include <gtest/gtest.h>
