Let a fleet that starts at one moment know itself within 3 s

Cause: 118 hosts that started together knew each other only after 8 s, because digests carry 20 entries a second. Until then limits were shared among a wrong number of hosts and gathering hosts were chosen among a few. Change: in the first 2 s of a process, and while the number of known hosts grows by a fifth, digests are sent each 250 ms with up to 250 entries.

--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -29,6 +29,11 @@
     std::size_t otherZonePeers = 1; ///< Number of peers of other zones contacted in each period.
     std::size_t fullMeshHosts = 7; ///< In a fleet of up to this many hosts, all peers are contacted in each period.
     std::size_t maxDigestEntries = 20; ///< Maximum number of entries in a digest.
+    /// Time between heartbeats in a growth phase: the first seconds of a process, and while the number of known hosts grows quickly.
+    /// Without shorter periods and complete digests, 118 hosts that started together knew each other only after 8 s.
+    std::chrono::milliseconds growthPeriod{250};
+    std::chrono::milliseconds growthPhase{2000}; ///< Length of a growth phase, from the start or the latest quick growth.
+    std::size_t maxGrowthDigestEntries = 250; ///< Maximum number of entries in a digest in a growth phase.
     std::size_t scalingThreshold = 60; ///< In zones with more hosts, suspectAfter and downAfter are multiplied by
                                        ///< hosts / scalingThreshold. Fleets with more hosts: see class membership.
 };
@@ -98,6 +103,9 @@
     /// @return Addresses of the hosts to contact in this period.
     [[nodiscard]] std::vector<std::string> choosePeers(time_point now);
     void countHostsByZone();
+    [[nodiscard]] bool growing(time_point now) const { return now < m_growthUntil; }
+    /// Starts or extends the growth phase when a fifth more hosts are known than when it was last extended.
+    void detectGrowth(time_point now);
 
     membership_settings m_settings;
     random_source m_random;
@@ -109,6 +117,8 @@
     revision_number m_configRevision = 0;
     std::uint64_t m_configHash = 0;
     time_point m_nextPeriod;
+    time_point m_growthUntil;
+    std::size_t m_hostsAtGrowth = 0; ///< Number of known hosts when the growth phase was last extended.
     time_point m_nextStateScan;
     std::unordered_map<zone_id, std::size_t> m_zoneSizes; ///< Hosts of each zone, this one included.
     bool m_viewOutdated = true; ///< m_view does not yet show the latest changes.
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -22,6 +22,7 @@
     : m_settings(std::move(settings))
     , m_random(random)
     , m_nextPeriod(now)
+    , m_growthUntil(now + m_settings.growthPhase)
 {
     m_self.host = m_settings.self;
     m_self.zone = m_settings.zone;
@@ -76,6 +77,15 @@
     m_configHash = hash;
 }
 
+void membership::detectGrowth(time_point now)
+{
+    // In small fleets the ordinary digests already contain all hosts.
+    if (m_hosts.size() > m_settings.maxDigestEntries && m_hosts.size() * 5 >= m_hostsAtGrowth * 6) {
+        m_hostsAtGrowth = m_hosts.size();
+        m_growthUntil = now + m_settings.growthPhase;
+    }
+}
+
 void membership::countHostsByZone()
 {
     m_zoneSizes.clear();
@@ -109,6 +119,7 @@
         return !entry.second.listed && entry.second.state == host_state::down && now - entry.second.refreshedAt >= removeAfter;
     });
     if (m_hosts.size() != before) {
+        m_hostsAtGrowth = std::min(m_hostsAtGrowth, m_hosts.size()); // A fleet that shrank may grow again.
         m_viewOutdated = true;
         countHostsByZone();
     }
@@ -198,6 +209,7 @@
     if (message.configRevision != m_configRevision || message.configHash != m_configHash) {
         actions.emplace_back(config_differs{message.sender.address, message.configRevision, message.configHash});
     }
+    detectGrowth(now);
     if (ownHeartbeatRaised && !message.sender.address.empty()) {
         actions.emplace_back(send_digest{message.sender.address, makeDigest(message.sender.host, now)});
     }
@@ -236,7 +248,8 @@
             freshEntries.push_back({(now - host.refreshedAt) / m_settings.period, m_random.next(), &host});
         }
     }
-    const std::size_t count = std::min(freshEntries.size(), m_settings.maxDigestEntries);
+    const std::size_t maxEntries = growing(now) ? m_settings.maxGrowthDigestEntries : m_settings.maxDigestEntries;
+    const std::size_t count = std::min(freshEntries.size(), maxEntries);
     const auto limit = freshEntries.begin() + static_cast<std::ptrdiff_t>(count);
     std::partial_sort(freshEntries.begin(), limit, freshEntries.end(), [](const candidate &left, const candidate &right) {
         return std::tie(left.agePeriods, left.randomOrder) < std::tie(right.agePeriods, right.randomOrder);
@@ -246,7 +259,7 @@
     if (recipientEntry != m_hosts.end() && recipientEntry->second.heartbeatSeen) {
         message.members.push_back(recipientEntry->second.entry);
     }
-    for (std::size_t index = 0; index < count && message.members.size() < m_settings.maxDigestEntries; ++index) {
+    for (std::size_t index = 0; index < count && message.members.size() < maxEntries; ++index) {
         message.members.push_back(freshEntries[index].host->entry);
     }
     return message;
@@ -296,7 +309,8 @@
     if (now >= m_nextPeriod) {
         ++m_self.heartbeat;
         // After a pause the next period starts from now; missed heartbeats are skipped.
-        m_nextPeriod = now - m_nextPeriod > m_settings.period ? now + m_settings.period : m_nextPeriod + m_settings.period;
+        const auto period = growing(now) ? m_settings.growthPeriod : m_settings.period;
+        m_nextPeriod = now - m_nextPeriod > period ? now + period : m_nextPeriod + period;
         for (const std::string &address : choosePeers(now)) {
             const auto peer =
                 std::find_if(m_hosts.begin(), m_hosts.end(), [&](const auto &entry) { return entry.second.entry.address == address; });
