--- a/libs/transport/include/transport/http_server.h
+++ b/libs/transport/include/transport/http_server.h
@@ -62,6 +62,10 @@
     /// A request that has already arrived is still read and answered.
     void closeIdleConnections(std::chrono::milliseconds idleFor);
 
+    /// Closes the connections of all servers on the same io_context on which a request began to arrive at least `after` ago and is
+    /// still incomplete. Callers that send very slowly, or stop in the middle of a request, would otherwise keep descriptors in use.
+    void closeUnfinishedRequests(std::chrono::milliseconds after);
+
     /// Starts draining, stops accepting connections, waits until all requests are answered and all connections are closed, then
     /// ends the threads.
     /// @param timeout Time after which the remaining requests are aborted.
--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -26,6 +26,8 @@
 
 // A reply with a larger header fails with tooLarge.
 constexpr std::size_t maxReplyHeaderBytes = std::size_t{64} * 1024;
+/// A reply up to this size is accepted however much memory the other replies take.
+constexpr std::size_t minReplyShare = std::size_t{256} * 1024;
 constexpr std::size_t maxPooledHandles = 1024;
 
 /// State of one call from send() to its result, or to the end of its transfer when it was cancelled with
@@ -43,6 +45,8 @@
     std::shared_ptr<curl_socket> lastSocket; ///< The socket most recently opened for this call.
     std::size_t headerBytes = 0;
     std::size_t maxReplyBytes = 0;
+    std::size_t maxBufferedBytes = 0;
+    std::size_t *bufferedBytes = nullptr; ///< Size of the reply bodies of all transfers of the client.
     bool writeAllowed = false; ///< libcurl was allowed to write the request, so it may have been sent.
     bool stoppedBeforeSend = false; ///< beforeSend returned false.
     bool resendRefused = false; ///< libcurl tried to write a sendOnce request a second time.
@@ -52,7 +56,37 @@
     transfer() = default;
     transfer(const transfer &) = delete;
     transfer &operator=(const transfer &) = delete;
-    ~transfer() { curl_slist_free_all(headers); }
+    ~transfer()
+    {
+        discardReply();
+        curl_slist_free_all(headers);
+    }
+
+    void discardReply()
+    {
+        if (bufferedBytes != nullptr) {
+            *bufferedBytes -= m_accountedBytes;
+        }
+        m_accountedBytes = 0;
+        reply = {};
+    }
+
+    /// Appends to the reply body. @return False when the reply exceeds a limit.
+    bool appendBody(const char *data, std::size_t length)
+    {
+        const auto size = reply.body.size() + length;
+        const auto unused = maxBufferedBytes - std::min(maxBufferedBytes, *bufferedBytes);
+        if (size > maxReplyBytes || (size > minReplyShare && size > unused / 4)) {
+            return false;
+        }
+        reply.body.append(data, length);
+        m_accountedBytes += length;
+        *bufferedBytes += length;
+        return true;
+    }
+
+private:
+    std::size_t m_accountedBytes = 0; // Bytes of the reply that are counted in *bufferedBytes.
 };
 
 std::string formatAddress(const sockaddr &address)
@@ -246,6 +280,8 @@
         started->deadline = std::chrono::steady_clock::now() + started->call.timeout;
         started->client = this;
         started->maxReplyBytes = m_settings.maxReplyBytes;
+        started->maxBufferedBytes = m_settings.maxBufferedBytes;
+        started->bufferedBytes = &m_bufferedBytes;
         started->easy = acquireHandle();
         if (started->easy == nullptr) {
             postResult(std::move(started->done),
@@ -754,6 +790,7 @@
     asio::steady_timer m_timer;
     deadline_queue m_deadlines;
     CURLM *m_multi = nullptr;
+    std::size_t m_bufferedBytes = 0; ///< Size of the reply bodies of all transfers.
     std::unordered_map<std::uint64_t, std::unique_ptr<transfer>> m_transfers;
     std::unordered_map<curl_socket_t, std::shared_ptr<curl_socket>> m_sockets;
     std::unordered_map<std::string, std::size_t> m_connections; ///< Number of open connections by server address.
@@ -775,11 +812,10 @@
 {
     auto &running = *static_cast<transfer *>(user);
     const std::size_t length = size * count;
-    if (length > running.maxReplyBytes - running.reply.body.size()) {
+    if (!running.appendBody(data, length)) {
         running.tooLarge = true;
         return 0;
     }
-    running.reply.body.append(data, length);
     return length;
 }
 
@@ -796,9 +832,14 @@
 {
     auto &running = *static_cast<transfer *>(user);
     const std::string_view line(data, size * count);
+    running.headerBytes += line.size();
+    if (running.headerBytes > maxReplyHeaderBytes) {
+        running.tooLarge = true;
+        return 0;
+    }
     if (line.starts_with("HTTP/")) {
         // Discards an interim response such as "100 Continue" that precedes the final one.
-        running.reply = {};
+        running.discardReply();
         const auto space = line.find(' ');
         if (space != std::string_view::npos) {
             const auto text = line.substr(space + 1);
@@ -806,11 +847,6 @@
         }
         return line.size();
     }
-    running.headerBytes += line.size();
-    if (running.headerBytes > maxReplyHeaderBytes) {
-        running.tooLarge = true;
-        return 0;
-    }
     if (const auto colon = line.find(':'); colon != std::string_view::npos) {
         running.reply.headers.push_back({std::string(trim(line.substr(0, colon))), std::string(trim(line.substr(colon + 1)))});
     }
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -369,6 +369,11 @@
         asio::use_service<socket_registry>(m_core->context).shutdownIdle(idleFor);
     }
 
+    void closeUnfinishedRequests(std::chrono::milliseconds after)
+    {
+        asio::use_service<socket_registry>(m_core->context).shutdownUnfinished(after);
+    }
+
     bool stop(std::chrono::milliseconds timeout)
     {
         if (m_stopped || !m_core->ownedContext) {
@@ -518,6 +523,11 @@
     m_impl->closeIdleConnections(idleFor);
 }
 
+void http_server::closeUnfinishedRequests(std::chrono::milliseconds after)
+{
+    m_impl->closeUnfinishedRequests(after);
+}
+
 bool http_server::stop(std::chrono::milliseconds timeout)
 {
     return m_impl->stop(timeout);
--- a/libs/transport/src/server_socket.h
+++ b/libs/transport/src/server_socket.h
@@ -7,6 +7,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <memory>
 #include <utility>
 
@@ -32,6 +33,7 @@
         , m_registry(other.m_registry)
         , m_counted(std::exchange(other.m_counted, false))
         , m_inputSinceResponse(other.m_inputSinceResponse)
+        , m_firstInputAt(other.m_firstInputAt)
     {
     }
 
@@ -47,7 +49,9 @@
             m_counted = true;
             m_registry->addConnection();
         }
-        if (!m_inputSinceResponse) {
+        if (m_inputSinceResponse) {
+            m_registry->addUnfinished(native_handle(), m_firstInputAt);
+        } else {
             m_registry->addIdle(native_handle());
         }
         auto executor = asio::get_associated_executor(handler, get_executor());
@@ -57,8 +61,12 @@
                                 [this, next = std::forward<Handler>(handler)](const asio::error_code &code, std::size_t size) mutable {
                                     if (is_open()) {
                                         m_registry->removeIdle(native_handle());
+                                        m_registry->removeUnfinished(native_handle());
                                     }
                                     m_parsing = !code && size > 0;
+                                    if (!m_inputSinceResponse) {
+                                        m_firstInputAt = std::chrono::steady_clock::now();
+                                    }
                                     m_inputSinceResponse = m_inputSinceResponse || m_parsing;
                                     if (m_parsing) {
                                         m_registry->setCurrentWatch(closeWatch());
@@ -112,6 +120,7 @@
     bool m_counted = false; ///< Included in the connection count of the registry.
     bool m_parsing = false; ///< RESTinio is parsing input that has just been read.
     bool m_inputSinceResponse = false; ///< Input was read since the last response was written, so the socket is not idle.
+    std::chrono::steady_clock::time_point m_firstInputAt; ///< When m_inputSinceResponse became true.
 };
 
 } // namespace orioledrum
--- a/libs/transport/src/socket_registry.cpp
+++ b/libs/transport/src/socket_registry.cpp
@@ -51,6 +51,29 @@
     m_idle.erase(descriptor);
 }
 
+void socket_registry::addUnfinished(int descriptor, std::chrono::steady_clock::time_point since)
+{
+    const std::lock_guard lock(m_mutex);
+    m_unfinished[descriptor] = since;
+}
+
+void socket_registry::removeUnfinished(int descriptor)
+{
+    const std::lock_guard lock(m_mutex);
+    m_unfinished.erase(descriptor);
+}
+
+void socket_registry::shutdownUnfinished(std::chrono::milliseconds after)
+{
+    const auto latestStart = std::chrono::steady_clock::now() - after;
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[descriptor, since] : m_unfinished) {
+        if (since <= latestStart) {
+            ::shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+}
+
 void socket_registry::setCurrentWatch(std::shared_ptr<peer_close_watch> watch)
 {
     threadWatch = std::move(watch);
--- a/libs/transport/src/socket_registry.h
+++ b/libs/transport/src/socket_registry.h
@@ -32,10 +32,19 @@
     /// Must be called before the descriptor is closed.
     void removeIdle(int descriptor);
 
+    /// Records that a socket waits for the rest of a request.
+    /// @param since When the first bytes of the request arrived.
+    void addUnfinished(int descriptor, std::chrono::steady_clock::time_point since);
+    /// Must be called when the wait has ended, before the descriptor is closed.
+    void removeUnfinished(int descriptor);
+
     /// Shuts down reading on the sockets that have been idle for at least the given time. Data that has already arrived is
     /// still read.
     void shutdownIdle(std::chrono::milliseconds idleFor);
 
+    /// Shuts down the sockets that have waited for the rest of a request since at least the given time.
+    void shutdownUnfinished(std::chrono::milliseconds after);
+
     /// Sets the watch of the connection whose input is being parsed on the calling thread. RESTinio calls the request handler
     /// while it parses, so that a new exchange can get the watch of its connection from currentWatch().
     /// @param watch The watch, or null when parsing has ended.
@@ -48,6 +57,7 @@
 
     mutable std::mutex m_mutex;
     std::unordered_map<int, std::chrono::steady_clock::time_point> m_idle; ///< Start of the idle time by descriptor.
+    std::unordered_map<int, std::chrono::steady_clock::time_point> m_unfinished; ///< Arrival of the first bytes by descriptor.
     std::size_t m_connectionCount = 0;
 };
 
--- a/libs/transport/tests/fakes/scripted_http_server.cpp
+++ b/libs/transport/tests/fakes/scripted_http_server.cpp
@@ -72,6 +72,10 @@
         const auto response = m_script(input.substr(0, headSize + length));
         input.erase(0, headSize + length);
         asio::write(socket, asio::buffer(response.bytes), code);
+        while (!code && !response.repeated.empty()) {
+            asio::write(socket, asio::buffer(response.repeated), code);
+            std::this_thread::sleep_for(response.repeatInterval);
+        }
         if (code || response.close) {
             break;
         }
--- a/libs/transport/tests/fakes/scripted_http_server.h
+++ b/libs/transport/tests/fakes/scripted_http_server.h
@@ -4,6 +4,7 @@
 #include <asio/ip/tcp.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <mutex>
@@ -23,6 +24,8 @@
     struct action {
         std::string bytes; ///< Written unchanged.
         bool close = false; ///< Closes the connection afterwards.
+        std::string repeated{}; ///< If not empty: written after `bytes` again and again, until the client closes the connection.
+        std::chrono::milliseconds repeatInterval{0}; ///< Time between two copies of `repeated`.
     };
 
     /// @param script Called with the head and body of each request, on the connection's thread.
--- a/libs/transport/tests/test_http_client.cpp
+++ b/libs/transport/tests/test_http_client.cpp
@@ -305,6 +305,79 @@
     EXPECT_EQ(codeFor("HTTP/1.1 200 OK\r\n\r\n" + std::string(1000, 'x')), "none");
 }
 
+// Guards against a server in trouble that sends bytes without end, in a head or a body: each call must end by its timeout, without the
+// memory of the process growing, and be reported as possibly run; its connection must be closed.
+TEST_F(HttpClientTest, EndlessRepliesEndWithTheCall)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::vector<scripted_http_server::action> endless{
+        {"", false, std::string(4096, 'x')}, // No head at all.
+        {head + "X-Line: ", false, std::string(4096, 'x')},
+        {head, false, "X-Field: value\r\n"},
+        {"", false, "HTTP/1.1 100 Continue\r\n\r\n"},
+        {head + "\r\n", false, std::string(65536, 'x')},
+        {head + "Transfer-Encoding: chunked\r\n\r\n", false, "1000\r\n" + std::string(4096, 'x') + "\r\n"},
+        {head + "Transfer-Encoding: chunked\r\n\r\n5;", false, std::string(4096, 'x')}, // Chunk extension.
+        {head + "Content-Length: 100000000000\r\n\r\n", false, std::string(65536, 'x')},
+        {head + "\r\n", false, "x", 20ms},
+        {head + "X-Line: ", false, "x", 20ms},
+    };
+    for (std::size_t i = 0; i < endless.size(); ++i) {
+        scripted_http_server server([&](const std::string &) { return endless[i]; });
+        const auto startedAt = std::chrono::steady_clock::now();
+        const auto result = send(makeCall(server.url("/"), 300ms));
+        EXPECT_LT(std::chrono::steady_clock::now() - startedAt, 2s) << "reply " << i;
+        ASSERT_FALSE(result.has_value()) << "reply " << i;
+        EXPECT_TRUE(result.error().mayHaveBeenSent) << "reply " << i;
+        EXPECT_TRUE(waitUntil([&] { return connections(server.address()) == 0; })) << "reply " << i;
+    }
+}
+
+// Guards against running out of memory when many servers send bodies without end, and against calls to sound servers that fail
+// meanwhile.
+TEST_F(HttpClientTest, EndlessBodiesLeaveMemoryForOtherCalls)
+{
+    http_client_settings settings;
+    settings.maxBufferedBytes = std::size_t{4} * 1024 * 1024;
+    recreateClient(settings);
+    scripted_http_server troubled([](const std::string &) {
+        return scripted_http_server::action{"HTTP/1.1 200 OK\r\n\r\n", false, std::string(65536, 'x'), 1ms};
+    });
+    scripted_http_server sound([](const std::string &) { return scripted_http_server::ok(std::string(200'000, 'y')); });
+    std::vector<std::future<http_client::result>> endless;
+    for (int i = 0; i < 30; ++i) {
+        endless.push_back(start(makeCall(troubled.url("/"), 5s)).result);
+    }
+    for (int i = 0; i < 20; ++i) {
+        const auto result = send(makeCall(sound.url("/")));
+        ASSERT_TRUE(result.has_value());
+        EXPECT_EQ(result->body.size(), 200'000U);
+    }
+    for (auto &call : endless) {
+        const auto result = call.get();
+        ASSERT_FALSE(result.has_value());
+        EXPECT_EQ(result.error().failure.code, error_code::tooLarge);
+    }
+}
+
+// Guards against an answer that goes to the next call: a server sends a second copy of a reply, or a part of one, before the next request.
+// The connection must not be used again, however the copy is divided.
+TEST_F(HttpClientTest, SecondCopyOfAReplyIsNotUsed)
+{
+    const auto copy = scripted_http_server::ok("first").bytes;
+    for (const auto length : {std::size_t{1}, std::size_t{12}, copy.size() / 2, copy.size()}) {
+        std::atomic<int> count = 0;
+        scripted_http_server server([&](const std::string &) {
+            return ++count == 1 ? scripted_http_server::action{copy + copy.substr(0, length), false} : scripted_http_server::ok("other");
+        });
+        EXPECT_EQ(send(makeCall(server.url("/")))->body, "first");
+        const auto second = send(makeCall(server.url("/")));
+        ASSERT_TRUE(second.has_value()) << length;
+        EXPECT_EQ(second->body, "other") << length;
+        EXPECT_EQ(server.connections(), 2) << length;
+    }
+}
+
 // Guards against requests that a redirect or a proxy variable of the environment sends to a server other than the one in the
 // URL.
 TEST_F(HttpClientTest, IgnoresRedirectsAndProxySettings)
--- a/libs/transport/tests/test_http_server.cpp
+++ b/libs/transport/tests/test_http_server.cpp
@@ -256,6 +256,41 @@
     EXPECT_THAT(response, StartsWith("HTTP/1.1 200"));
 }
 
+// Guards against callers that use up the descriptors of the process by requests that never end; callers that send slowly but finish,
+// and callers that wait for an answer, must not be cut off.
+TEST_F(HttpServerTest, UnfinishedRequestsAreClosed)
+{
+    asio::io_context context;
+    const auto connect = [&](const std::string &bytes) {
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::address_v4::loopback(), server->port()});
+        asio::write(socket, asio::buffer(bytes));
+        return socket;
+    };
+    auto idle = connect("");
+    auto waiting = connect(makeRequest("/later", "x"));
+    auto unfinishedHead = connect("GET /echo HTTP/1.1\r\nHost: x\r\nX-");
+    auto unfinishedBody = connect("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc");
+    std::this_thread::sleep_for(300ms);
+    auto recent = connect("GET /echo HTTP/1.1\r\nHost: x\r\n");
+    std::this_thread::sleep_for(20ms);
+    server->closeUnfinishedRequests(250ms);
+    for (auto *socket : {&unfinishedHead, &unfinishedBody}) {
+        std::array<char, 1> byte{};
+        asio::error_code code;
+        EXPECT_EQ(socket->read_some(asio::buffer(byte), code), 0U);
+        EXPECT_TRUE(code);
+    }
+    handler.take()->respond({200, "text/plain", {}, "late"});
+    asio::write(idle, asio::buffer(makeRequest("/echo", "x")));
+    asio::write(recent, asio::buffer(std::string("\r\n")));
+    for (auto *socket : {&idle, &recent, &waiting}) {
+        std::array<char, 12> status{};
+        asio::read(*socket, asio::buffer(status));
+        EXPECT_EQ(std::string(status.data(), status.size()), "HTTP/1.1 200");
+    }
+}
+
 // Guards against a stop that never returns, and against use after free when a response is sent after the server is destroyed.
 TEST_F(HttpServerTest, StopReturnsAfterTimeout)
 {
