--- a/daemons/gatewayd/main.cpp
+++ b/daemons/gatewayd/main.cpp
@@ -11,6 +11,7 @@
 #include <boost/program_options.hpp>
 
 #include <csignal>
+#include <exception>
 #include <functional>
 #include <iostream>
 
@@ -79,8 +80,15 @@
             std::cerr << "gatewayd: keeping the current settings: " << newSettings.error().describe() << "\n";
         }
     });
-    context.run();
-    return 0;
+    // An exception of one event handler must not end the process, and with it all other requests.
+    for (;;) {
+        try {
+            context.run();
+            return 0;
+        } catch (const std::exception &failure) {
+            std::cerr << "gatewayd: unexpected error in an event handler: " << failure.what() << "\n";
+        }
+    }
 }
 
 } // namespace
--- a/libs/config/include/config/route.h
+++ b/libs/config/include/config/route.h
@@ -57,6 +57,8 @@
 struct http_request_limits {
     std::size_t maxHeaderBytes = std::size_t{16} * 1024;
     std::size_t maxBodyBytes = std::size_t{256} * 1024;
+    std::chrono::milliseconds headerTimeout{0}; ///< Maximum time for the header of a request; 0: no limit.
+    std::chrono::milliseconds idleTimeout{0}; ///< Maximum time for which a connection stays open without a request; 0: no limit.
 };
 
 } // namespace orioledrum
--- a/libs/gateway/include/gateway/change_follower.h
+++ b/libs/gateway/include/gateway/change_follower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/error.h>
+#include <base/monotonic_clock.h>
 #include <gateway/published_change.h>
 
 #include <chrono>
@@ -17,6 +18,10 @@
     std::chrono::milliseconds wait{2000}; ///< How long the source may hold a request open until there is a change.
     std::chrono::milliseconds answerTimeout{700}; ///< Time allowed for the answer beyond `wait`; a slow source takes about 300 ms.
     std::chrono::milliseconds batchDelay{250}; ///< Delay after a watch with changes, so that changes close together are read in one call.
+    std::chrono::milliseconds maxBatchDelay{250}; ///< The delay doubles up to this while each read has changes, however many there are.
+    /// A read with at least this many changes is followed by the next one at once, because there may be a backlog: the source returns
+    /// 500 changes at most in one read.
+    std::size_t backlogChanges = 100;
     std::chrono::milliseconds initialRetryDelay{50}; ///< Delay after the first failed read; doubles up to maxRetryDelay.
     std::chrono::milliseconds maxRetryDelay{500};
 };
@@ -51,7 +56,12 @@
 
     /// Takes the result of the read that nextRead() returned.
     /// @return The changes to apply. Pages of the full list are collected and returned together with the last page.
-    follower_update readCompleted(expected<change_page> &&page);
+    follower_update readCompleted(expected<change_page> &&page, time_point now);
+
+    /// Takes a full list that another host has read.
+    /// @param revision Revision of the list; an older one than revision() is ignored.
+    /// @return The changes to apply.
+    follower_update listReceived(std::vector<published_change> &&changes, std::uint64_t revision);
 
     /// @return True once the full list has been read for the first time.
     [[nodiscard]] bool synchronized() const { return m_synchronized; }
@@ -70,6 +80,8 @@
     std::uint64_t m_revision = 0;
     std::uint32_t m_failures = 0;
     bool m_lastReadHadChanges = false;
+    std::chrono::milliseconds m_batchDelay{0}; // Delay after the latest read with changes.
+    time_point m_lastChangesAt;
 };
 
 } // namespace orioledrum
--- a/libs/gateway/include/gateway/change_source.h
+++ b/libs/gateway/include/gateway/change_source.h
@@ -30,6 +30,14 @@
     /// @param wait How long the source may hold the request open until there is a change.
     /// @param timeout Maximum time until the callback.
     virtual void watch(std::uint64_t after, std::chrono::milliseconds wait, std::chrono::milliseconds timeout, callback done) = 0;
+
+    /// Decodes changes that another host has read from the same source.
+    /// @param encoded change_page::encoded of the other host.
+    /// @param after Changes up to this revision are left out.
+    [[nodiscard]] virtual expected<change_page> decode(const std::string &encoded, std::uint64_t after) const = 0;
+
+    /// Decodes a page of the full list that another host has read from the same source.
+    [[nodiscard]] virtual expected<change_page> decodeList(const std::string &encoded) const = 0;
 };
 
 } // namespace orioledrum
--- a/libs/gateway/include/gateway/published_change.h
+++ b/libs/gateway/include/gateway/published_change.h
@@ -49,6 +49,8 @@
     std::vector<published_change> changes;
     std::uint64_t revision = 0; ///< The page covers all changes up to this revision.
     std::string nextPageToken; ///< Passed to change_source::list() for the next page; empty on the last one.
+    /// The page in the encoding of the source, for change_source::decode() or decodeList() on another host.
+    std::string encoded;
 };
 
 } // namespace orioledrum
--- a/libs/gateway/src/backend_caller.cpp
+++ b/libs/gateway/src/backend_caller.cpp
@@ -84,7 +84,7 @@
             }
         }
         if (outcome.end == attempt_end::served) {
-            call.request->profile->record(outcome.latency);
+            call.request->profile->record(outcome.latency, now);
         }
     } else if (!result.error().mayHaveBeenSent) {
         outcome.end = result.error().failure.code == error_code::cancelled ? attempt_end::abandoned : attempt_end::unreachable;
--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -26,13 +26,26 @@
     m_callTemplate = std::move(newTemplate);
 }
 
-void caller_request::start()
+void caller_request::watchCaller()
 {
     m_incoming.exchange->onCallerDisconnected([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->callerDisconnected();
         }
     });
+}
+
+void caller_request::reopen(std::shared_ptr<http_exchange> exchange)
+{
+    m_incoming.exchange = std::move(exchange);
+    m_ended = false;
+    m_timerDue = time_point::max();
+    watchCaller();
+}
+
+void caller_request::start()
+{
+    watchCaller();
     const auto now = monotonic_clock::now();
     startRun(now);
     advance(now);
@@ -46,6 +59,7 @@
     for (const auto &call : run().takeCalls()) {
         send(call);
     }
+    startOtherWork(now);
     if (run().finished()) {
         m_ended = true;
         m_timer.cancel();
@@ -60,10 +74,11 @@
     const auto handle = m_state.backendCaller.send(
         call, m_callTemplate, [self = shared_from_this(), attempt = call.attempt](call_outcome &&outcome, http_reply &&reply) {
             std::erase_if(self->m_openCalls, [attempt](const open_call &open) { return open.attempt == attempt; });
+            const auto now = monotonic_clock::now();
             if (self->m_ended) {
+                self->callEndedAfterAnswer(attempt, std::move(outcome), std::move(reply), now);
                 return;
             }
-            const auto now = monotonic_clock::now();
             self->callEnded(attempt, std::move(outcome), std::move(reply), now);
             self->advance(now);
         });
--- a/libs/gateway/src/caller_request.h
+++ b/libs/gateway/src/caller_request.h
@@ -56,13 +56,19 @@
     virtual void wakeupRun(time_point now) { run().wakeup(now); }
     /// Passes the outcome of a call to the run.
     virtual void callEnded(std::uint64_t attempt, call_outcome &&outcome, http_reply &&reply, time_point now) = 0;
-    /// Answers the caller. Called once, when the run has finished.
+    /// Answers the caller. Called when the run has finished: once, and once more after each reopen().
     virtual void answer(time_point now) = 0;
+    /// Handles the outcome of a call that ended after the answer.
+    virtual void callEndedAfterAnswer(std::uint64_t, call_outcome &&, http_reply &&, time_point) {}
+    /// Starts other work that the run requests than calls to backend servers.
+    virtual void startOtherWork(time_point) {}
 
     /// Cancels other work than calls to backend servers. Called when the caller has disconnected before the answer.
     virtual void cancelOtherWork() {}
     /// Sends the calls that the run requests, then answers if the run has finished; otherwise sets the timer. Does nothing once ended().
     void advance(time_point now);
+    /// Continues the request after its answer with another exchange; the run must have been resumed.
+    void reopen(std::shared_ptr<http_exchange> exchange);
     /// @return True once the request was answered or the caller has disconnected.
     [[nodiscard]] bool ended() const { return m_ended; }
     [[nodiscard]] const call_template &callTemplate() const { return *m_callTemplate; }
@@ -81,6 +87,7 @@
 
     void send(const send_call &call);
     void armTimer(time_point now);
+    void watchCaller();
     void callerDisconnected();
 
     gateway_state &m_state;
--- a/libs/gateway/src/change_follower.cpp
+++ b/libs/gateway/src/change_follower.cpp
@@ -24,15 +24,24 @@
         const auto doublings = std::min(m_failures - 1, 10U);
         read.delay = std::min(m_settings.maxRetryDelay, m_settings.initialRetryDelay * (1 << doublings));
     } else if (m_lastReadHadChanges) {
-        read.delay = m_settings.batchDelay;
+        read.delay = m_batchDelay;
     }
     return read;
 }
 
-follower_update change_follower::readCompleted(expected<change_page> &&page)
+follower_update change_follower::readCompleted(expected<change_page> &&page, time_point now)
 {
     follower_update update;
     m_lastReadHadChanges = page && !m_listing && !page->changes.empty();
+    if (m_lastReadHadChanges) {
+        // Changes that came right after the delay are part of a series.
+        const bool series = now - m_lastChangesAt < m_batchDelay * 3 / 2;
+        m_batchDelay = series ? std::min(m_settings.maxBatchDelay, m_batchDelay * 2) : m_settings.batchDelay;
+        if (page->changes.size() >= m_settings.backlogChanges) {
+            m_batchDelay = std::chrono::milliseconds(0);
+        }
+        m_lastChangesAt = now;
+    }
     if (!page) {
         if (page.error().code == error_code::historyLost) {
             m_listing = true;
@@ -68,4 +77,18 @@
     return update;
 }
 
+follower_update change_follower::listReceived(std::vector<published_change> &&changes, std::uint64_t revision)
+{
+    follower_update update;
+    if (revision < m_revision) {
+        return update;
+    }
+    update.reconnected = m_failures > 0;
+    m_failures = 0;
+    m_revision = revision;
+    update.isFullSnapshot = true;
+    update.changes = std::move(changes);
+    return update;
+}
+
 } // namespace orioledrum
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -10,6 +10,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace orioledrum
@@ -20,9 +21,11 @@
 
 /// Time after the stop signal until the load balancer sends no new connections: two failed readiness checks, one second apart.
 constexpr std::chrono::milliseconds balancerDrainTime{2300};
-/// From then on, connections to all ports of this host are closed when they have been idle for this time; see
-/// http_server::closeIdleConnections().
+/// From then on no caller's connection is accepted, and connections to all ports of this host are closed when they have been idle for
+/// this time; see http_server::closeIdleConnections().
 constexpr std::chrono::milliseconds idleGrace{100};
+/// Time after the last accepted connection until its request has been read, or it was closed because none came.
+constexpr std::chrono::milliseconds lastRequestTime = 2 * idleGrace;
 constexpr std::chrono::milliseconds stopPollInterval{50};
 /// Interval at which canServe() is evaluated; the load balancer checks readiness once a second.
 constexpr std::chrono::milliseconds canServeInterval{200};
@@ -42,8 +45,8 @@
         : m_state(context, settings, codec, client)
         , m_front(m_state)
         , m_status(m_state)
-        , m_link(m_state, client, settings.seeds)
-        , m_reader(m_state, source)
+        , m_reader(m_state, source, client)
+        , m_link(m_state, client, m_reader, settings.seeds)
         , m_prober(m_state, client)
         , m_canServeTimer(context)
         , m_stopTimer(context)
@@ -107,6 +110,11 @@
     {
         m_state.canServeNow = m_state.canServe(monotonic_clock::now());
         m_callerServer->setDraining(m_state.stopping || (m_state.table && !m_state.canServeNow));
+        if (m_state.table && !m_state.stopping && m_state.table->limits().idleTimeout.count() > 0) {
+            const auto &limits = m_state.table->limits();
+            m_callerServer->closeIdleConnections(limits.idleTimeout);
+            m_callerServer->closeUnfinishedRequests(std::max(limits.headerTimeout, limits.idleTimeout));
+        }
         m_canServeTimer.expires_after(canServeInterval);
         m_canServeTimer.async_wait([this](const asio::error_code &code) {
             if (!code) {
@@ -119,9 +127,14 @@
     {
         const auto elapsed = monotonic_clock::now() - m_stopStartedAt;
         if (elapsed >= balancerDrainTime) {
+            if (!std::exchange(m_stoppedListening, true)) {
+                m_callerServer->stopListening();
+            }
             m_callerServer->closeIdleConnections(idleGrace);
         }
-        const bool finished = elapsed >= balancerDrainTime + idleGrace && m_callerServer->openRequests() == 0;
+        // Other hosts may still wait for parts of searches that this host gathers.
+        const bool finished =
+            elapsed >= balancerDrainTime + lastRequestTime && m_callerServer->openRequests() == 0 && m_hostServer->openRequests() == 0;
         if (finished || elapsed >= m_state.settings.stopTime - stopMargin) {
             m_state.log.write("main", "stopped", {{"openRequests", static_cast<std::int64_t>(m_callerServer->openRequests())}});
             m_state.context.stop();
@@ -138,8 +151,8 @@
     gateway_state m_state;
     caller_front m_front;
     status_handler m_status;
-    host_link m_link;
     publication_reader m_reader;
+    host_link m_link;
     replica_prober m_prober;
     std::unique_ptr<http_server> m_callerServer;
     std::unique_ptr<http_server> m_readinessServer;
@@ -148,6 +161,7 @@
     asio::steady_timer m_canServeTimer;
     asio::steady_timer m_stopTimer;
     time_point m_stopStartedAt;
+    bool m_stoppedListening = false;
 };
 
 expected<std::unique_ptr<gateway>> gateway::create(asio::io_context &context,
--- a/libs/gateway/src/gateway_state.cpp
+++ b/libs/gateway/src/gateway_state.cpp
@@ -23,7 +23,7 @@
     , log(settings.host.str())
     , registry({settings.zone, settings.extraCalls, settings.coldFactor, settings.coldSlack}, random_source::fromSystem())
     , backendCaller(client, messageCodec, metrics)
-    , relays(client, registry)
+    , relays(client, registry, settings.hosts.text())
 {
 }
 
--- a/libs/gateway/src/gathered_request.cpp
+++ b/libs/gateway/src/gathered_request.cpp
@@ -15,6 +15,9 @@
 /// Retry-After when too few shards have a usable backend server: the time after which a backend server is tried again after its first
 /// failed connection. Also the upper limit of Retry-After for an overloaded search.
 constexpr std::chrono::milliseconds maxRetryAfter = replica::initialBackoff;
+/// Time after the target, as a share of the target latency, during which a gathering host goes on with its outstanding calls. A shard
+/// that needs longer is called again by the asking host; until then its backend server does work that may not be needed.
+constexpr double resumeTimeShare = 0.5;
 
 } // namespace
 
@@ -26,6 +29,7 @@
     for (const auto &relayPart : m_relayParts) {
         gatherInput.relays.push_back(relayPart.part);
     }
+    m_firstToken = state.relays.newToken();
     createRun(std::move(gatherInput));
 }
 
@@ -62,6 +66,8 @@
     message.allowedServers = run().allowedServers(partIndex);
     message.targetLatency = route.targetLatency;
     message.remaining = std::chrono::duration_cast<std::chrono::microseconds>(run().relayTarget() - now);
+    message.resumeTime = resumeTime();
+    message.token = m_firstToken + partIndex;
     m_relayCalls.resize(m_relayParts.size());
     m_relayCalls[partIndex] =
         state().relays.send(m_relayParts[partIndex].address,
@@ -73,7 +79,9 @@
                                 m_relayCalls[partIndex].reset();
                                 const auto endedAt = monotonic_clock::now();
                                 if (result) {
-                                    run().relayAnswered(partIndex, std::move(*result), endedAt);
+                                    if (!run().relayAnswered(partIndex, std::move(*result), endedAt)) {
+                                        state().relays.recordFailure(m_relayParts[partIndex].address, endedAt);
+                                    }
                                 } else {
                                     recordLostRelay(partIndex);
                                     run().relayFailed(partIndex, notSent, endedAt);
@@ -82,6 +90,43 @@
                             });
 }
 
+std::chrono::microseconds gathered_request::resumeTime() const
+{
+    const auto share = std::chrono::duration<double, std::micro>(incoming().matchedRoute->targetLatency) * resumeTimeShare;
+    const auto untilDeadline = std::chrono::duration_cast<std::chrono::microseconds>(incoming().deadline - incoming().targetTime);
+    // The deadline of an impatient caller may be before the target.
+    return std::max(std::chrono::microseconds(0), std::min(std::chrono::duration_cast<std::chrono::microseconds>(share), untilDeadline));
+}
+
+void gathered_request::startOtherWork(time_point now)
+{
+    for (const auto &resume : run().takeResumes()) {
+        sendRelayResume(resume, now);
+    }
+}
+
+void gathered_request::sendRelayResume(const part_resume &resume, time_point now)
+{
+    ++m_resumedParts;
+    const auto part = resume.part;
+    const auto latest = run().relayTarget() + resumeTime();
+    m_relayCalls[part] = state().relays.sendResume(m_relayParts[part].address,
+                                                   {m_firstToken + part, resume.neededShards},
+                                                   std::chrono::duration_cast<std::chrono::milliseconds>(latest - now),
+                                                   [self = shared_from_this(), this, part](std::optional<relay_result> result, bool) {
+                                                       if (ended()) {
+                                                           return;
+                                                       }
+                                                       m_relayCalls[part].reset();
+                                                       if (!result) {
+                                                           recordLostRelay(part);
+                                                       }
+                                                       const auto endedAt = monotonic_clock::now();
+                                                       run().relayResumed(part, std::move(result), endedAt);
+                                                       advance(endedAt);
+                                                   });
+}
+
 void gathered_request::recordLostRelay(std::size_t partIndex)
 {
     m_lostRelays += (m_lostRelays.empty() ? "" : ",") + m_relayParts[partIndex].address;
@@ -105,7 +150,7 @@
     caller_request::wakeupRun(now);
     for (std::size_t partIndex = 0; partIndex < m_relayParts.size(); ++partIndex) {
         if (wasPending[partIndex] && !run().relayPending(partIndex)) { // The host has not answered in time.
-            state().relays.recordTimeout(m_relayParts[partIndex].address, now);
+            state().relays.recordFailure(m_relayParts[partIndex].address, now);
             recordLostRelay(partIndex);
         }
     }
@@ -153,6 +198,7 @@
                               {"retries", std::int64_t{result.retries}},
                               {"skipped", std::int64_t{result.skipped}},
                               {"relays", relays},
+                              {"resumed", m_resumedParts},
                               {"lostRelays", m_lostRelays},
                               {"expectedMs", result.expected},
                               {"slowestMs", result.slowest},
--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -1,6 +1,8 @@
 #include <host_link.h>
 
 #include <gateway_state.h>
+#include <host_call.h>
+#include <publication_reader.h>
 #include <relayed_request.h>
 #include <transport/http_exchange.h>
 #include <wire/codec.h>
@@ -31,9 +33,10 @@
 
 } // namespace
 
-host_link::host_link(gateway_state &state, http_client &client, std::vector<std::string> seeds)
+host_link::host_link(gateway_state &state, http_client &client, publication_reader &reader, std::vector<std::string> seeds)
     : m_state(state)
     , m_client(client)
+    , m_reader(reader)
     , m_membership(makeSettings(state.settings, std::move(seeds)), random_source::fromSystem(), monotonic_clock::now())
     , m_timer(state.context)
     , m_startedAt(monotonic_clock::now())
@@ -60,6 +63,7 @@
 {
     apply(m_membership.tick(monotonic_clock::now()));
     updateHostCount();
+    dropExpiredSearches(monotonic_clock::now());
     m_timer.expires_after(tickInterval);
     m_timer.async_wait([this](const asio::error_code &code) {
         if (!code) {
@@ -90,10 +94,30 @@
     } else if (m_state.stopping || message->shards.empty()) {
         exchange->respond(errorResponse(503, {error_code::draining, "this host is stopping", "relay search", {}}));
     } else {
-        relayed_request::create(m_state, *message, std::move(exchange))->start();
+        const auto search = relayed_request::create(m_state, *message, std::move(exchange));
+        m_relayedSearches[message->token] = search;
+        search->start();
     }
 }
 
+void host_link::handleRelayResume(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
+{
+    const auto message = decode<relay_resume>(request.body);
+    if (!message) {
+        exchange->respond(errorResponse(400, message.error()));
+        return;
+    }
+    const auto found = m_relayedSearches.find(message->token);
+    if (found == m_relayedSearches.end() || !found->second->resume(*message, exchange)) {
+        exchange->respond(errorResponse(404, {error_code::notReady, "there is nothing to resume", "relay search", {}}));
+    }
+}
+
+void host_link::dropExpiredSearches(time_point now)
+{
+    std::erase_if(m_relayedSearches, [now](const auto &entry) { return entry.second->resumeDeadline() < now; });
+}
+
 void host_link::updateRelays()
 {
     const auto view = m_membership.view();
@@ -102,12 +126,17 @@
     }
     m_relayView = view;
     std::vector<relay_host> relays;
+    std::vector<std::string> zoneHosts;
     for (const auto &member : view->members) {
-        if (!member.self && member.state == host_state::live && !member.address.empty()) {
+        if (member.state == host_state::live && !member.address.empty()) {
             relays.push_back({member.address, member.zone});
+            if (member.zone == m_state.settings.zone) {
+                zoneHosts.push_back(member.address);
+            }
         }
     }
     m_state.relays.setHosts(relays);
+    m_reader.setZoneHosts(zoneHosts);
 }
 
 void host_link::apply(const membership_actions &actions)
@@ -123,12 +152,7 @@
 
 void host_link::send(const send_digest &action)
 {
-    http_call call;
-    call.method = "POST";
-    call.url = "http://" + action.address + digestPath;
-    call.headers = {{"Content-Type", "application/msgpack"}};
-    call.body = encode(action.message);
-    call.timeout = digestTimeout;
+    auto call = makeHostCall(action.address, digestPath, encode(action.message), digestTimeout);
     m_client.send(std::move(call), [this](http_client::result result) {
         if (!result || result->status != 200) {
             return; // Membership detects an unreachable host by its missing heartbeats.
@@ -148,6 +172,14 @@
         handleRelaySearch(request, std::move(exchange));
         return;
     }
+    if (request.path == changesPath) {
+        m_reader.handlePull(request, std::move(exchange));
+        return;
+    }
+    if (request.path == relayResumePath) {
+        handleRelayResume(request, exchange);
+        return;
+    }
     const auto message = request.path == digestPath ? decode<digest>(request.body)
                                                     : expected<digest>(makeError(error_code::malformed, "read digest", "unknown path"));
     if (!message) {
--- a/libs/gateway/src/relay_client.cpp
+++ b/libs/gateway/src/relay_client.cpp
@@ -1,9 +1,11 @@
 #include <relay_client.h>
 
+#include <host_call.h>
 #include <wire/codec.h>
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace orioledrum
@@ -29,10 +31,11 @@
 
 } // namespace
 
-relay_client::relay_client(http_client &client, replica_registry &registry)
+relay_client::relay_client(http_client &client, replica_registry &registry, std::string self)
     : m_client(client)
     , m_registry(registry)
-    , m_selector(random_source::fromSystem())
+    , m_self(self)
+    , m_selector(std::move(self), random_source::fromSystem())
 {
 }
 
@@ -47,17 +50,54 @@
     for (std::size_t position = 0; position < shards.size(); ++position) {
         (m_registry.reachableIn(shards[position], m_registry.localZone(), now) ? localZoneShards : otherZoneShards).push_back(position);
     }
-    assignShards(parts, otherZoneShards, zonesCovering(shards, otherZoneShards, now), now);
+    assignOtherZones(parts, shards, std::move(otherZoneShards), now);
     if (localZoneShards.size() > maxShardsPerPart) {
-        const auto keptCount = localZoneShards.size() / ((localZoneShards.size() + maxShardsPerPart - 1) / maxShardsPerPart);
-        assignShards(parts,
-                     {localZoneShards.begin() + static_cast<std::ptrdiff_t>(keptCount), localZoneShards.end()},
-                     {m_registry.localZone()},
-                     now);
+        assignShards(parts, shards, localZoneShards, {m_registry.localZone()}, now);
     }
     return parts;
 }
 
+void relay_client::assignOtherZones(assigned_parts &parts,
+                                    const std::vector<service_id> &shards,
+                                    std::vector<std::size_t> positions,
+                                    time_point now)
+{
+    while (positions.size() >= minShards) {
+        const auto covering = zonesCovering(shards, positions, now);
+        if (!covering.empty()) {
+            assignShards(parts, shards, positions, covering, now);
+            return;
+        }
+        const auto zone = zoneCoveringMost(shards, positions, now);
+        if (positions.size() <= maxShardsPerPart || !zone) {
+            return;
+        }
+        const auto covered = std::stable_partition(positions.begin(), positions.end(), [&](std::size_t position) {
+            return !m_registry.reachableIn(shards[position], *zone, now);
+        });
+        assignShards(parts, shards, {covered, positions.end()}, {*zone}, now);
+        positions.erase(covered, positions.end());
+    }
+}
+
+std::optional<zone_id>
+relay_client::zoneCoveringMost(const std::vector<service_id> &shards, const std::vector<std::size_t> &positions, time_point now) const
+{
+    std::map<zone_id, std::size_t> shardsInZone;
+    for (const auto position : positions) {
+        const auto zones = m_registry.zones(shards[position]);
+        for (const auto &zone : std::set<zone_id>(zones.begin(), zones.end())) {
+            shardsInZone[zone] += m_registry.reachableIn(shards[position], zone, now) ? 1 : 0;
+        }
+    }
+    const auto most = std::max_element(
+        shardsInZone.begin(), shardsInZone.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
+    if (most == shardsInZone.end() || most->second == 0) {
+        return std::nullopt;
+    }
+    return most->first;
+}
+
 std::vector<zone_id>
 relay_client::zonesCovering(const std::vector<service_id> &shards, const std::vector<std::size_t> &positions, time_point now) const
 {
@@ -77,6 +117,7 @@
 }
 
 void relay_client::assignShards(assigned_parts &parts,
+                                const std::vector<service_id> &shards,
                                 const std::vector<std::size_t> &positions,
                                 const std::vector<zone_id> &zones,
                                 time_point now)
@@ -85,32 +126,80 @@
         return;
     }
     const auto partCount = (positions.size() + maxShardsPerPart - 1) / maxShardsPerPart;
+    // All hosts divide the shards of a route into the same groups. A part is named after the group of its middle shard, so that it
+    // keeps its name when some shards of a group are not in the part.
+    const auto groupCount = (shards.size() + maxShardsPerPart - 1) / maxShardsPerPart;
+    std::vector<std::string> groupNames;
+    for (std::size_t group = 0; group < groupCount; ++group) {
+        groupNames.push_back(shards[group * shards.size() / groupCount].str());
+    }
     std::vector<std::string> usedAddresses;
     for (const auto &part : parts) {
         usedAddresses.push_back(part.address);
     }
     for (std::size_t i = 0; i < partCount; ++i) {
-        const auto host = m_selector.choose(zones, now, usedAddresses);
+        const auto first = positions.size() * i / partCount;
+        const auto last = positions.size() * (i + 1) / partCount;
+        const auto group = positions[(first + last) / 2] * groupCount / shards.size();
+        const auto host = m_selector.choose(zones, groupNames, group, now, usedAddresses);
         if (!host) {
-            return; // This host calls the backend servers of the remaining shards itself.
+            continue; // This host calls the backend servers of these shards itself.
         }
         usedAddresses.push_back(host->address);
-        const auto begin = positions.begin() + static_cast<std::ptrdiff_t>(positions.size() * i / partCount);
-        const auto end = positions.begin() + static_cast<std::ptrdiff_t>(positions.size() * (i + 1) / partCount);
+        if (host->address == m_self) {
+            continue;
+        }
+        const auto begin = positions.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto end = positions.begin() + static_cast<std::ptrdiff_t>(last);
         parts.push_back({{{begin, end}, host->zone}, host->address});
     }
 }
 
+expected<relay_result> relay_client::decodeResult(const http_reply &reply, std::uint64_t token, const std::string &address)
+{
+    if (reply.status != 200) {
+        return makeError(error_code::notReady, "relay search", "refused with status " + std::to_string(reply.status), address);
+    }
+    auto answer = decode<relay_answer>(reply.body);
+    if (!answer) {
+        return tl::unexpected(answer.error());
+    }
+    if (answer->token != token) {
+        return makeError(error_code::protocolError, "relay search", "the answer belongs to another search", address);
+    }
+    if (!isValid(*answer)) {
+        return makeError(error_code::protocolError, "relay search", "the answer has an unknown end or lacks a signature", address);
+    }
+    relay_result gathered;
+    gathered.end = static_cast<gather_end>(answer->end);
+    for (auto &shard : answer->shards) {
+        gathered.shards.push_back({static_cast<attempt_end>(shard.end), std::move(shard.signature), shard.loadPercent / 100.0});
+    }
+    gathered.records = std::move(answer->records);
+    gathered.hedges = answer->hedges;
+    gathered.retries = answer->retries;
+    return gathered;
+}
+
+http_call_handle
+relay_client::sendResume(const std::string &address, const relay_resume &message, std::chrono::milliseconds timeLeft, callback done)
+{
+    auto call =
+        makeHostCall(address, relayResumePath, encode(message), std::max(std::chrono::milliseconds(0), timeLeft) + answerTransitTime);
+    return m_client.send(std::move(call), [address, token = message.token, done = std::move(done)](http_client::result result) {
+        auto gathered = result ? decodeResult(*result, token, address) : expected<relay_result>(tl::unexpected(result.error().failure));
+        done(gathered ? std::optional<relay_result>(std::move(*gathered)) : std::nullopt, false);
+    });
+}
+
 http_call_handle relay_client::send(const std::string &address, const relay_search &message, callback done)
 {
-    http_call call;
-    call.method = "POST";
-    call.url = "http://" + address + relayPath;
-    call.headers = {{"Content-Type", "application/msgpack"}};
-    call.body = encode(message);
-    call.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(message.remaining) + answerTransitTime;
-    return m_client.send(std::move(call), [this, address, done = std::move(done)](http_client::result result) {
+    auto call = makeHostCall(
+        address, relayPath, encode(message), std::chrono::duration_cast<std::chrono::milliseconds>(message.remaining) + answerTransitTime);
+    m_selector.sent(address);
+    return m_client.send(std::move(call), [this, address, token = message.token, done = std::move(done)](http_client::result result) {
         const auto now = monotonic_clock::now();
+        m_selector.ended(address);
         if (!result) {
             if (result.error().failure.code != error_code::cancelled) {
                 m_selector.failed(address, now);
@@ -119,23 +208,14 @@
             done(std::nullopt, !result.error().mayHaveBeenSent);
             return;
         }
-        auto answer = result->status == 200 ? decode<relay_answer>(result->body)
-                                            : expected<relay_answer>(makeError(error_code::notReady, "relay search", "refused", address));
-        if (!answer || !isValid(*answer)) {
+        auto gathered = decodeResult(*result, token, address);
+        if (!gathered) {
             m_selector.failed(address, now);
             done(std::nullopt, false);
             return;
         }
         m_selector.answered(address);
-        relay_result gathered;
-        gathered.end = static_cast<gather_end>(answer->end);
-        for (auto &shard : answer->shards) {
-            gathered.shards.push_back({static_cast<attempt_end>(shard.end), std::move(shard.signature), shard.loadPercent / 100.0});
-        }
-        gathered.records = std::move(answer->records);
-        gathered.hedges = answer->hedges;
-        gathered.retries = answer->retries;
-        done(std::move(gathered), false);
+        done(std::move(*gathered), false);
     });
 }
 
--- a/libs/gateway/src/relayed_request.cpp
+++ b/libs/gateway/src/relayed_request.cpp
@@ -9,6 +9,15 @@
 namespace orioledrum
 {
 
+namespace
+{
+
+/// Upper limit of the times in a message of another host, far above any target latency: their sum with the current time must not
+/// overflow, and the request is kept in memory until then.
+constexpr std::chrono::microseconds maxRelayTime = std::chrono::minutes(1);
+
+} // namespace
+
 std::shared_ptr<relayed_request>
 relayed_request::create(gateway_state &state, const relay_search &message, std::shared_ptr<http_exchange> exchange)
 {
@@ -33,32 +42,54 @@
     received.requestId = message.request;
     received.matchedRoute = partRoute.get();
     received.receivedAt = monotonic_clock::now();
-    received.targetTime = received.receivedAt + message.remaining;
-    received.deadline = received.targetTime;
-    return std::make_shared<relayed_request>(state, std::move(received), std::move(partRoute), message.allowedServers);
+    received.targetTime = received.receivedAt + std::clamp(message.remaining, std::chrono::microseconds(0), maxRelayTime);
+    received.deadline = received.targetTime + std::clamp(message.resumeTime, std::chrono::microseconds(0), maxRelayTime);
+    return std::make_shared<relayed_request>(state, std::move(received), std::move(partRoute), message);
 }
 
 relayed_request::relayed_request(gateway_state &state,
                                  incoming_request received,
                                  std::shared_ptr<const route> partRoute,
-                                 std::vector<server_hashes> allowedServers)
+                                 const relay_search &message)
     : shard_request(state, std::move(received))
+    , m_token(message.token)
     , m_partRoute(std::move(partRoute))
 {
     auto gatherInput = makeGatherInput();
     gatherInput.keepPartial = true;
+    gatherInput.resumable = true;
     gatherInput.minCoverage = 0; // Only the requesting host knows how many shards of the whole search may be missing.
     gatherInput.preferredZone = state.settings.zone;
-    gatherInput.allowedServers = std::move(allowedServers);
+    gatherInput.allowedServers = message.allowedServers;
     createRun(std::move(gatherInput));
 }
 
+bool relayed_request::resume(const relay_resume &message, const std::shared_ptr<http_exchange> &exchange)
+{
+    if (!ended() || !run().finished()) {
+        return false; // The asking host has already resumed it, or has disconnected before the first answer.
+    }
+    const auto now = monotonic_clock::now();
+    reopen(exchange);
+    run().resume(message.neededShards, now);
+    advance(now);
+    return true;
+}
+
+void relayed_request::callEndedAfterAnswer(std::uint64_t attempt, call_outcome &&outcome, http_reply &&reply, time_point now)
+{
+    if (run().finished()) {
+        callEnded(attempt, std::move(outcome), std::move(reply), now);
+    }
+}
+
 void relayed_request::answer(time_point now)
 {
     auto result = run().takeResult();
     relay_answer message;
+    message.token = m_token;
     message.end = static_cast<std::uint8_t>(result.end);
-    const auto unqueuedLatency = callTemplate().profile->unqueuedLatency();
+    const auto unqueuedLatency = callTemplate().profile->unqueuedLatency(now);
     for (std::size_t i = 0; i < result.shards.size(); ++i) {
         auto &shard = result.shards[i];
         const auto expectedLatency = state().registry.expectedTime(m_partRoute->shards[i], unqueuedLatency, now);
--- a/libs/gateway/src/shard_request.cpp
+++ b/libs/gateway/src/shard_request.cpp
@@ -2,7 +2,8 @@
 
 #include <gateway_state.h>
 
-#include <functional>
+#include <base/rendezvous.h>
+
 #include <utility>
 
 namespace orioledrum
@@ -23,7 +24,7 @@
     result.maxServers = route.maxServers;
     result.target = incoming().targetTime;
     result.deadline = incoming().deadline;
-    result.preferenceSeed = std::hash<std::string>{}(incoming().requestId);
+    result.preferenceSeed = rendezvousWeight({}, incoming().requestId);
     return result;
 }
 
--- a/libs/gateway/tests/test_change_follower.cpp
+++ b/libs/gateway/tests/test_change_follower.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+const time_point start{std::chrono::hours(1)};
+
 change_page makePage(std::uint64_t revision, const std::string &nextPageToken = {}, std::vector<std::string> removedServers = {})
 {
     change_page page;
@@ -31,10 +33,10 @@
 {
     change_follower follower({});
     EXPECT_TRUE(follower.nextRead().listPage);
-    EXPECT_FALSE(follower.readCompleted(makePage(10, "next", {"a"})).isFullSnapshot);
+    EXPECT_FALSE(follower.readCompleted(makePage(10, "next", {"a"}), start).isFullSnapshot);
     EXPECT_FALSE(follower.synchronized());
     EXPECT_EQ(follower.nextRead().pageToken, "next");
-    const auto update = follower.readCompleted(makePage(20, "", {"b"}));
+    const auto update = follower.readCompleted(makePage(20, "", {"b"}), start);
     EXPECT_TRUE(update.isFullSnapshot);
     EXPECT_EQ(update.changes.size(), 2U);
     EXPECT_FALSE(follower.nextRead().listPage);
@@ -46,13 +48,13 @@
 TEST(ChangeFollowerTest, listsAgainWhenHistoryIsLost)
 {
     change_follower follower({});
-    follower.readCompleted(makePage(10));
-    follower.readCompleted(makePage(12, "", {"a"}));
+    follower.readCompleted(makePage(10), start);
+    follower.readCompleted(makePage(12, "", {"a"}), start);
     EXPECT_EQ(follower.nextRead().after, 12U);
-    follower.readCompleted(failedRead(error_code::historyLost));
+    follower.readCompleted(failedRead(error_code::historyLost), start);
     EXPECT_TRUE(follower.nextRead().listPage);
     EXPECT_TRUE(follower.nextRead().pageToken.empty());
-    EXPECT_TRUE(follower.readCompleted(makePage(50, "", {"a"})).isFullSnapshot);
+    EXPECT_TRUE(follower.readCompleted(makePage(50, "", {"a"}), start).isFullSnapshot);
     EXPECT_EQ(follower.nextRead().after, 50U);
 }
 
@@ -62,16 +64,16 @@
 {
     change_follower_settings settings;
     change_follower follower(settings);
-    follower.readCompleted(makePage(10));
-    EXPECT_TRUE(follower.readCompleted(failedRead(error_code::unreachable)).disconnected);
-    EXPECT_FALSE(follower.readCompleted(failedRead(error_code::unreachable)).disconnected);
+    follower.readCompleted(makePage(10), start);
+    EXPECT_TRUE(follower.readCompleted(failedRead(error_code::unreachable), start).disconnected);
+    EXPECT_FALSE(follower.readCompleted(failedRead(error_code::unreachable), start).disconnected);
     EXPECT_EQ(follower.nextRead().delay, settings.initialRetryDelay * 2);
     for (int i = 0; i < 50; ++i) {
-        follower.readCompleted(failedRead(error_code::unreachable));
+        follower.readCompleted(failedRead(error_code::unreachable), start);
     }
     EXPECT_EQ(follower.nextRead().delay, settings.maxRetryDelay);
-    EXPECT_TRUE(follower.readCompleted(makePage(11)).reconnected);
-    EXPECT_FALSE(follower.readCompleted(makePage(12)).reconnected);
+    EXPECT_TRUE(follower.readCompleted(makePage(11), start).reconnected);
+    EXPECT_FALSE(follower.readCompleted(makePage(12), start).reconnected);
     EXPECT_EQ(follower.nextRead().delay, milliseconds(0));
 }
 
@@ -79,10 +81,10 @@
 TEST(ChangeFollowerTest, resumesAListAfterAFailedRead)
 {
     change_follower follower({});
-    follower.readCompleted(makePage(10, "next", {"a"}));
-    follower.readCompleted(failedRead(error_code::deadlineExceeded));
+    follower.readCompleted(makePage(10, "next", {"a"}), start);
+    follower.readCompleted(failedRead(error_code::deadlineExceeded), start);
     EXPECT_EQ(follower.nextRead().pageToken, "next");
-    EXPECT_EQ(follower.readCompleted(makePage(11, "", {"b"})).changes.size(), 2U);
+    EXPECT_EQ(follower.readCompleted(makePage(11, "", {"b"}), start).changes.size(), 2U);
 }
 
 // Guards against one read per change when many changes are published close together.
@@ -90,10 +92,60 @@
 {
     change_follower_settings settings;
     change_follower follower(settings);
-    follower.readCompleted(makePage(10));
+    follower.readCompleted(makePage(10), start);
     EXPECT_EQ(follower.nextRead().delay, milliseconds(0));
-    follower.readCompleted(makePage(11, "", {"a"}));
+    follower.readCompleted(makePage(11, "", {"a"}), start);
     EXPECT_EQ(follower.nextRead().delay, settings.batchDelay);
-    follower.readCompleted(makePage(11));
+    follower.readCompleted(makePage(11), start);
     EXPECT_EQ(follower.nextRead().delay, milliseconds(0));
 }
+
+// Load pattern: on a day with trouble, entries of hundreds of backend servers change all the time. Guards against a number of calls that
+// grows with the number of changes, and against isolated changes that are read late.
+TEST(ChangeFollowerTest, readsASeriesOfChangesInFewCalls)
+{
+    change_follower_settings settings;
+    settings.maxBatchDelay = milliseconds(1000);
+    change_follower follower(settings);
+    follower.readCompleted(makePage(10), start);
+    auto now = start;
+    int reads = 0;
+    for (std::uint64_t revision = 11; now < start + std::chrono::seconds(30); ++revision, ++reads) {
+        follower.readCompleted(makePage(revision, "", {"a"}), now);
+        EXPECT_LE(follower.nextRead().delay, settings.maxBatchDelay);
+        now += follower.nextRead().delay + milliseconds(10);
+    }
+    EXPECT_LE(reads, 33);
+    now += std::chrono::seconds(2);
+    follower.readCompleted(makePage(100, "", {"a"}), now);
+    EXPECT_EQ(follower.nextRead().delay, settings.batchDelay);
+}
+
+// Load pattern: after 9 s without the platform, 6,000 changes wait, of which a read returns 500. Guards against a host that is still behind
+// when its bounds on configuration and draining backend servers have passed (11 s behind).
+TEST(ChangeFollowerTest, catchesUpWithABacklogWithoutDelays)
+{
+    change_follower_settings settings;
+    settings.maxBatchDelay = milliseconds(1000);
+    change_follower follower(settings);
+    follower.readCompleted(makePage(10), start);
+    auto now = start;
+    for (std::uint64_t revision = 500; revision <= 6000; revision += 500) {
+        follower.readCompleted(makePage(revision, "", std::vector<std::string>(500, "a")), now);
+        EXPECT_EQ(follower.nextRead().delay, milliseconds(0));
+        now += milliseconds(20);
+    }
+    follower.readCompleted(makePage(6003, "", {"a"}), now);
+    EXPECT_EQ(follower.nextRead().delay, settings.batchDelay);
+}
+
+// Guards against an old list of another host that brings back entries that have gone.
+TEST(ChangeFollowerTest, ignoresAnOlderListOfAnotherHost)
+{
+    change_follower follower({});
+    follower.readCompleted(makePage(10), start);
+    EXPECT_FALSE(follower.listReceived(std::move(makePage(9, "", {"a"}).changes), 9).isFullSnapshot);
+    EXPECT_EQ(follower.revision(), 10U);
+    EXPECT_TRUE(follower.listReceived(std::move(makePage(12, "", {"a"}).changes), 12).isFullSnapshot);
+    EXPECT_EQ(follower.nextRead().after, 12U);
+}
--- a/libs/search/include/search/gather_run.h
+++ b/libs/search/include/search/gather_run.h
@@ -5,6 +5,7 @@
 #include <search/call_outcome.h>
 #include <search/call_run.h>
 #include <search/latency_profile.h>
+#include <search/record_merge.h>
 #include <search/replica_registry.h>
 
 #include <chrono>
@@ -47,6 +48,15 @@
     /// Set together with preferredZone: gather_run::allowedServers() of the asking host. The entries of the two hosts may differ;
     /// if this host selected by its entries, both together could call more than maxServers backend servers of a shard.
     std::vector<server_hashes> allowedServers;
+    /// The run finishes at the target with what it has, and resume() may continue it until the deadline. Set only when this host
+    /// gathers for another host.
+    bool resumable = false;
+};
+
+/// A part whose gathering host is asked to go on with the shards that were missing in its first answer.
+struct part_resume {
+    std::size_t part = 0; ///< Position in gather_input::relays.
+    std::uint32_t neededShards = 0; ///< The gathering host answers as soon as it has this many further shards.
 };
 
 /// How a search ended.
@@ -65,6 +75,7 @@
 /// Outcome of a search for one shard.
 struct gathered_shard {
     /// `served` when the shard has answered. `unreachable` also when it was skipped or no backend server could be called.
+    /// In the result of a resumed run, `abandoned` for the shards of the first result.
     attempt_end end = attempt_end::timedOut;
     std::string signature; ///< Opaque signature that the backend server attaches to its answer.
     double loadFactor = 0; ///< In a relay_result: expected latency of a further call / latency without queueing; 0: unknown.
@@ -98,9 +109,6 @@
     [[nodiscard]] bool succeeded() const { return end == gather_end::complete || end == gather_end::partial; }
 };
 
-/// Size of a record. Records are compared as bytes. A shorter remainder at the end of a body is ignored.
-inline constexpr std::size_t recordBytes = 16;
-
 /// Decides the fan-out of one search to one backend server of each shard. Not thread-safe; the registry and the profile must outlive
 /// the run.
 ///
@@ -109,6 +117,10 @@
 ///
 /// Until the target the run waits for all shards, because an earlier answer has no additional benefit. At the target and later it
 /// finishes as soon as the minimum coverage is reached.
+///
+/// A shard that a gathering host did not deliver in time is slow, not lost. When the results of all parts are in and the minimum
+/// coverage is not reached, the run asks the gathering hosts to go on with their outstanding calls, see takeResumes(). Only the
+/// shards that fail there as well are called by this host.
 class gather_run final : public call_run
 {
 public:
@@ -145,7 +157,9 @@
 
     /// Handles the result of another host. It is ignored when the run no longer waits for it.
     /// @param part Position in gather_input::relays.
-    void relayAnswered(std::size_t part, relay_result &&result, time_point now);
+    /// @return False when the host has gathered nothing although backend servers have room, because it reaches too few of them or is
+    /// slow itself; this host then calls the backend servers. Other hosts should gather the next searches.
+    bool relayAnswered(std::size_t part, relay_result &&result, time_point now);
 
     /// Handles a host that will not answer: this host calls backend servers for the shards of the part. Ignored when the run no
     /// longer waits for the result of the host.
@@ -154,8 +168,21 @@
     ///     retries and need no budget.
     void relayFailed(std::size_t part, bool noCallsSent, time_point now);
 
+    /// Handles the answer of a host to a part_resume.
+    /// @param part Position in gather_input::relays.
+    /// @param result What the host has gathered since its first result; nullopt when it did not answer.
+    void relayResumed(std::size_t part, std::optional<relay_result> &&result, time_point now);
+
+    /// Continues a resumable run that has finished at its target. The next result contains only the records and signatures of shards
+    /// that have answered since takeResult().
+    /// @param neededShards The run finishes when this many further shards have answered, no call is outstanding, or at the deadline.
+    void resume(std::uint32_t neededShards, time_point now);
+
     void wakeup(time_point now) override;
 
+    /// @return The parts to resume that were requested since the previous takeResumes().
+    std::vector<part_resume> takeResumes() { return std::exchange(m_resumes, {}); }
+
     /// @return True while the run waits for the result of the host that gathers a part.
     [[nodiscard]] bool relayPending(std::size_t part) const { return m_relayPending[part]; }
 
@@ -186,6 +213,10 @@
         bool hedged = false;
         bool skipped = false;
         bool relayed = false; // Assigned to another host at the start.
+        bool recoverable = false; // Failed at the gathering host, but may be resumed there or called by this host.
+        bool outstandingAtRelay = false; // Recoverable, and the gathering host had a call outstanding when it answered.
+        bool resumed = false; // The gathering host has been asked to go on with it.
+        bool delivered = false; // Part of a result that was taken before resume().
         // For a shard on which two hosts may work: the backend servers that this host may call, determined on construction.
         std::optional<std::vector<replica_registry::replica_ptr>> allowed;
         std::uint32_t maxServers = 1; // Maximum number of backend servers that this host may call.
@@ -210,6 +241,18 @@
     bool tryRetry(std::size_t shard, attempt_end end, time_point now);
     // Retries a shard after a failed call, or marks it as failed. Does nothing while another call for it is outstanding.
     void handleFailure(std::size_t shard, attempt_end end, time_point now);
+    // True when, by the load that the other host reports and the latencies that this host knows, no shard would answer in time.
+    [[nodiscard]] bool queuesAreTooLong(const relay_result &result, time_point now) const;
+    // Marks an unanswered shard of an answered part as failed; `recoverable` as in shard_state.
+    void markMissingAtRelay(std::size_t shard, attempt_end end, bool recoverable);
+    // Takes over the shards that the gathering host has served, its records and its load hints.
+    void takeRelayedShards(std::size_t part, relay_result &result, time_point now);
+    // Resumes parts and retries shards that are missing there, while the minimum coverage is not reached and no part is pending.
+    void recoverShards(time_point now);
+    // Number of shards that have neither answered nor failed.
+    [[nodiscard]] std::size_t openCount() const { return m_shards.size() - m_answeredCount - m_failedCount; }
+    // Time after which no retry is sent, because its answer would be too late.
+    [[nodiscard]] time_point retryDeadline() const;
     void sendHedges(time_point now);
     // True when the only outstanding call of a shard is older than the hedge delay, or is older than minHedgeAge and its backend
     // server seems to be paused.
@@ -232,6 +275,11 @@
     std::size_t m_answeredCount = 0;
     std::size_t m_failedCount = 0;
     std::size_t m_hedgesLeft = 0;
+    std::size_t m_recoverableCount = 0;
+    std::size_t m_deliveredCount = 0;
+    std::size_t m_resumeGoal = 0; // Number of answered shards at which a resumed run finishes.
+    bool m_resumed = false;
+    std::vector<part_resume> m_resumes;
     std::vector<bool> m_relayPending; // By position in gather_input::relays.
     std::string m_relayRecords; // Records that other hosts have gathered.
     bool m_finished = false;
--- a/libs/search/include/search/relay_selector.h
+++ b/libs/search/include/search/relay_selector.h
@@ -5,9 +5,11 @@
 #include <base/random_source.h>
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace orioledrum
@@ -19,27 +21,46 @@
     zone_id zone;
 };
 
-/// Chooses the entry hosts that gather parts of a search for this host. Not thread-safe.
+/// Chooses the entry hosts that gather parts of a search. All hosts choose the same few hosts for a part, so that these keep connections
+/// to its backend servers in use; with a random choice every host would call every backend server, mostly on new connections. Not
+/// thread-safe.
 class relay_selector
 {
 public:
     /// Backoff after the first failure of a host; doubles with each further failure up to maxBackoff.
     static constexpr std::chrono::milliseconds initialBackoff{500};
     static constexpr std::chrono::milliseconds maxBackoff{4000};
+    /// Minimum number of hosts of a zone among which the host for a part is chosen, if the zone has as many.
+    static constexpr std::size_t minCandidates = 2;
 
-    explicit relay_selector(random_source random);
+    /// @param self Address of this host, "ip:port" for traffic between entry hosts.
+    relay_selector(std::string self, random_source random);
 
-    /// Replaces the list of other live hosts. Hosts that stay in the list keep their backoff state.
+    /// Replaces the list of live hosts, which may contain this host. Hosts that stay in the list keep their backoff state.
     void setHosts(const std::vector<relay_host> &hosts);
 
-    /// Chooses a random host that is not in backoff.
+    /// Chooses a host for a part that is not in backoff: this host if it is a candidate, otherwise the candidate with the fewest
+    /// outstanding searches of this host.
     /// @param zones Availability zones to choose from. Each zone that has such a host is equally likely.
-    /// @param excluded Addresses of hosts that must not be chosen.
+    /// @param partNames Names of all parts of the search; all hosts use the same names in the same order. For each part, the hosts of
+    ///     a zone are ranked by rendezvous hashing. The first ones are the candidates, so that each host is a candidate for about
+    ///     the same number of parts; the next ones replace candidates in backoff.
+    /// @param part Position in partNames.
+    /// @param used Addresses of hosts that already have a part of this search; chosen only when all candidates have one.
     /// @return The host, or nothing when there is none.
-    [[nodiscard]] std::optional<relay_host>
-    choose(const std::vector<zone_id> &zones, time_point now, const std::vector<std::string> &excluded = {});
+    [[nodiscard]] std::optional<relay_host> choose(const std::vector<zone_id> &zones,
+                                                   const std::vector<std::string> &partNames,
+                                                   std::size_t part,
+                                                   time_point now,
+                                                   const std::vector<std::string> &used = {});
 
-    /// Starts the backoff of a host that did not answer in time or could not be reached. Does nothing while its backoff is running.
+    /// Counts a search that was sent to a host, until ended().
+    void sent(const std::string &address);
+    /// Counts a sent search as ended.
+    void ended(const std::string &address);
+
+    /// Starts the backoff of a host that cannot gather: it did not answer in time, could not be reached or reaches no shard of a part.
+    /// Does nothing while its backoff is running.
     void failed(const std::string &address, time_point now);
     /// Resets the length of the next backoff of a host that answered; a running backoff continues.
     void answered(const std::string &address);
@@ -49,10 +70,27 @@
         zone_id zone;
         std::chrono::milliseconds nextBackoff = initialBackoff;
         time_point backoffUntil;
+        std::size_t outstanding = 0;
+    };
+    using relay_entry = std::map<std::string, relay_state>::value_type;
+
+    /// The hosts of a zone in the order in which they are chosen for one part.
+    struct part_ranking {
+        std::size_t candidateCount = 0; // Number of hosts at the front that are candidates.
+        std::vector<relay_entry *> hosts;
     };
 
+    /// @return The ranking for each part.
+    const std::vector<part_ranking> &rankings(const zone_id &zone, const std::vector<std::string> &partNames);
+    /// @return The candidates for a part that are not in backoff, without those in `used` unless there is no other.
+    [[nodiscard]] static std::vector<relay_entry *>
+    candidates(const part_ranking &ranking, time_point now, const std::vector<std::string> &used);
+
+    std::string m_self;
     random_source m_random;
     std::map<std::string, relay_state> m_hosts;
+    // Rankings computed since the last setHosts(), by zone and names of the parts.
+    std::map<std::pair<zone_id, std::vector<std::string>>, std::vector<part_ranking>> m_rankings;
 };
 
 } // namespace orioledrum
--- a/libs/search/include/search/replica_registry.h
+++ b/libs/search/include/search/replica_registry.h
@@ -30,7 +30,10 @@
     extra_call_limits extraCalls;
     double coldFactor = 1.5; ///< Request rate that a cold backend server can take, as a multiple of its configured cold rate.
     double coldSlack = 5; ///< Requests per second added to that rate.
-    std::chrono::microseconds otherZonePenalty{5000}; ///< Added to the expected latency of backend servers of other zones.
+    std::chrono::microseconds otherZonePenalty{5000}; ///< Least addition to the expected latency of backend servers of other zones.
+    /// The addition as a share of the latency without queueing, for long calls: the estimates of two idle backend servers differ by more
+    /// than 5 ms then, and answers from another zone take bandwidth between zones.
+    double otherZoneShare = 0.3;
 };
 
 /// All backend servers that this host may call, by service. Not thread-safe.
--- a/libs/search/src/forward_run.cpp
+++ b/libs/search/src/forward_run.cpp
@@ -45,7 +45,7 @@
 
 bool forward_run::send(bool reuseTried, bool requireFreeSlot, time_point now)
 {
-    const auto unqueuedLatency = m_profile.unqueuedLatency();
+    const auto unqueuedLatency = m_profile.unqueuedLatency(now);
     const auto server = m_registry.choose({&m_input.service, unqueuedLatency, &m_tried, reuseTried, requireFreeSlot}, now);
     if (!server) {
         return false;
--- a/libs/search/src/gather_run.cpp
+++ b/libs/search/src/gather_run.cpp
@@ -1,8 +1,9 @@
 #include <search/gather_run.h>
 
+#include <base/rendezvous.h>
+
 #include <algorithm>
 #include <cmath>
-#include <cstring>
 #include <utility>
 
 namespace orioledrum
@@ -18,8 +19,7 @@
 
 std::uint32_t hashOf(const replica &server)
 {
-    // std::hash gives the same value on all hosts, because they run the same program.
-    return static_cast<std::uint32_t>(std::hash<backend_id>{}(server.entry().id));
+    return static_cast<std::uint32_t>(rendezvousWeight({}, server.entry().id.str()));
 }
 
 } // namespace
@@ -149,7 +149,7 @@
             continue;
         }
         const auto &service = m_input.shards[shard];
-        const auto unqueuedLatency = m_profile.unqueuedLatency();
+        const auto unqueuedLatency = m_profile.unqueuedLatency(now);
         if (const auto time = m_shards[shard].relayed ? m_registry.expectedRelayTime(service, unqueuedLatency, now)
                                                       : m_registry.expectedTime(service, unqueuedLatency, now)) {
             expected.push_back({*time, shard});
@@ -182,7 +182,7 @@
 bool gather_run::send(std::size_t shard, bool reuseTried, bool requireFreeSlot, time_point now)
 {
     auto &state = m_shards[shard];
-    const auto unqueuedLatency = m_profile.unqueuedLatency();
+    const auto unqueuedLatency = m_profile.unqueuedLatency(now);
     const auto server = m_registry.choose(
         {&m_input.shards[shard], unqueuedLatency, &state.tried, reuseTried, requireFreeSlot, state.allowed ? &*state.allowed : nullptr},
         now);
@@ -204,7 +204,7 @@
 
 void gather_run::callEnded(std::uint64_t attempt, call_outcome &&outcome, time_point now)
 {
-    if (m_finished || attempt >= m_shardOfAttempt.size()) {
+    if ((m_finished && !m_input.resumable) || attempt >= m_shardOfAttempt.size()) {
         return;
     }
     const auto shard = m_shardOfAttempt[attempt];
@@ -227,24 +227,32 @@
         state.lastEnd = outcome.end;
         handleFailure(shard, outcome.end, now);
     }
-    finishOrSchedule(now);
+    if (!m_finished) {
+        finishOrSchedule(now);
+    }
 }
 
 void gather_run::handleFailure(std::size_t shard, attempt_end end, time_point now)
 {
     auto &state = m_shards[shard];
-    if (!state.outstanding.empty() || tryRetry(shard, end, now)) {
+    // A finished run sends nothing, even if it may be resumed.
+    if (!state.outstanding.empty() || (!m_finished && tryRetry(shard, end, now))) {
         return;
     }
     state.failed = true;
     ++m_failedCount;
 }
 
+time_point gather_run::retryDeadline() const
+{
+    return m_input.resumable && !m_resumed ? m_input.target : m_input.deadline;
+}
+
 bool gather_run::tryRetry(std::size_t shard, attempt_end end, time_point now)
 {
     auto &state = m_shards[shard];
     auto &budget = m_registry.budget(m_input.shards[shard]);
-    if (now + minRetryTime >= m_input.deadline || state.sendCount > m_input.maxServers || budget.tokens() < 1) {
+    if (now + minRetryTime >= retryDeadline() || state.sendCount > m_input.maxServers || budget.tokens() < 1) {
         return false;
     }
     // A backend server that shed the call or whose connection broke may be called again when no other one can be called.
@@ -258,52 +266,147 @@
     return sent;
 }
 
-void gather_run::relayAnswered(std::size_t part, relay_result &&result, time_point now)
+bool gather_run::queuesAreTooLong(const relay_result &result, time_point now) const
+{
+    const auto untilTarget = std::chrono::duration<double, std::micro>(m_input.target - now).count();
+    const auto unqueuedLatency = static_cast<double>(m_profile.unqueuedLatency(now).count());
+    return std::all_of(result.shards.begin(), result.shards.end(), [&](const gathered_shard &shard) {
+        return shard.loadFactor <= 0 || shard.loadFactor * unqueuedLatency > untilTarget * refuseFactor;
+    });
+}
+
+bool gather_run::relayAnswered(std::size_t part, relay_result &&result, time_point now)
 {
     if (m_finished || !m_relayPending[part]) {
-        return;
+        return true;
     }
-    if (result.end == gather_end::notStarted) {
-        relayFailed(part, true, now); // The other host reaches too few shards and has sent nothing; this host may reach them.
-        return;
+    if (result.end == gather_end::notStarted || (result.end == gather_end::overloaded && !queuesAreTooLong(result, now))) {
+        // The other host has sent nothing: it reaches too few shards, or it is slow itself. This host may reach them in time.
+        relayFailed(part, true, now);
+        return false;
     }
     m_relayPending[part] = false;
     if (result.end == gather_end::overloaded && !minCoverageReached() && m_shardOfAttempt.empty() && m_relayPending.size() == 1) {
         finish(gather_end::overloaded);
-        return;
+        return true;
+    }
+    takeRelayedShards(part, result, now);
+    const auto &positions = m_input.relays[part].shards;
+    for (std::size_t i = 0; i < positions.size(); ++i) {
+        auto &state = m_shards[positions[i]];
+        if (state.answered) {
+            continue;
+        }
+        ++state.sendCount; // Counts the call of the other host.
+        state.maxServers = maxServersAfterRelay();
+        // Calling the backend servers of an overloaded host would add to their queues.
+        const bool recoverable = result.end != gather_end::overloaded;
+        markMissingAtRelay(positions[i], i < result.shards.size() ? result.shards[i].end : attempt_end::broken, recoverable);
+        state.outstandingAtRelay = recoverable && state.lastEnd == attempt_end::timedOut;
     }
+    finishOrSchedule(now);
+    return true;
+}
+
+void gather_run::takeRelayedShards(std::size_t part, relay_result &result, time_point now)
+{
     m_result.hedges += result.hedges;
     m_result.retries += result.retries;
     m_relayRecords += result.records;
     const auto &positions = m_input.relays[part].shards;
     for (std::size_t i = 0; i < positions.size() && i < result.shards.size(); ++i) {
+        auto &state = m_shards[positions[i]];
         if (result.shards[i].loadFactor > 0) {
             m_registry.setLoadHint(m_input.shards[positions[i]], result.shards[i].loadFactor, now);
         }
-        if (result.shards[i].end != attempt_end::served) {
-            continue;
+        if (result.shards[i].end == attempt_end::served) {
+            state.answered = true;
+            state.signature = std::move(result.shards[i].signature);
+            ++m_answeredCount;
         }
-        auto &state = m_shards[positions[i]];
-        state.answered = true;
-        state.signature = std::move(result.shards[i].signature);
-        ++m_answeredCount;
+    }
+}
+
+void gather_run::markMissingAtRelay(std::size_t shard, attempt_end end, bool recoverable)
+{
+    auto &state = m_shards[shard];
+    state.lastEnd = end;
+    state.failed = true;
+    ++m_failedCount;
+    state.recoverable = recoverable;
+    m_recoverableCount += recoverable ? 1 : 0;
+}
+
+void gather_run::relayResumed(std::size_t part, std::optional<relay_result> &&result, time_point now)
+{
+    if (m_finished) {
+        return;
+    }
+    const auto &positions = m_input.relays[part].shards;
+    // A shard that was not asked for may already be in the result; its records could not be told from the others.
+    for (std::size_t i = 0; result && i < result->shards.size(); ++i) {
+        const bool expected = i < positions.size() && m_shards[positions[i]].resumed && !m_shards[positions[i]].answered;
+        if (result->shards[i].end == attempt_end::served && !expected) {
+            result.reset();
+        }
+    }
+    if (result) {
+        takeRelayedShards(part, *result, now);
     }
     for (std::size_t i = 0; i < positions.size(); ++i) {
-        auto &state = m_shards[positions[i]];
-        if (state.answered) {
+        const auto &state = m_shards[positions[i]];
+        if (state.resumed && !state.answered) {
+            markMissingAtRelay(positions[i], result && i < result->shards.size() ? result->shards[i].end : attempt_end::broken, true);
+        }
+    }
+    finishOrSchedule(now);
+}
+
+void gather_run::recoverShards(time_point now)
+{
+    if (m_recoverableCount == 0 || minCoverageReached() || anyRelayPending()) {
+        return;
+    }
+    const auto recover = [this](shard_state &state) {
+        state.recoverable = false;
+        --m_recoverableCount;
+        state.failed = false;
+        --m_failedCount;
+    };
+    const auto neededShards = static_cast<std::uint32_t>(requiredShards() - m_answeredCount);
+    for (std::size_t part = 0; part < m_input.relays.size(); ++part) {
+        bool resumes = false;
+        for (const auto shard : m_input.relays[part].shards) {
+            auto &state = m_shards[shard];
+            if (state.recoverable && std::exchange(state.outstandingAtRelay, false)) {
+                recover(state);
+                state.resumed = true;
+                resumes = true;
+            }
+        }
+        if (resumes) {
+            m_resumes.push_back({part, neededShards});
+        }
+    }
+    for (std::size_t shard = 0; shard < m_shards.size() && m_answeredCount + openCount() < requiredShards(); ++shard) {
+        auto &state = m_shards[shard];
+        if (!state.recoverable) {
             continue;
         }
-        state.lastEnd = i < result.shards.size() ? result.shards[i].end : attempt_end::broken;
-        ++state.sendCount; // Counts the call of the other host.
-        state.maxServers = maxServersAfterRelay();
-        // This host calls backend servers for a missing shard only when the minimum coverage is not reached, no other host can
-        // still add shards, and the gathering host was not overloaded.
-        const bool notNeeded = minCoverageReached() || anyRelayPending() || result.end == gather_end::overloaded;
-        if (notNeeded || !tryRetry(positions[i], state.lastEnd, now)) {
+        recover(state);
+        if (!tryRetry(shard, state.lastEnd, now)) {
             state.failed = true;
             ++m_failedCount;
         }
     }
+}
+
+void gather_run::resume(std::uint32_t neededShards, time_point now)
+{
+    m_finished = false;
+    m_resumed = true;
+    m_result = {};
+    m_resumeGoal = m_deliveredCount + std::max(1U, neededShards);
     finishOrSchedule(now);
 }
 
@@ -395,14 +498,24 @@
     if (m_finished) {
         return;
     }
+    recoverShards(now);
     if (m_answeredCount == m_shards.size()) {
         finish(gather_end::complete);
-    } else if (m_answeredCount + m_failedCount == m_shards.size()) {
+    } else if (openCount() == 0) {
         finish(minCoverageReached() ? gather_end::partial : gather_end::tooFew);
-    } else if (m_shards.size() - m_failedCount < requiredShards()) {
+    } else if (m_shards.size() - m_failedCount + m_recoverableCount < requiredShards()) {
         finish(gather_end::tooFew);
-    } else if (now >= m_input.target && minCoverageReached()) {
-        finish(gather_end::partial);
+    } else if (m_resumed) {
+        // The target has passed; the asking host waits for a certain number of shards.
+        if (m_answeredCount >= m_resumeGoal) {
+            finish(gather_end::partial);
+        } else if (now >= m_input.deadline) {
+            finish(gather_end::late);
+        } else {
+            scheduleWakeup(now);
+        }
+    } else if (now >= m_input.target && (minCoverageReached() || m_input.resumable)) {
+        finish(minCoverageReached() ? gather_end::partial : gather_end::late);
     } else if (now >= m_input.deadline) {
         finish(gather_end::late);
     } else {
@@ -452,34 +565,30 @@
     }
     for (auto &shard : m_shards) {
         const auto missingEnd = shard.failed ? shard.lastEnd : attempt_end::timedOut;
-        m_result.shards.push_back({shard.answered ? attempt_end::served : missingEnd, std::move(shard.signature)});
+        const auto answeredEnd = shard.delivered ? attempt_end::abandoned : attempt_end::served;
+        m_result.shards.push_back({shard.answered ? answeredEnd : missingEnd, std::exchange(shard.signature, {})});
     }
     if (m_result.succeeded() || m_input.keepPartial) {
         mergeRecords();
     }
+    if (m_input.resumable) {
+        m_deliveredCount = m_answeredCount;
+        for (auto &shard : m_shards) {
+            shard.delivered = shard.answered;
+            shard.body.clear();
+        }
+    }
 }
 
 void gather_run::mergeRecords()
 {
-    std::vector<const char *> records;
-    for (auto &shard : m_shards) {
-        if (!shard.answered) {
-            continue;
-        }
-        for (std::size_t offset = 0; offset + recordBytes <= shard.body.size(); offset += recordBytes) {
-            records.push_back(shard.body.data() + offset);
+    std::vector<std::string_view> bodies{m_relayRecords};
+    for (const auto &shard : m_shards) {
+        if (shard.answered) {
+            bodies.push_back(shard.body);
         }
     }
-    for (std::size_t offset = 0; offset + recordBytes <= m_relayRecords.size(); offset += recordBytes) {
-        records.push_back(m_relayRecords.data() + offset);
-    }
-    const auto greater = [](const char *a, const char *b) { return std::memcmp(a, b, recordBytes) > 0; };
-    const auto recordCount = std::min<std::size_t>(m_input.maxRecords, records.size());
-    std::partial_sort(records.begin(), records.begin() + static_cast<std::ptrdiff_t>(recordCount), records.end(), greater);
-    m_result.records.reserve(recordCount * recordBytes);
-    for (std::size_t i = 0; i < recordCount; ++i) {
-        m_result.records.append(records[i], recordBytes);
-    }
+    m_result.records = mergeGreatestRecords(bodies, m_input.maxRecords);
 }
 
 } // namespace orioledrum
--- a/libs/search/src/latency_profile.cpp
+++ b/libs/search/src/latency_profile.cpp
@@ -1,5 +1,7 @@
 #include <search/latency_profile.h>
 
+#include <algorithm>
+
 namespace orioledrum
 {
 
@@ -13,13 +15,18 @@
 } // namespace
 
 latency_profile::latency_profile(std::chrono::microseconds initial)
-    : m_unqueued(initial)
+    : m_initial(initial)
+    , m_unqueued(initial)
     , m_quantile(initial * 3)
 {
 }
 
-void latency_profile::record(std::chrono::microseconds latency)
+void latency_profile::record(std::chrono::microseconds latency, time_point now)
 {
+    if (now - m_lastSampleAt > maxSampleAge && m_unqueued > m_initial) {
+        *this = latency_profile(m_initial); // The old samples would bring the old estimate back.
+    }
+    m_lastSampleAt = now;
     m_histogram.record(latency);
     if (++m_samplesSinceRefresh >= refreshInterval) {
         refresh();
@@ -38,9 +45,9 @@
     }
 }
 
-std::chrono::microseconds latency_profile::unqueuedLatency() const
+std::chrono::microseconds latency_profile::unqueuedLatency(time_point now) const
 {
-    return m_unqueued;
+    return now - m_lastSampleAt > maxSampleAge ? std::min(m_unqueued, m_initial) : m_unqueued;
 }
 
 std::chrono::microseconds latency_profile::quantile(double share) const
--- a/libs/search/src/relay_selector.cpp
+++ b/libs/search/src/relay_selector.cpp
@@ -1,13 +1,25 @@
 #include <search/relay_selector.h>
 
+#include <base/rendezvous.h>
+
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace orioledrum
 {
 
-relay_selector::relay_selector(random_source random)
-    : m_random(random)
+namespace
+{
+
+/// Limit on the stored rankings. There is one for each zone and set of shards, unless route tables change quickly.
+constexpr std::size_t maxRankings = 64;
+
+} // namespace
+
+relay_selector::relay_selector(std::string self, random_source random)
+    : m_self(std::move(self))
+    , m_random(random)
 {
 }
 
@@ -22,27 +34,116 @@
         }
         state.zone = host.zone;
     }
+    m_rankings.clear();
     m_hosts = std::move(updated);
 }
 
-std::optional<relay_host>
-relay_selector::choose(const std::vector<zone_id> &zones, time_point now, const std::vector<std::string> &excluded)
+const std::vector<relay_selector::part_ranking> &relay_selector::rankings(const zone_id &zone, const std::vector<std::string> &partNames)
+{
+    if (m_rankings.size() >= maxRankings) {
+        m_rankings.clear();
+    }
+    const auto [found, created] = m_rankings.try_emplace({zone, partNames});
+    if (!created) {
+        return found->second;
+    }
+    struct ranked_host {
+        std::size_t parts = 0; // Number of earlier parts for which it is a candidate.
+        std::uint64_t weight = 0;
+        relay_entry *entry = nullptr;
+    };
+    std::vector<relay_entry *> hosts;
+    for (auto &entry : m_hosts) {
+        if (entry.second.zone == zone) {
+            hosts.push_back(&entry);
+        }
+    }
+    const auto hostCount = std::max<std::size_t>(1, hosts.size());
+    const auto candidateCount = std::min(hostCount, std::max(minCandidates, (hostCount + partNames.size() - 1) / partNames.size()));
+    std::map<const relay_entry *, std::size_t> partsOfHost;
+    for (const auto &name : partNames) {
+        std::vector<ranked_host> ranked;
+        ranked.reserve(hosts.size());
+        for (auto *entry : hosts) {
+            ranked.push_back({partsOfHost[entry], rendezvousWeight(name, entry->first), entry});
+        }
+        std::sort(ranked.begin(), ranked.end(), [](const ranked_host &left, const ranked_host &right) {
+            return std::tuple(left.parts, right.weight) < std::tuple(right.parts, left.weight);
+        });
+        auto &ranking = found->second.emplace_back();
+        ranking.candidateCount = candidateCount;
+        for (const auto &host : ranked) {
+            if (ranking.hosts.size() < candidateCount) {
+                ++partsOfHost[host.entry];
+            }
+            ranking.hosts.push_back(host.entry);
+        }
+    }
+    return found->second;
+}
+
+std::vector<relay_selector::relay_entry *>
+relay_selector::candidates(const part_ranking &ranking, time_point now, const std::vector<std::string> &used)
+{
+    std::vector<relay_entry *> available;
+    for (auto *entry : ranking.hosts) {
+        if (available.size() < ranking.candidateCount && now >= entry->second.backoffUntil) {
+            available.push_back(entry);
+        }
+    }
+    const auto isUsed = [&](const relay_entry *entry) { return std::find(used.begin(), used.end(), entry->first) != used.end(); };
+    if (!std::all_of(available.begin(), available.end(), isUsed)) {
+        std::erase_if(available, isUsed);
+    }
+    return available;
+}
+
+std::optional<relay_host> relay_selector::choose(const std::vector<zone_id> &zones,
+                                                 const std::vector<std::string> &partNames,
+                                                 std::size_t part,
+                                                 time_point now,
+                                                 const std::vector<std::string> &used)
 {
     // Choose a zone first and then a host in it, so that the backend servers of each zone get the same share of the work
     // however many hosts the zone has.
-    std::map<zone_id, std::vector<const std::string *>> candidates;
-    for (const auto &[address, state] : m_hosts) {
-        const bool allowed = std::find(excluded.begin(), excluded.end(), address) == excluded.end();
-        if (allowed && now >= state.backoffUntil && std::find(zones.begin(), zones.end(), state.zone) != zones.end()) {
-            candidates[state.zone].push_back(&address);
+    std::vector<std::vector<relay_entry *>> candidatesByZone;
+    for (const auto &zone : zones) {
+        auto zoneCandidates = candidates(rankings(zone, partNames)[part], now, used);
+        if (!zoneCandidates.empty()) {
+            candidatesByZone.push_back(std::move(zoneCandidates));
         }
     }
-    if (candidates.empty()) {
+    if (candidatesByZone.empty()) {
         return std::nullopt;
     }
-    const auto zone = std::next(candidates.begin(), static_cast<std::ptrdiff_t>(m_random.below(candidates.size())));
-    const auto &addresses = zone->second;
-    return relay_host{*addresses[m_random.below(addresses.size())], zone->first};
+    auto &zoneCandidates = candidatesByZone[m_random.below(candidatesByZone.size())];
+    const auto self =
+        std::find_if(zoneCandidates.begin(), zoneCandidates.end(), [this](const auto *entry) { return entry->first == m_self; });
+    if (self != zoneCandidates.end()) {
+        return relay_host{m_self, (*self)->second.zone};
+    }
+    // Start at a random position, so that the candidates with the fewest outstanding searches are equally likely.
+    const auto first = zoneCandidates.begin() + static_cast<std::ptrdiff_t>(m_random.below(zoneCandidates.size()));
+    std::rotate(zoneCandidates.begin(), first, zoneCandidates.end());
+    const auto *chosen = *std::min_element(zoneCandidates.begin(), zoneCandidates.end(), [](const auto *left, const auto *right) {
+        return left->second.outstanding < right->second.outstanding;
+    });
+    return relay_host{chosen->first, chosen->second.zone};
+}
+
+void relay_selector::sent(const std::string &address)
+{
+    if (const auto found = m_hosts.find(address); found != m_hosts.end()) {
+        ++found->second.outstanding;
+    }
+}
+
+void relay_selector::ended(const std::string &address)
+{
+    const auto found = m_hosts.find(address);
+    if (found != m_hosts.end() && found->second.outstanding > 0) {
+        --found->second.outstanding;
+    }
 }
 
 void relay_selector::failed(const std::string &address, time_point now)
--- a/libs/search/src/replica_registry.cpp
+++ b/libs/search/src/replica_registry.cpp
@@ -1,5 +1,7 @@
 #include <search/replica_registry.h>
 
+#include <base/rendezvous.h>
+
 #include <algorithm>
 #include <tuple>
 #include <unordered_set>
@@ -146,7 +148,8 @@
 {
     auto cost = candidate.expectedTime(unqueuedLatency, now);
     if (candidate.entry().zone != m_settings.localZone) {
-        cost += m_settings.otherZonePenalty;
+        const auto share = static_cast<double>(unqueuedLatency.count()) * m_settings.otherZoneShare;
+        cost += std::max(m_settings.otherZonePenalty, std::chrono::microseconds(static_cast<std::int64_t>(share)));
     }
     if (candidate.stalled(now)) {
         cost += stalledPenalty;
@@ -259,8 +262,8 @@
     std::vector<ranked> ranking;
     for (const auto &server : replicas) {
         const auto &entry = server->entry();
-        // The rank must be the same on every host. std::hash gives the same value everywhere, since all hosts run the same program.
-        const auto rank = random_source(preference.seed ^ std::hash<backend_id>{}(entry.id)).next();
+        // The rank must be the same on every host, also on hosts that run another build.
+        const auto rank = random_source(preference.seed ^ rendezvousWeight({}, entry.id.str())).next();
         ranking.push_back({entry.zone != preference.zone, rank, server});
     }
     std::sort(ranking.begin(), ranking.end(), [](const ranked &a, const ranked &b) {
--- a/libs/search/tests/fakes/scripted_backends.cpp
+++ b/libs/search/tests/fakes/scripted_backends.cpp
@@ -78,7 +78,7 @@
             const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(m_now - call.sentAt);
             call.server->callEnded(call.attempt, call.reply.end, latency, call.expectedLatency, m_now);
             if (call.reply.end == attempt_end::served) {
-                m_profile.record(latency);
+                m_profile.record(latency, m_now);
             }
             run.callEnded(call.attempt, {call.reply.end, "signature-" + call.server->entry().id.str(), call.reply.body, latency}, m_now);
         } else {
--- a/libs/search/tests/test_gather_run.cpp
+++ b/libs/search/tests/test_gather_run.cpp
@@ -397,3 +397,177 @@
     EXPECT_EQ(gathering.calls("s0-b"), 1);
     EXPECT_EQ(gathering.calls("s1-a") + gathering.calls("s1-b"), 1);
 }
+
+// Load pattern: on a day with trouble, one of 90 shards is a few milliseconds late at its gathering host. Guards against a search that
+// gives up long before its deadline, and against repeated work: the call that is outstanding at the gathering host goes on.
+TEST(GatherRunTest, resumesAShardThatIsLateAtTheGatheringHost)
+{
+    scripted_backends backends(4, 2);
+    auto input = backends.makeInput(milliseconds(60), milliseconds(600), 1);
+    input.relays = {relay_part{{0, 1}, zone_id("zb")}, relay_part{{2, 3}, zone_id("zb")}};
+    int step = 0;
+    const auto result = backends.runSearch(input, [&](gather_run &run, time_point now) {
+        if (step == 0) {
+            ++step;
+            run.relayAnswered(0, {gather_end::partial, {{attempt_end::served, "p0"}, {attempt_end::timedOut, {}}}, makeRecord(1)}, now);
+            EXPECT_TRUE(run.takeResumes().empty()); // The other part may still be enough.
+            EXPECT_FALSE(run.finished());
+            run.relayAnswered(1, {gather_end::complete, {{attempt_end::served, "p2"}, {attempt_end::served, "p3"}}, makeRecord(2)}, now);
+        } else if (step == 1) {
+            ++step;
+            const auto resumes = run.takeResumes();
+            ASSERT_EQ(resumes.size(), 1U);
+            EXPECT_EQ(resumes.front().part, 0U);
+            EXPECT_EQ(resumes.front().neededShards, 1U);
+            run.relayResumed(
+                0, relay_result{gather_end::complete, {{attempt_end::abandoned, {}}, {attempt_end::served, "p1"}}, makeRecord(3)}, now);
+        }
+    });
+    EXPECT_EQ(result.end, gather_end::complete);
+    EXPECT_EQ(result.shards[0].signature, "p0");
+    EXPECT_EQ(result.shards[1].signature, "p1");
+    EXPECT_EQ(result.records, makeRecord(3) + makeRecord(2) + makeRecord(1));
+    EXPECT_EQ(backends.totalCalls(), 0);
+}
+
+// Guards against a search that gives up when a shard has also failed after its part was resumed, although another backend server of the
+// shard could serve it, and against a shard that failed at its gathering host while another part was pending.
+TEST(GatherRunTest, callsBackendServersForShardsThatTheGatheringHostCannotServe)
+{
+    for (const auto end : {attempt_end::timedOut, attempt_end::shed}) {
+        scripted_backends backends(4, 3);
+        setAllBehaviours(backends, 4, {milliseconds(5), attempt_end::served, makeRecord(9)});
+        auto input = backends.makeInput(milliseconds(60), milliseconds(600), 1);
+        input.maxServers = 3;
+        input.relays = {relay_part{{0, 1}, zone_id("zb")}, relay_part{{2, 3}, zone_id("zb")}};
+        bool first = true;
+        const auto result = backends.runSearch(input, [&](gather_run &run, time_point now) {
+            if (std::exchange(first, false)) {
+                run.relayAnswered(0, {gather_end::partial, {{attempt_end::served, "p0"}, {end, {}}}, makeRecord(1)}, now);
+                run.relayAnswered(1, {gather_end::complete, {{attempt_end::served, "p2"}, {attempt_end::served, "p3"}}, {}}, now);
+            }
+            for (const auto &resume : run.takeResumes()) {
+                EXPECT_EQ(end, attempt_end::timedOut); // There is nothing to resume after a refusal.
+                run.relayResumed(resume.part, std::nullopt, now);
+            }
+        });
+        EXPECT_EQ(result.end, gather_end::complete);
+        EXPECT_EQ(result.retries, 1U);
+        EXPECT_EQ(backends.totalCalls(), 1);
+    }
+}
+
+// Guards against extra work for a search that has its minimum coverage: nothing is resumed or called again.
+TEST(GatherRunTest, doesNotResumeWhenTheMinimumCoverageIsReached)
+{
+    scripted_backends backends(4, 2);
+    auto input = backends.makeInput(milliseconds(60), milliseconds(600), 0.75);
+    input.relays = {relay_part{{0, 1, 2, 3}, zone_id("zb")}};
+    const auto result = backends.runSearch(input, [&](gather_run &run, time_point now) {
+        const gathered_shard served{attempt_end::served, "p"};
+        run.relayAnswered(0, {gather_end::partial, {served, served, served, {attempt_end::timedOut, {}}}, {}}, now);
+        EXPECT_TRUE(run.takeResumes().empty());
+    });
+    EXPECT_EQ(result.end, gather_end::partial);
+    EXPECT_EQ(backends.totalCalls(), 0);
+}
+
+// Guards against a record that two results of one part contain, against an answer lost between them, and against a gathering host that
+// answers late: it sends what it has at its target, and on request what has come in since.
+TEST(GatherRunTest, aResumableRunDeliversEachShardOnce)
+{
+    scripted_backends backends(4, 1);
+    auto input = backends.makeInput(milliseconds(50), milliseconds(100), 0);
+    input.keepPartial = true;
+    input.resumable = true;
+    gather_run run(input, backends.registry(), backends.profile());
+    const auto start = backends.now();
+    const auto answer = [&](std::uint64_t attempt, unsigned record, milliseconds after) {
+        run.callEnded(attempt, {attempt_end::served, "p" + std::to_string(record), makeRecord(record), after}, start + after);
+    };
+    run.start(start);
+    ASSERT_EQ(run.takeCalls().size(), 4U);
+    answer(0, 1, milliseconds(20));
+    run.wakeup(start + milliseconds(50));
+    ASSERT_TRUE(run.finished());
+    auto result = run.takeResult();
+    EXPECT_EQ(result.records, makeRecord(1));
+    EXPECT_EQ(result.shards[1].end, attempt_end::timedOut);
+
+    answer(1, 2, milliseconds(55)); // Between the two results.
+    run.callEnded(2, {attempt_end::broken, {}, {}, milliseconds(56)}, start + milliseconds(56));
+    EXPECT_TRUE(run.takeCalls().empty()); // Nobody waits for a retry.
+    run.resume(2, start + milliseconds(60));
+    EXPECT_FALSE(run.finished());
+    answer(3, 3, milliseconds(70));
+    ASSERT_TRUE(run.finished());
+    result = run.takeResult();
+    EXPECT_EQ(result.records, makeRecord(3) + makeRecord(2));
+    EXPECT_EQ(result.shards[0].end, attempt_end::abandoned);
+    EXPECT_TRUE(result.shards[0].signature.empty());
+    EXPECT_EQ(result.shards[1].signature, "p2");
+    EXPECT_EQ(result.shards[2].end, attempt_end::broken);
+    EXPECT_EQ(result.shards[3].signature, "p3");
+}
+
+// Load pattern: a gathering host was slow for 5 s and has measured latencies of its own slowness; it then refuses every part, and each
+// search that asks it fails. Guards against a search that gives up because one host refuses a part, and against calls to backend
+// servers whose queues are too long.
+TEST(GatherRunTest, callsBackendServersWhenASlowHostRefusesAPart)
+{
+    for (const double loadFactor : {1.0, 100.0}) {
+        scripted_backends backends(4, 2);
+        setAllBehaviours(backends, 4, {milliseconds(5), attempt_end::served, makeRecord(1)});
+        auto input = backends.makeInput(milliseconds(60), milliseconds(600), 1);
+        input.relays = {relay_part{{0, 1}, zone_id("zb")}};
+        bool first = true;
+        const auto result = backends.runSearch(input, [&](gather_run &run, time_point now) {
+            if (std::exchange(first, false)) {
+                const gathered_shard refused{attempt_end::timedOut, {}, loadFactor};
+                EXPECT_EQ(run.relayAnswered(0, {gather_end::overloaded, {refused, refused}, {}}, now), loadFactor > 1);
+            }
+        });
+        EXPECT_EQ(result.end, loadFactor > 1 ? gather_end::tooFew : gather_end::complete);
+        EXPECT_EQ(backends.calls("s0-a") + backends.calls("s0-b"), loadFactor > 1 ? 0 : 1);
+    }
+}
+
+// Guards against a host that refuses a kind of search for good: without calls it gets no samples that lower its estimate.
+TEST(LatencyProfileTest, dropsAHighEstimateWithoutRecentSamples)
+{
+    const auto start = time_point(std::chrono::hours(1));
+    latency_profile profile(milliseconds(10));
+    for (int i = 0; i < 3000; ++i) {
+        profile.record(milliseconds(200), start);
+    }
+    EXPECT_GT(profile.unqueuedLatency(start + latency_profile::maxSampleAge), milliseconds(150));
+    const auto later = start + latency_profile::maxSampleAge + milliseconds(1);
+    EXPECT_EQ(profile.unqueuedLatency(later), milliseconds(10));
+    for (int i = 0; i < 64; ++i) {
+        profile.record(milliseconds(20), later);
+    }
+    EXPECT_LT(profile.unqueuedLatency(later), milliseconds(30));
+}
+
+// Guards against a shard that is in the result twice: a resumed part may only bring the shards that were asked for.
+TEST(GatherRunTest, ignoresAResumedPartWithOtherShards)
+{
+    scripted_backends backends(2, 3);
+    setAllBehaviours(backends, 2, {milliseconds(5), attempt_end::served, makeRecord(9)});
+    auto input = backends.makeInput(milliseconds(60), milliseconds(600), 1);
+    input.maxServers = 3;
+    input.relays = {relay_part{{0, 1}, zone_id("zb")}};
+    bool first = true;
+    const auto result = backends.runSearch(input, [&](gather_run &run, time_point now) {
+        if (std::exchange(first, false)) {
+            run.relayAnswered(0, {gather_end::partial, {{attempt_end::served, "p0"}, {attempt_end::timedOut, {}}}, makeRecord(1)}, now);
+        }
+        for (const auto &resume : run.takeResumes()) {
+            const gathered_shard again{attempt_end::served, "again"};
+            run.relayResumed(resume.part, relay_result{gather_end::complete, {again, again}, makeRecord(1) + makeRecord(2)}, now);
+        }
+    });
+    EXPECT_EQ(result.end, gather_end::complete);
+    EXPECT_EQ(result.shards[0].signature, "p0");
+    EXPECT_EQ(result.records, makeRecord(9) + makeRecord(1));
+}
--- a/libs/search/tests/test_replica_registry.cpp
+++ b/libs/search/tests/test_replica_registry.cpp
@@ -35,11 +35,11 @@
         m_registry.put(makeEntry("b", "far"), m_now);
     }
 
-    std::string choose()
+    std::string choose(std::chrono::microseconds latency = callLatency)
     {
         replica_registry::selection_criteria criteria;
         criteria.service = &service;
-        criteria.unqueuedLatency = callLatency;
+        criteria.unqueuedLatency = latency;
         const auto server = m_registry.choose(criteria, m_now);
         return server ? server->entry().id.str() : "";
     }
@@ -69,6 +69,17 @@
     EXPECT_EQ(choose(), "b");
 }
 
+// Load pattern: lookups of 90 ms at single backend servers, all of them idle or nearly so. Guards against answers from another zone that
+// only the random part of the estimate prefers, and against waiting in a long queue of the local zone.
+TEST_F(ReplicaRegistryTest, longCallsStayInTheZoneWhileItIsNotBusy)
+{
+    for (int i = 0; i < 200; ++i) {
+        EXPECT_EQ(choose(milliseconds(90)), "a");
+    }
+    find("a")->setReportedLoad({2, 1, 2}, m_now);
+    EXPECT_EQ(choose(milliseconds(90)), "b");
+}
+
 // Guards against calls to a backend server in an excluded availability zone, and against calls to a draining one while another can
 // be called or after the grace period.
 TEST_F(ReplicaRegistryTest, avoidsDrainingAndExcludedBackendServers)
@@ -245,25 +256,105 @@
 TEST(RelaySelectorTest, doesNotChooseHostsInBackoff)
 {
     const auto now = time_point(std::chrono::hours(1));
-    relay_selector selector(random_source(1));
+    relay_selector selector("h0", random_source(1));
     selector.setHosts({{"h1", zone_id("a")}, {"h2", zone_id("b")}});
     selector.failed("h1", now);
     for (int i = 0; i < 20; ++i) {
-        EXPECT_EQ(selector.choose({zone_id("a"), zone_id("b")}, now)->address, "h2");
+        EXPECT_EQ(selector.choose({zone_id("a"), zone_id("b")}, {"part"}, 0, now)->address, "h2");
     }
-    EXPECT_FALSE(selector.choose({zone_id("a")}, now));
-    EXPECT_TRUE(selector.choose({zone_id("a")}, now + relay_selector::initialBackoff));
-    EXPECT_FALSE(selector.choose({zone_id("c")}, now));
+    EXPECT_FALSE(selector.choose({zone_id("a")}, {"part"}, 0, now));
+    EXPECT_TRUE(selector.choose({zone_id("a")}, {"part"}, 0, now + relay_selector::initialBackoff));
+    EXPECT_FALSE(selector.choose({zone_id("c")}, {"part"}, 0, now));
 }
 
 TEST(RelaySelectorTest, zonesGetEqualShares)
 {
     const auto now = time_point(std::chrono::hours(1));
-    relay_selector selector(random_source(1));
+    relay_selector selector("h0", random_source(1));
     selector.setHosts({{"h1", zone_id("a")}, {"h2", zone_id("a")}, {"h3", zone_id("a")}, {"h4", zone_id("b")}});
     int inB = 0;
     for (int i = 0; i < 1000; ++i) {
-        inB += selector.choose({zone_id("a"), zone_id("b")}, now)->zone == zone_id("b") ? 1 : 0;
+        inB += selector.choose({zone_id("a"), zone_id("b")}, {"part"}, 0, now)->zone == zone_id("b") ? 1 : 0;
     }
     EXPECT_NEAR(inB, 500, 80);
 }
+
+// Guards against connections that are opened for single calls: hosts that choose independently choose the same few hosts for a part,
+// and the next ranked host replaces one in backoff.
+TEST(RelaySelectorTest, allHostsChooseTheSameFewHostsForAPart)
+{
+    const auto now = time_point(std::chrono::hours(1));
+    std::vector<relay_host> hosts;
+    for (int i = 0; i < 20; ++i) {
+        hosts.push_back({"h" + std::to_string(i), zone_id("a")});
+    }
+    std::vector<std::string> parts;
+    for (int i = 0; i < 12; ++i) {
+        parts.push_back("part-" + std::to_string(i));
+    }
+    std::set<std::string> chosen;
+    std::set<std::string> afterFailure;
+    for (std::uint64_t asking = 0; asking < 50; ++asking) {
+        relay_selector selector("other", random_source(asking));
+        selector.setHosts(hosts);
+        for (int i = 0; i < 10; ++i) {
+            chosen.insert(selector.choose({zone_id("a")}, parts, 3, now)->address);
+        }
+        selector.failed(*chosen.begin(), now);
+        for (int i = 0; i < 10; ++i) {
+            afterFailure.insert(selector.choose({zone_id("a")}, parts, 3, now)->address);
+        }
+    }
+    EXPECT_EQ(chosen.size(), relay_selector::minCandidates);
+    EXPECT_EQ(afterFailure.size(), 2U);
+    EXPECT_FALSE(afterFailure.contains(*chosen.begin()));
+}
+
+// Guards against a frozen host that gets further searches before its first one times out.
+TEST(RelaySelectorTest, choosesTheHostWithTheFewestOutstandingSearches)
+{
+    const auto now = time_point(std::chrono::hours(1));
+    relay_selector selector("other", random_source(1));
+    selector.setHosts({{"h1", zone_id("a")}, {"h2", zone_id("a")}});
+    selector.sent("h1");
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(selector.choose({zone_id("a")}, {"part"}, 0, now)->address, "h2");
+    }
+}
+
+// Guards against a host that gathers many parts while others gather none: rendezvous ranks alone give some hosts no part.
+TEST(RelaySelectorTest, hostsAreCandidatesForAboutTheSameNumberOfParts)
+{
+    const auto now = time_point(std::chrono::hours(1));
+    relay_selector selector("other", random_source(1));
+    std::vector<relay_host> hosts;
+    for (int i = 0; i < 20; ++i) {
+        hosts.push_back({"h" + std::to_string(i), zone_id("a")});
+    }
+    selector.setHosts(hosts);
+    std::vector<std::string> parts;
+    for (int i = 0; i < 12; ++i) {
+        parts.push_back("part-" + std::to_string(i));
+    }
+    std::map<std::string, std::set<std::size_t>> partsOfHost;
+    for (std::size_t part = 0; part < parts.size(); ++part) {
+        for (int i = 0; i < 20; ++i) {
+            partsOfHost[selector.choose({zone_id("a")}, parts, part, now)->address].insert(part);
+        }
+    }
+    EXPECT_GE(partsOfHost.size(), 18U);
+    for (const auto &[host, gathered] : partsOfHost) {
+        EXPECT_LE(gathered.size(), 2U) << host;
+    }
+}
+
+TEST(RelaySelectorTest, prefersItselfAsACandidate)
+{
+    const auto now = time_point(std::chrono::hours(1));
+    relay_selector selector("h2", random_source(1));
+    selector.setHosts({{"h1", zone_id("a")}, {"h2", zone_id("a")}});
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(selector.choose({zone_id("a")}, {"part"}, 0, now)->address, "h2");
+    }
+    EXPECT_EQ(selector.choose({zone_id("a")}, {"part"}, 0, now, {"h2"})->address, "h1");
+}
--- /dev/null
+++ b/libs/wire/include/wire/change_messages.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace orioledrum
+{
+
+/// Asks an entry host that reads the platform's changes itself for the changes after a revision.
+struct change_pull {
+    std::uint64_t after = 0; ///< Revision up to which the asking host knows all changes.
+    std::chrono::microseconds wait{0}; ///< How long the answer may be held back until there is a change.
+};
+
+/// The answer to a change_pull.
+struct change_batch {
+    std::uint64_t revision = 0; ///< Revision up to which the answering host knows all changes; may be below change_pull::after.
+    /// Remaining time for which removals of entries are deferred, because the platform was out of reach shortly before.
+    std::chrono::microseconds deferRemovals{0};
+    std::vector<std::string> pages; ///< Changes as the platform has sent them, oldest first, in the platform's encoding.
+    /// Pages of the full list, when the asking host has missed changes that the answering host no longer has; `pages` then contains the
+    /// changes after it. Otherwise empty.
+    std::vector<std::string> listPages;
+};
+
+} // namespace orioledrum
--- a/libs/wire/include/wire/relay_messages.h
+++ b/libs/wire/include/wire/relay_messages.h
@@ -28,6 +28,16 @@
     std::vector<std::vector<std::uint32_t>> allowedServers;
     std::chrono::microseconds targetLatency{0}; ///< Target latency of the route.
     std::chrono::microseconds remaining{0}; ///< Time until the answer must be sent, even if it is partial.
+    /// Time after `remaining` during which outstanding calls go on, so that a relay_resume can fetch their answers.
+    std::chrono::microseconds resumeTime{0};
+    std::uint64_t token = 0; ///< Random number that a relay_resume refers to.
+};
+
+/// Asks the host that has answered a relay_search for the shards that were still outstanding at that time. The answer is a relay_answer
+/// with the records and signatures of further shards only.
+struct relay_resume {
+    std::uint64_t token = 0; ///< relay_search::token.
+    std::uint32_t neededShards = 0; ///< The answer is sent as soon as this many further shards have answered.
 };
 
 /// Outcome of a relay_search for one shard.
@@ -39,6 +49,7 @@
 
 /// The answer to a relay_search.
 struct relay_answer {
+    std::uint64_t token = 0; ///< relay_search::token; an answer with another token belongs to another search.
     std::uint8_t end = 0; ///< Value of gather_end.
     std::vector<relay_shard> shards; ///< In the order of relay_search::shards.
     std::string records; ///< The greatest records of the included shards, in descending order.
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -1,5 +1,6 @@
 #include <wire/codec.h>
 
+#include <wire/change_messages.h>
 #include <wire/control_messages.h>
 #include <wire/order_messages.h>
 #include <wire/relay_messages.h>
@@ -63,7 +64,24 @@
           value.maxServers,
           value.allowedServers,
           value.targetLatency,
-          value.remaining);
+          value.remaining,
+          value.resumeTime,
+          value.token);
+}
+template<typename Visitor>
+void visitFields(relay_resume &value, Visitor &&visit)
+{
+    visit(value.token, value.neededShards);
+}
+template<typename Visitor>
+void visitFields(change_pull &value, Visitor &&visit)
+{
+    visit(value.after, value.wait);
+}
+template<typename Visitor>
+void visitFields(change_batch &value, Visitor &&visit)
+{
+    visit(value.revision, value.deferRemovals, value.pages, value.listPages);
 }
 template<typename Visitor>
 void visitFields(relay_shard &value, Visitor &&visit)
@@ -73,7 +91,7 @@
 template<typename Visitor>
 void visitFields(relay_answer &value, Visitor &&visit)
 {
-    visit(value.end, value.shards, value.records, value.hedges, value.retries);
+    visit(value.token, value.end, value.shards, value.records, value.hedges, value.retries);
 }
 template<typename Visitor>
 void visitFields(shard_answer &value, Visitor &&visit)
@@ -327,6 +345,9 @@
 ORIOLEDRUM_INSTANTIATE_CODEC(digest)
 ORIOLEDRUM_INSTANTIATE_CODEC(relay_search)
 ORIOLEDRUM_INSTANTIATE_CODEC(relay_answer)
+ORIOLEDRUM_INSTANTIATE_CODEC(relay_resume)
+ORIOLEDRUM_INSTANTIATE_CODEC(change_pull)
+ORIOLEDRUM_INSTANTIATE_CODEC(change_batch)
 ORIOLEDRUM_INSTANTIATE_CODEC(config_pull)
 ORIOLEDRUM_INSTANTIATE_CODEC(config_files_message)
 ORIOLEDRUM_INSTANTIATE_CODEC(host_list)
