--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -12,6 +12,7 @@
 import pathlib
 import signal
 import socket
+import struct
 import subprocess
 import threading
 import time
@@ -59,6 +60,12 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def reset_connection(writer):
+    """Closes a connection with a reset. Without lingering off, the other side would see an ordinary end of the data."""
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Store:
     """Key-value store with revisions. Clients read it by prefix and watch for changes after a revision."""
 
@@ -153,6 +160,9 @@
     wrong_id: answers with another Request-Id
     extra_answer: sends a second answer that belongs to no request
     unframed: answers without Content-Length; the body ends when the connection closes
+    unframed_reset: like unframed, but resets the connection 5 bytes before the end of the body
+    endless_head: sends header lines until the caller closes the connection
+    endless_body: sends a body without length until the caller closes the connection
     """
 
     def __init__(self, platform, name, service, zone, slots=2):
@@ -259,10 +269,22 @@
         elif mode == "extra_answer":
             writer.write(make_response(200, answer, payload))
             writer.write(make_response(200, {**answer, "Request-Id": "extra"}, b"late"))
-        elif mode == "unframed":
-            writer.write((f"HTTP/1.1 200 OK\r\nServer-Stamp: {answer['Server-Stamp']}\r\n\r\n").encode() + payload)
-            writer.close()
+        elif mode in ("unframed", "unframed_reset"):
+            head = f"HTTP/1.1 200 OK\r\nServer-Stamp: {answer['Server-Stamp']}\r\n\r\n".encode()
+            if mode == "unframed_reset":
+                writer.write(head + payload[:-5])
+                await asyncio.sleep(0.01)
+                reset_connection(writer)
+            else:
+                writer.write(head + payload)
+                writer.close()
             return False
+        elif mode in ("endless_head", "endless_body"):
+            writer.write(f"HTTP/1.1 200 OK\r\nServer-Stamp: {answer['Server-Stamp']}\r\n".encode())
+            chunk = b"X-Field: value\r\n" * 1000 if mode == "endless_head" else b"\r\n" + b"x" * 65536
+            while True:
+                writer.write(chunk)
+                await writer.drain()
         else:
             writer.write(make_response(200, answer, payload))
         return True
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -72,7 +72,7 @@
     def test_orders_run_at_most_once(self):
         """Guards against orders that run twice, and orders that are refused although they ran, while backend servers fail."""
         self.platform.start_gateway("g1", "z1")
-        modes = ["serve", "drop_answer", "reset", "shed", "fail", "truncate", "wrong_id", "extra_answer", "unframed", "serve"]
+        modes = ["serve", "drop_answer", "reset", "shed", "fail", "truncate", "wrong_id", "extra_answer", "unframed", "unframed_reset"]
         for number in range(120):
             for index in range(2):
                 self.platform.backends[f"single-{index}"].mode = modes[(number + index * 3) % len(modes)]
@@ -89,7 +89,7 @@
         """Guards against a late or extra answer, or one with a wrong Request-Id, that is taken as the answer to another request."""
         self.platform.start_gateway("g1", "z1")
         for backend in self.platform.backends.values():
-            modes = iter(["extra_answer", "serve", "wrong_id", "serve", "truncate", "serve", "unframed"] * 1000)
+            modes = iter(["extra_answer", "serve", "wrong_id", "serve", "truncate", "serve", "unframed", "unframed_reset"] * 1000)
             backend.mode = lambda modes=modes: next(modes)
         for number in range(80):
             request_id = f"fetch{number}"
@@ -98,6 +98,69 @@
                 self.assertEqual(answer.body, b"bytes of " + request_id.encode())
             self.search()
 
+    def test_endless_bytes_of_a_backend_server_harm_no_other_request(self):
+        """Guards against a gateway that runs out of memory, hangs or passes on bytes that are no answer, when backend servers send
+        without end until the caller closes.
+        """
+        self.platform.start_gateway("g1", "z1")
+        troubled = [self.platform.backends[name] for name in ("single-0", "shard0-0", "shard1-0", "shard2-1")]
+        for number, backend in enumerate(troubled):
+            backend.mode = "endless_body" if number % 2 == 0 else "endless_head"
+        for number in range(20):
+            answer = self.platform.get("g1", "/fetch/x", request_id=f"fetch{number}")
+            self.assertLess(answer.seconds, 1.6)
+            if answer.status == 200:
+                self.assertEqual(answer.body, f"bytes of fetch{number}".encode())
+            self.assertEqual(self.search().status, 200)  # Each shard has another backend server.
+            answer = self.platform.get("g1", "/order/x", method="POST", body=b"one", request_id=f"order{number}")
+            runs = self.platform.run_count(f"order{number}")
+            self.assertLessEqual(runs, 1)
+            if answer.status in (408, 421, 429, 503):
+                self.assertEqual(runs, 0)
+        status = pathlib.Path(f"/proc/{self.platform.gateways['g1']['process'].pid}/status").read_text()
+        resident_kb = int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1])
+        self.assertLess(resident_kb, 260 * 1024)  # The memory of the smallest host.
+
+    def test_hosts_read_changes_from_readers_of_their_zone(self):
+        """Guards against calls to the platform that grow with the number of hosts, and against hosts that stop following, or follow too
+        late, when the readers of their zone are killed or stop responding.
+        """
+        names = [f"g{number}" for number in range(5)]
+        for name in names:
+            self.platform.start_gateway(name, "z1")
+        time.sleep(3)  # Until all hosts know each other, and their last waits for the platform are over.
+        before = self.platform.store.calls
+        time.sleep(4)
+        # With the bound of 3 s a call waits 1.6 s: two readers make 5 or 6 calls in 4 s, five hosts 13 to 15.
+        self.assertLessEqual(self.platform.store.calls - before, 7)
+
+        def publish_and_wait(route, remaining):
+            self.platform.publish_routes(extra=[route])
+            for name in remaining:
+                self.platform.wait_until(f"{route} on {name}", lambda: self.platform.get(name, f"/{route}/x").status == 200, 3)
+
+        publish_and_wait("first", names)
+        # When the platform drops its history, the hosts get the list of a reader. A list takes 4 calls here, which all five hosts would
+        # need within the second.
+        self.platform.call_on_loop(self.platform.store.compact_history)
+        before = self.platform.store.calls
+        time.sleep(1)
+        self.assertLessEqual(self.platform.store.calls - before, 14)
+        publish_and_wait("compacted", names)
+        # With two hosts fewer, at least one of the remaining three has to read the platform itself.
+        self.platform.signal("g0", signal.SIGKILL)
+        self.platform.signal("g1", signal.SIGSTOP)
+        publish_and_wait("second", names[2:])
+        self.platform.signal("g2", signal.SIGSTOP)
+        publish_and_wait("third", names[3:])
+        # The operator's change happens while the hosts are stopped; they must not serve by an older state once they know a newer one.
+        for name in ("g1", "g2"):
+            self.platform.signal(name, signal.SIGCONT)
+        publish_and_wait("fourth", names[1:])
+        time.sleep(1)
+        for name in names[1:]:
+            self.assertEqual(self.platform.get(name, "/first/x").status, 404)
+
     def test_a_hanging_backend_server_does_not_delay_searches(self):
         """Guards against searches that wait for a hanging backend server although its shard has another replica.
 
@@ -175,16 +238,55 @@
         self.assertEqual([len(backend.arrivals) for backend in z1_backends], before)
 
     def test_unreadable_entries_are_ignored(self):
-        """Guards against malformed entries that end the process, hide the valid entries or are not logged."""
-        for index, value in enumerate([b"\xff\xfe", b"[]", b'{"service":5}', b'{"service":"single"}']):
+        """Guards against malformed entries that end the process, hide the valid entries, stop the following of changes or are not
+        logged; also after a restart, when they are read with the full list.
+        """
+        entry = ('{"service":"single","address":"127.0.0.1:1","zone":"z1","version":"v1","slots":2,"state":"ready",'
+                 '"warmup_left_ms":0,"seq":1,"born":1}')
+        odd_values = [b"\xff\xfe", b"[]", b'{"service":5}', b'{"service":"single"}', b"[" * 200000 + b"]" * 200000, b'{"a":' * 100000]
+        for old, new in (('"warmup_left_ms":0', '"warmup_left_ms":1e300'), ('"slots":2', '"slots":1e300'), ('"born":1', '"born":2e63'),
+                         ('"born":1', '"born":18446744073709551615'), ('"seq":1', '"seq":1e999'), ("127.0.0.1:1", "127.0.0.1:70000"),
+                         ("127.0.0.1:1", "127.0.0.1:-1"), ("127.0.0.1:1", "999.0.0.1:1"), ('"seq":1', '"seq":1,"seq":{}'),
+                         ('"zone":"z1"', '"zone":["z1"]')):
+            odd_values.append(entry.replace(old, new).encode())
+        for index, value in enumerate(odd_values):
             self.platform.call_on_loop(self.platform.store.put, f"servers/odd-{index}", value)
         self.platform.call_on_loop(self.platform.store.put, "op/other", b"?")
+        # Items without a readable key, in the middle and at the end of the list; a page of the stand-in has 7 items.
+        for name in ("odd-5x", "odd-6x", "odd-7x", "zzz"):
+            self.platform.call_on_loop(self.platform.store.items.__setitem__, f"servers/{name}", {"key": 7})
         self.platform.start_gateway("g1", "z1")
         self.assertEqual(self.search().status, 200)
         self.platform.call_on_loop(self.platform.store.put, "op/config", b"{broken")
         time.sleep(0.6)
         self.assertEqual(self.search().status, 200)
-        self.assertTrue([event for event in self.platform.events("g1") if event["event"] == "unreadable"])
+        unreadable = [event for event in self.platform.events("g1") if event["event"] == "unreadable"]
+        self.assertGreaterEqual(len(unreadable), len(odd_values))
+        self.platform.publish_routes(extra=["later"])
+        self.platform.wait_until("the new route", lambda: self.platform.get("g1", "/later/x").status == 200, 3)
+        self.platform.signal("g1", signal.SIGKILL)
+        self.platform.gateways["g1"]["process"].wait(5)
+        self.platform.start_gateway("g2", "z1")
+        self.assertEqual(self.search("g2").status, 200)
+        self.assertIsNone(self.platform.gateways["g2"]["process"].poll())
+
+    def test_many_changed_entries_are_logged_in_few_lines(self):
+        """Guards against log lines that grow with the number of hosts times the number of entries: 737,000 lines were seen in 26 s."""
+        self.platform.start_gateway("g1", "z1")
+        time.sleep(0.5)
+
+        def publish_all():
+            for number in range(400):
+                self.platform.store.put(f"servers/bulk-{number}", {
+                    "service": "bulk", "address": f"127.0.0.1:{20000 + number}", "zone": "z1", "version": "v1", "slots": 2,
+                    "state": "ready", "warmup_left_ms": 0, "seq": 1, "born": 1})
+
+        before = len(self.platform.events("g1"))
+        self.platform.call_on_loop(publish_all)
+        self.platform.wait_until("the entries", lambda: any(
+            event["event"] == "backendServers" for event in self.platform.events("g1")), 4)
+        time.sleep(1)
+        self.assertLess(len(self.platform.events("g1")) - before, 60)
 
     def test_a_planned_stop_cuts_no_request(self):
         """Guards against requests without a successful answer while a gateway stops, on keep-alive and on new connections.
@@ -217,6 +319,38 @@
         self.assertLess(time.monotonic() - began, 6)
         self.assertEqual(set(answers), {200})
 
+    def test_a_planned_stop_answers_each_accepted_connection(self):
+        """Guards against connections that were accepted shortly before the process ends, and whose request comes a little later or is
+        on its way between hosts: each of them must be answered, or be refused before it is accepted.
+        """
+        self.platform.start_gateway("g1", "z1")
+        self.platform.start_gateway("g2", "z1")
+        outcomes = []
+
+        async def late_caller(number):
+            while True:
+                try:
+                    reader, writer = await asyncio.open_connection("127.0.0.1", self.platform.gateways["g1"]["ports"]["callers"])
+                except OSError:
+                    return
+                await asyncio.sleep(0.04)
+                try:
+                    outcomes.append((await self.platform.send("g1", "/fetch/x", connection=[reader, writer])).status)
+                finally:
+                    writer.close()
+                await asyncio.sleep(0.005 * number)
+
+        async def load():
+            await asyncio.gather(*(late_caller(number) for number in range(6)))
+
+        future = asyncio.run_coroutine_threadsafe(load(), self.platform.loop)
+        time.sleep(0.3)
+        self.platform.signal("g1", signal.SIGTERM)
+        future.result(20)
+        self.assertEqual(self.platform.gateways["g1"]["process"].wait(8), 0)
+        self.assertGreater(len(outcomes), 100)
+        self.assertEqual(set(outcomes), {200})
+
     def test_refuses_and_reports_itself_when_cut_off(self):
         """Guards against a gateway that, without reachable backend servers, stays ready, keeps caller connections open or does not
         refuse searches at once, and against one that does not become ready when the backend servers return.
