Divide limits in whole calls, and among hosts that may not know each other yet

Cause, from reading: when each of 118 hosts assumed ten, right after a common start, they had 7,434 extra calls of a slack of 630. A floor of 3 outstanding calls a host made 354 on a backend server that takes 175 connections. A part of a cold rate below one call was refused by every host. Change: limit_share divides a limit in whole calls; host_ranking ranks the hosts for each backend server, those of its zone first; host_counter decides when a host knows all others. In the first 10 s of a process it may make 2 extra calls to a service that it has not earned, because an earlier process may have used its part in the same window of the users.

--- a/libs/gateway/src/gateway_metrics.h
+++ b/libs/gateway/src/gateway_metrics.h
@@ -39,7 +39,7 @@
     void addExtraCalls(std::uint32_t hedges, std::uint32_t retries);
     void setConfigVersion(std::uint64_t version);
     void setBackendServers(std::size_t count);
-    /// @param count Entry hosts that share limits, or the number assumed while others may be unknown, see host_link::assumedHosts.
+    /// @param count Entry hosts that share limits, or the number assumed while others may be unknown, see host_counter::assumedHosts.
     void setHosts(std::size_t count);
     void setReady(bool ready);
     void platformReadFailed();
--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -39,9 +39,9 @@
     , m_reader(reader)
     , m_membership(makeSettings(state.settings, std::move(seeds)), random_source::fromSystem(), monotonic_clock::now())
     , m_timer(state.context)
-    , m_startedAt(monotonic_clock::now())
+    , m_counter(monotonic_clock::now(), state.settings.extraCalls.slack)
 {
-    updateHostCount();
+    updateSharingHosts();
 }
 
 void host_link::start()
@@ -62,7 +62,7 @@
 void host_link::tick()
 {
     apply(m_membership.tick(monotonic_clock::now()));
-    updateHostCount();
+    updateSharingHosts();
     dropExpiredSearches(monotonic_clock::now());
     m_timer.expires_after(tickInterval);
     m_timer.async_wait([this](const asio::error_code &code) {
@@ -72,18 +72,30 @@
     });
 }
 
-void host_link::updateHostCount()
+void host_link::updateSharingHosts()
 {
     const auto now = monotonic_clock::now();
-    auto hostCount = static_cast<std::uint32_t>(m_membership.view()->members.size());
-    if (hostCount == 1 || now - m_startedAt < settleTime) {
-        hostCount = std::max(hostCount, assumedHosts);
+    const auto view = m_membership.view();
+    m_counter.update(view->members.size(), now);
+    sharing_hosts sharing;
+    sharing.hostCount = m_counter.hostCount();
+    sharing.slackHosts = m_counter.slackHosts(now);
+    sharing.settled = m_counter.settled();
+    for (const auto &member : view->members) {
+        sharing.hosts.push_back({member.host, member.zone});
     }
-    updateRelays();
-    if (hostCount != std::exchange(m_hostCount, hostCount)) {
-        m_state.registry.setHostCount(hostCount);
-        m_state.log.write("hosts", "sharingHosts", {{"hosts", std::int64_t{hostCount}}});
+    if (sharing != m_sharing) {
+        m_state.registry.setHosts(
+            host_ranking({m_state.settings.host, m_state.settings.zone}, sharing.hosts, sharing.hostCount, sharing.settled),
+            sharing.slackHosts);
+        if (sharing.hostCount != m_sharing.hostCount || sharing.settled != m_sharing.settled) {
+            m_state.log.write("hosts",
+                              "sharingHosts",
+                              {{"hosts", std::int64_t{sharing.hostCount}}, {"settled", std::int64_t{sharing.settled}}});
+        }
+        m_sharing = std::move(sharing);
     }
+    updateRelays();
 }
 
 void host_link::handleRelaySearch(const http_request &request, std::shared_ptr<http_exchange> exchange)
--- a/libs/gateway/src/host_link.h
+++ b/libs/gateway/src/host_link.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <host_counter.h>
 #include <membership/membership.h>
+#include <search/host_ranking.h>
 #include <transport/http_client.h>
 #include <transport/http_handler.h>
 
@@ -9,6 +11,7 @@
 #include <cstdint>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace orioledrum
 {
@@ -25,11 +28,6 @@
 class host_link final : public http_handler
 {
 public:
-    /// Minimum number of hosts assumed to share the limits while no other host is known, and until settleTime has passed.
-    static constexpr std::uint32_t assumedHosts = 10;
-    /// Time after the start within which hosts that start at the same time may not know each other yet.
-    static constexpr std::chrono::seconds settleTime{4};
-
     host_link(gateway_state &state, http_client &client, publication_reader &reader, std::vector<std::string> seeds);
 
     /// Starts the heartbeats.
@@ -42,6 +40,15 @@
     void handle(http_request request, std::shared_ptr<http_exchange> exchange) override;
 
 private:
+    /// The hosts that share limits, and for how many hosts the limits are divided.
+    struct sharing_hosts {
+        std::vector<host_ranking::ranked_host> hosts;
+        std::uint32_t hostCount = 0;
+        std::uint32_t slackHosts = 0;
+        bool settled = false;
+        bool operator==(const sharing_hosts &) const = default;
+    };
+
     void handleRelaySearch(const http_request &request, std::shared_ptr<http_exchange> exchange);
     void handleRelayResume(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
     /// Drops relayed searches that can no longer be resumed.
@@ -49,8 +56,8 @@
     void tick();
     void apply(const membership_actions &actions);
     void send(const send_digest &action);
-    /// Updates the number of hosts that share limits, and calls updateRelays().
-    void updateHostCount();
+    /// Passes the hosts that share limits to the registry when they have changed, and calls updateRelays().
+    void updateSharingHosts();
     /// Passes the live hosts to the relay client and the publication reader when the membership view has changed.
     void updateRelays();
 
@@ -61,8 +68,8 @@
     std::shared_ptr<const membership_view> m_relayView; // View that was last passed to the relay client.
     std::unordered_map<std::uint64_t, std::shared_ptr<relayed_request>> m_relayedSearches; // By relay_search::token.
     asio::steady_timer m_timer;
-    time_point m_startedAt;
-    std::uint32_t m_hostCount = 0;
+    host_counter m_counter;
+    sharing_hosts m_sharing; // As last passed to the registry.
 };
 
 } // namespace orioledrum
--- a/libs/limits/include/limits/extra_call_budget.h
+++ b/libs/limits/include/limits/extra_call_budget.h
@@ -30,7 +30,8 @@
     /// @param hosts Number of hosts that split the slack, at least 1.
     extra_call_budget(extra_call_limits limits, std::uint32_t hosts);
 
-    /// Changes the number of hosts that split the slack.
+    /// Changes the number of hosts that split the slack. The first time that the capacity exceeds all earlier ones, the difference is
+    /// added as tokens.
     void setHosts(std::uint32_t hosts);
 
     /// Adds a fraction of a token (the share times shareSafetyFactor) for the first call of a request.
@@ -51,6 +52,7 @@
 
 private:
     double m_slack;
+    double m_granted; // Tokens given without a request: the highest capacity so far.
     token_bucket m_tokens;
 };
 
--- a/libs/limits/include/limits/token_bucket.h
+++ b/libs/limits/include/limits/token_bucket.h
@@ -33,6 +33,9 @@
     /// Adds the tokens for the given number of ordinary calls.
     void add(double calls) { m_tokens = std::min(m_capacity, m_tokens + calls * m_tokensPerCall); }
 
+    /// Adds tokens without ordinary calls.
+    void grant(double tokens) { m_tokens = std::min(m_capacity, m_tokens + tokens); }
+
     /// Takes a token, if one is available.
     /// @return True when a token was taken.
     bool tryAcquire()
--- a/libs/limits/src/cold_rate_limit.cpp
+++ b/libs/limits/src/cold_rate_limit.cpp
@@ -1,17 +1,14 @@
 #include <limits/cold_rate_limit.h>
 
-#include <algorithm>
-
 namespace orioledrum
 {
 
-bool cold_rate_limit::tryAcquire(double callsPerWindow, std::uint32_t hosts, time_point now)
+bool cold_rate_limit::tryAcquire(double callsPerWindow, limit_share share, time_point now)
 {
     while (!m_sendTimes.empty() && now - m_sendTimes.front() >= window) {
         m_sendTimes.pop_front();
     }
-    const double callsPerHost = callsPerWindow / std::max(1U, hosts);
-    if (static_cast<double>(m_sendTimes.size()) + 1 > callsPerHost) {
+    if (m_sendTimes.size() >= share.divide(callsPerWindow, 1)) {
         return false;
     }
     m_sendTimes.push_back(now);
--- a/libs/limits/src/extra_call_budget.cpp
+++ b/libs/limits/src/extra_call_budget.cpp
@@ -17,13 +17,19 @@
 
 extra_call_budget::extra_call_budget(extra_call_limits limits, std::uint32_t hosts)
     : m_slack(limits.slack)
+    , m_granted(slackPerHost(limits.slack, hosts))
     , m_tokens(limits.share * shareSafetyFactor, slackPerHost(limits.slack, hosts), slackPerHost(limits.slack, hosts))
 {
 }
 
 void extra_call_budget::setHosts(std::uint32_t hosts)
 {
-    m_tokens.setCapacity(slackPerHost(m_slack, hosts));
+    const auto capacity = slackPerHost(m_slack, hosts);
+    m_tokens.setCapacity(capacity);
+    if (capacity > m_granted) {
+        m_tokens.grant(capacity - m_granted);
+        m_granted = capacity;
+    }
 }
 
 void extra_call_budget::recordFirstCall()
--- a/libs/limits/tests/test_shared_limits.cpp
+++ b/libs/limits/tests/test_shared_limits.cpp
@@ -1,5 +1,6 @@
 #include <limits/cold_rate_limit.h>
 #include <limits/extra_call_budget.h>
+#include <limits/limit_share.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -77,14 +78,15 @@
 // Guards against hosts that together send more calls within a second to a cold backend server than its limit.
 RC_GTEST_PROP(ColdRateLimitTest, hostsTogetherStayWithinTheRate, ())
 {
-    const auto hosts = *rc::gen::inRange<std::uint32_t>(1, 9);
+    const auto hosts = *rc::gen::inRange<std::uint32_t>(1, 40);
     const double perWindow = 17;
     std::vector<cold_rate_limit> limits(hosts);
     std::deque<time_point> sent;
     auto now = startTime;
     for (int i = 0; i < 2000; ++i) {
         now += milliseconds(*rc::gen::inRange(0, 20));
-        if (limits[static_cast<std::size_t>(*rc::gen::inRange<std::uint32_t>(0, hosts))].tryAcquire(perWindow, hosts, now)) {
+        const auto host = *rc::gen::inRange<std::uint32_t>(0, hosts);
+        if (limits[host].tryAcquire(perWindow, {hosts, host}, now)) {
             sent.push_back(now);
         }
         while (!sent.empty() && now - sent.front() >= std::chrono::seconds(1)) {
@@ -98,7 +100,39 @@
 TEST(ColdRateLimitTest, allowsCallsAgainAfterTheWindow)
 {
     cold_rate_limit limit;
-    EXPECT_TRUE(limit.tryAcquire(2, 2, startTime));
-    EXPECT_FALSE(limit.tryAcquire(2, 2, startTime + milliseconds(500)));
-    EXPECT_TRUE(limit.tryAcquire(2, 2, startTime + cold_rate_limit::window));
+    EXPECT_TRUE(limit.tryAcquire(2, {2, 0}, startTime));
+    EXPECT_FALSE(limit.tryAcquire(2, {2, 0}, startTime + milliseconds(500)));
+    EXPECT_TRUE(limit.tryAcquire(2, {2, 0}, startTime + cold_rate_limit::window));
+}
+
+// Guards against parts of a limit that add up to more than the limit, or that leave most of it unused, in fleets of any size.
+TEST(LimitShareTest, partsOfAllHostsAddUpToTheLimit)
+{
+    for (const std::uint32_t hosts : {1U, 2U, 5U, 29U, 118U, 139U, 300U, 3900U}) {
+        for (const double limit : {0.0, 0.9, 1.0, 20.0, 57.0, 175.0, 417.5, 5000.0}) {
+            for (const std::uint32_t usefulCalls : {1U, 3U}) {
+                double sum = 0;
+                for (std::uint32_t rank = 0; rank < hosts; ++rank) {
+                    sum += limit_share{hosts, rank}.divide(limit, usefulCalls);
+                }
+                EXPECT_LE(sum, limit) << hosts << " hosts";
+                EXPECT_GE(sum, std::min(limit / 2, limit - usefulCalls)) << hosts << " hosts, limit " << limit;
+            }
+        }
+    }
+}
+
+// Guards against hosts that restart and get their part of the slack a second time within the users' window.
+TEST(ExtraCallBudgetTest, aHigherCapacityIsGrantedOnce)
+{
+    extra_call_budget budget({0.2, 20}, 10);
+    EXPECT_TRUE(budget.tryAcquireRetry());
+    budget.setHosts(4);
+    budget.setHosts(10);
+    budget.setHosts(4);
+    int taken = 0;
+    while (budget.tryAcquireRetry()) {
+        ++taken;
+    }
+    EXPECT_LE(taken, 4);
 }
--- a/libs/membership/tests/test_large_fleet.cpp
+++ b/libs/membership/tests/test_large_fleet.cpp
@@ -7,7 +7,7 @@
 
 // Load pattern: all 118 hosts of a fleet start at the same moment, and again after a power loss under traffic. Guards against hosts that
 // share limits by a wrong number of hosts, and choose gathering hosts among a few, for many seconds.
-// 3 s is one second before host_link::settleTime, from which hosts trust their view.
+// 3 s is one second before host_counter::maxSettleTime, from which hosts trust their view in any case.
 TEST(Membership, LargeFleetKnowsItselfSoonAfterACommonStart)
 {
     constexpr std::size_t hosts = 118;
--- a/libs/search/include/search/replica_registry.h
+++ b/libs/search/include/search/replica_registry.h
@@ -5,6 +5,7 @@
 #include <base/random_source.h>
 #include <config/route_table.h>
 #include <limits/extra_call_budget.h>
+#include <search/host_ranking.h>
 #include <search/replica.h>
 
 #include <chrono>
@@ -54,8 +55,8 @@
     /// of the limit on outstanding calls, this host's share of the connections.
     /// The other half is reserved for connections that the backend server still counts although their host has lost power.
     static constexpr std::chrono::milliseconds connectionPenalty{40};
-    /// Lower bound of the limit on outstanding calls to one backend server. With a limit of 1, a single paused call would make the
-    /// backend server unavailable.
+    /// Limit on outstanding calls to one backend server that is useful to a host. With a limit of 1, a single paused call would make the
+    /// backend server unavailable. When the connections do not suffice for all hosts, those of low rank get this limit.
     static constexpr std::uint32_t minCallLimit = 3;
     /// Age above which a load hint of another host is ignored.
     static constexpr std::chrono::milliseconds maxHintAge{250};
@@ -81,8 +82,9 @@
     void setExcludedZones(std::set<zone_id> zones, time_point now);
     /// Sets the route table from which the limits of services are read.
     void setRouteTable(std::shared_ptr<const route_table> table);
-    /// Sets the number of entry hosts that share the limits of a service, including this host; 0 counts as 1.
-    void setHostCount(std::uint32_t hosts);
+    /// Sets the entry hosts that share the limits of backend servers and services.
+    /// @param slackHosts Number of hosts that divide the slack of extra calls, at least 1.
+    void setHosts(host_ranking hosts, std::uint32_t slackHosts);
 
     /// Criteria by which choose() selects a backend server.
     struct selection_criteria {
@@ -142,7 +144,7 @@
     [[nodiscard]] extra_call_budget &budget(const service_id &service);
 
     [[nodiscard]] std::size_t size() const { return m_byId.size(); }
-    [[nodiscard]] std::uint32_t hostCount() const { return m_hostCount; }
+    [[nodiscard]] std::uint32_t hostCount() const { return m_hosts.hostCount(); }
     /// @return The backend servers of a service.
     [[nodiscard]] std::vector<replica_ptr> replicas(const service_id &service) const;
 
@@ -170,7 +172,8 @@
     time_point m_deferRemovalsUntil;
     std::set<zone_id> m_excludedZones;
     std::shared_ptr<const route_table> m_routeTable;
-    std::uint32_t m_hostCount = 1;
+    host_ranking m_hosts;
+    std::uint32_t m_slackHosts = 1;
 };
 
 } // namespace orioledrum
--- a/libs/search/src/replica_registry.cpp
+++ b/libs/search/src/replica_registry.cpp
@@ -113,12 +113,13 @@
     m_routeTable = std::move(table);
 }
 
-void replica_registry::setHostCount(std::uint32_t hosts)
+void replica_registry::setHosts(host_ranking hosts, std::uint32_t slackHosts)
 {
-    m_hostCount = std::max(1U, hosts);
+    m_hosts = std::move(hosts);
+    m_slackHosts = slackHosts;
     for (auto &[id, state] : m_services) {
         if (state.budget) {
-            state.budget->setHosts(m_hostCount);
+            state.budget->setHosts(m_slackHosts);
         }
     }
 }
@@ -127,7 +128,7 @@
 {
     auto &state = m_services[service];
     if (!state.budget) {
-        state.budget = std::make_unique<extra_call_budget>(m_settings.extraCalls, m_hostCount);
+        state.budget = std::make_unique<extra_call_budget>(m_settings.extraCalls, m_slackHosts);
     }
     return *state.budget;
 }
@@ -141,7 +142,14 @@
 std::size_t replica_registry::callLimit(const replica &candidate) const
 {
     const std::uint32_t connections = m_routeTable ? m_routeTable->service(candidate.entry().service).maxConnections : 0;
-    return connections == 0 ? SIZE_MAX : std::max(minCallLimit, connections / m_hostCount);
+    if (connections == 0) {
+        return SIZE_MAX;
+    }
+    if (!m_hosts.settled()) {
+        return minCallLimit;
+    }
+    const std::uint32_t evenPart = connections / m_hosts.hostCount();
+    return evenPart >= minCallLimit ? evenPart : m_hosts.shareOf(candidate.entry()).divide(connections, minCallLimit);
 }
 
 std::chrono::microseconds replica_registry::cost(const replica &candidate, std::chrono::microseconds unqueuedLatency, time_point now) const
@@ -178,7 +186,10 @@
     if (rate <= 0) {
         return true;
     }
-    return candidate.coldRate().tryAcquire(rate * m_settings.coldFactor + m_settings.coldSlack, m_hostCount, now);
+    // Hosts that do not know each other yet could together exceed the limit many times.
+    return m_hosts.settled()
+        && candidate.coldRate().tryAcquire(
+            rate * m_settings.coldFactor + m_settings.coldSlack, m_hosts.shareOf(candidate.entry()), now);
 }
 
 replica_registry::replica_ptr replica_registry::choose(const selection_criteria &criteria, time_point now)
--- a/libs/search/tests/fakes/scripted_backends.cpp
+++ b/libs/search/tests/fakes/scripted_backends.cpp
@@ -13,12 +13,21 @@
     return record;
 }
 
+host_ranking makeHosts(std::uint32_t count)
+{
+    std::vector<host_ranking::ranked_host> hosts;
+    for (std::uint32_t host = 0; host < count; ++host) {
+        hosts.push_back({entry_host_id("h" + std::to_string(host)), zone_id("za")});
+    }
+    return host_ranking(hosts.front(), hosts);
+}
+
 scripted_backends::scripted_backends(std::size_t shards, std::size_t replicas, extra_call_limits limits)
     : m_shards(shards)
     , m_registry({zone_id("za"), limits, 1.5, 5}, random_source(7))
     , m_now(std::chrono::hours(1))
 {
-    m_registry.setHostCount(2);
+    m_registry.setHosts(makeHosts(2), 2);
     for (std::size_t shard = 0; shard < shards; ++shard) {
         for (std::size_t i = 0; i < replicas; ++i) {
             replica_entry entry;
--- a/libs/search/tests/fakes/scripted_backends.h
+++ b/libs/search/tests/fakes/scripted_backends.h
@@ -74,4 +74,7 @@
 /// @return A record; records sort in the order of their numbers.
 std::string makeRecord(unsigned number);
 
+/// @return `count` hosts that share limits, among them this host.
+host_ranking makeHosts(std::uint32_t count);
+
 } // namespace orioledrum
--- a/libs/search/tests/test_replica_registry.cpp
+++ b/libs/search/tests/test_replica_registry.cpp
@@ -1,3 +1,4 @@
+#include <fakes/scripted_backends.h>
 #include <search/relay_selector.h>
 #include <search/replica_registry.h>
 
@@ -183,7 +184,7 @@
     limits.id = service;
     limits.maxConnections = 12;
     m_registry.setRouteTable(*route_table::create(1, {}, {limits}, {}));
-    m_registry.setHostCount(3);
+    m_registry.setHosts(makeHosts(3), 3);
     for (const char *id : {"a", "b"}) {
         for (std::uint64_t call = 0; call < 4; ++call) {
             EXPECT_FALSE(choose().empty());
@@ -200,7 +201,7 @@
     limits.id = service;
     limits.maxColdRequestsPerSecond = 10;
     m_registry.setRouteTable(*route_table::create(1, {}, {limits}, {}));
-    m_registry.setHostCount(4); // (10 * 1.5 + 5) / 4 = 5 calls for each host.
+    m_registry.setHosts(makeHosts(4), 4); // (10 * 1.5 + 5) / 4 = 5 calls for each host.
     m_registry.remove(backend_id("b"), m_now);
     find("a")->setCold(milliseconds(3000), m_now);
     int sent = 0;
@@ -210,6 +211,65 @@
     EXPECT_EQ(sent, 5);
 }
 
+// Load pattern: 118 hosts share backend servers with 175 connections and, while cold, 20 calls in a second. Guards against parts that
+// add up to more (a floor of 3 calls a host made 354), and against cold backend servers that no host may call because an even part is
+// below one call.
+TEST_F(ReplicaRegistryTest, manyHostsShareALimitInWholeCalls)
+{
+    constexpr std::uint32_t hosts = 118;
+    std::vector<host_ranking::ranked_host> fleet;
+    for (std::uint32_t host = 0; host < hosts; ++host) {
+        fleet.push_back({entry_host_id("h" + std::to_string(host)), zone_id(host % 6 == 0 ? "near" : "zone-" + std::to_string(host % 6))});
+    }
+    route_service limits;
+    limits.id = service;
+    limits.maxConnections = 175;
+    limits.maxColdRequestsPerSecond = 10;
+    const auto table = *route_table::create(1, {}, {limits}, {});
+    std::uint32_t connections = 0;
+    std::uint32_t coldCalls = 0;
+    for (const auto &host : fleet) {
+        for (const bool cold : {false, true}) {
+            replica_registry registry({host.zone, {0.2, 630}, 1.5, 5}, random_source(3));
+            registry.setRouteTable(table);
+            registry.setHosts(host_ranking(host, fleet), hosts);
+            registry.put(makeEntry("a", "near"), m_now);
+            if (cold) {
+                registry.replicas(service).front()->setCold(milliseconds(3000), m_now);
+            }
+            replica_registry::selection_criteria criteria;
+            criteria.service = &service;
+            criteria.unqueuedLatency = callLatency;
+            std::uint32_t sent = 0;
+            while (const auto server = registry.choose(criteria, m_now)) {
+                server->callSent(sent++, callLatency, m_now);
+            }
+            (cold ? coldCalls : connections) += sent;
+            if (host.zone == zone_id("near")) {
+                EXPECT_GE(sent, cold ? 1U : 3U); // Hosts of the zone gather most searches that call it.
+            }
+        }
+    }
+    EXPECT_LE(connections, 175U);
+    EXPECT_GT(connections, 118U);
+    EXPECT_LE(coldCalls, 20U);
+    EXPECT_GE(coldCalls, 18U);
+}
+
+// Guards against calls to a cold backend server by hosts that do not know each other yet: their parts would be too large.
+TEST_F(ReplicaRegistryTest, unsettledHostsDoNotCallColdBackendServers)
+{
+    route_service limits;
+    limits.id = service;
+    limits.maxColdRequestsPerSecond = 10;
+    m_registry.setRouteTable(*route_table::create(1, {}, {limits}, {}));
+    m_registry.setHosts(host_ranking({}, {}, 10, false), 10);
+    m_registry.remove(backend_id("b"), m_now);
+    EXPECT_EQ(choose(), "a");
+    find("a")->setCold(milliseconds(3000), m_now);
+    EXPECT_EQ(choose(), "");
+}
+
 // Guards against full load on the backend servers of an availability zone that is no longer excluded: they may be cold although
 // their entries do not say so.
 TEST_F(ReplicaRegistryTest, backendServersOfAReturningZoneCountAsCold)
