Let the gathering host choose the backend server that is well

Cause: for a relayed shard the asking host named two of its three backend servers by hash, and neither host called the third. The asking host does not call them and so does not know their state. Change: the asking host names all backend servers that it knows and reserves maxServers - 1 of them for its own calls. The gathering host may call these and as many others as maxServers leaves, so that both together still stay within it.

--- a/libs/gateway/src/gathered_request.cpp
+++ b/libs/gateway/src/gathered_request.cpp
@@ -63,7 +63,7 @@
     }
     message.maxRecords = route.maxRecords;
     message.maxServers = route.maxServers;
-    message.allowedServers = run().allowedServers(partIndex);
+    message.knownServers = run().knownServers(partIndex);
     message.targetLatency = route.targetLatency;
     message.remaining = std::chrono::duration_cast<std::chrono::microseconds>(run().relayTarget() - now);
     message.resumeTime = resumeTime();
--- a/libs/gateway/src/relayed_request.cpp
+++ b/libs/gateway/src/relayed_request.cpp
@@ -60,7 +60,7 @@
     gatherInput.resumable = true;
     gatherInput.minCoverage = 0; // Only the requesting host knows how many shards of the whole search may be missing.
     gatherInput.preferredZone = state.settings.zone;
-    gatherInput.allowedServers = message.allowedServers;
+    gatherInput.knownServers = message.knownServers;
     createRun(std::move(gatherInput));
 }
 
--- a/libs/search/include/search/gather_run.h
+++ b/libs/search/include/search/gather_run.h
@@ -45,9 +45,9 @@
     std::uint64_t preferenceSeed = 0;
     /// Zone whose backend servers rank first. Set only when this host gathers for another host.
     std::optional<zone_id> preferredZone;
-    /// Set together with preferredZone: gather_run::allowedServers() of the asking host. The entries of the two hosts may differ;
-    /// if this host selected by its entries, both together could call more than maxServers backend servers of a shard.
-    std::vector<server_hashes> allowedServers;
+    /// Set together with preferredZone: gather_run::knownServers() of the asking host. The first ones of a shard are reserved: both hosts
+    /// may call them, and this host as many others as maxServers leaves.
+    std::vector<server_hashes> knownServers;
     /// The run finishes at the target with what it has, and resume() may continue it until the deadline. Set only when this host
     /// gathers for another host.
     bool resumable = false;
@@ -187,8 +187,9 @@
     /// @return True while the run waits for the result of the host that gathers a part.
     [[nodiscard]] bool relayPending(std::size_t part) const { return m_relayPending[part]; }
 
-    /// @return For each shard of the part: the backend servers that this host and the gathering host may call.
-    [[nodiscard]] std::vector<server_hashes> allowedServers(std::size_t part) const;
+    /// @return For each shard of the part: the backend servers of which this host has entries, in the order of preference and up to
+    /// maxServers + 2. The first reservedServers() are the only ones that this host calls once the gathering host may have sent calls.
+    [[nodiscard]] std::vector<server_hashes> knownServers(std::size_t part) const;
 
     /// @return Time by which the other hosts have to send their results.
     [[nodiscard]] time_point relayTarget() const { return m_input.target - relayLead; }
@@ -218,8 +219,10 @@
         bool outstandingAtRelay = false; // Recoverable, and the gathering host had a call outstanding when it answered.
         bool resumed = false; // The gathering host has been asked to go on with it.
         bool delivered = false; // Part of a result that was taken before resume().
-        // For a shard on which two hosts may work: the backend servers that this host may call, determined on construction.
-        std::optional<std::vector<replica_registry::replica_ptr>> allowed;
+        // For a shard on which two hosts may work: the backend servers that both may call, determined on construction.
+        std::optional<std::vector<replica_registry::replica_ptr>> reserved;
+        std::uint32_t otherServers = 0; // Number of other backend servers that this host may call. Only the gathering host may.
+        std::vector<replica_registry::replica_ptr> known; // At the gathering host: those that the asking host has entries of.
         std::uint32_t maxServers = 1; // Maximum number of backend servers that this host may call.
         std::uint32_t sendCount = 0; // Calls sent, plus one when the result of another host lacks the shard.
         attempt_end lastEnd = attempt_end::timedOut;
@@ -227,13 +230,14 @@
         std::string body;
     };
 
-    // Limits a relayed shard to the backend servers that this host and the gathering host prefer.
-    void allowPreferredServers(std::size_t shard, const zone_id &zone);
-    // Limits a shard to the backend servers in gather_input::allowedServers of which this host has an entry. With no such entry,
-    // allows one other backend server if maxServers > 1.
-    void allowServersOfAskingHost(std::size_t shard);
-    // Maximum number of backend servers that this host may call for a shard after another host has worked on it.
-    [[nodiscard]] std::uint32_t maxServersAfterRelay() const;
+    // Reserves backend servers of a relayed shard for this host.
+    void reserveServers(std::size_t shard, const zone_id &zone);
+    // Limits a shard by gather_input::knownServers.
+    void limitToServersLeft(std::size_t shard);
+    // @return The backend servers that may be called for a shard; nullopt when all may.
+    [[nodiscard]] static std::optional<std::vector<replica_registry::replica_ptr>> allowedServers(const shard_state &shard);
+    // Number of backend servers of a shard that the asking host reserves for itself.
+    [[nodiscard]] std::uint32_t reservedServers() const;
     // Finishes the run when too few shards are reachable or would answer in time; otherwise marks shards to skip. False when finished.
     bool admit(time_point now);
     // Queues a call; false when no backend server may be called. The flags are those of selection_criteria.
--- a/libs/search/include/search/replica_registry.h
+++ b/libs/search/include/search/replica_registry.h
@@ -97,7 +97,7 @@
     };
 
     /// @return The first `maxCount` backend servers of a service in the order of a preference. Hosts with the same entries get
-    /// the same backend servers; their order is unspecified when the service has at most `maxCount`.
+    /// the same backend servers.
     [[nodiscard]] std::vector<replica_ptr>
     preferredReplicas(const service_id &service, const replica_preference &preference, std::uint32_t maxCount) const;
 
--- a/libs/search/src/gather_run.cpp
+++ b/libs/search/src/gather_run.cpp
@@ -16,6 +16,9 @@
 constexpr std::chrono::milliseconds minHedgeInterval{4};
 /// Minimum time before the deadline at which a retry is still sent; a later one would not be answered in time.
 constexpr std::chrono::milliseconds minRetryTime{3};
+/// Backend servers of a shard that are named to the gathering host beyond the maximum number of called ones. With three in all, as usual,
+/// it can choose among all.
+constexpr std::uint32_t namedServersBeyondMax = 2;
 
 std::uint32_t hashOf(const replica &server)
 {
@@ -56,55 +59,80 @@
     for (const auto &part : m_input.relays) {
         for (const auto shard : part.shards) {
             m_shards[shard].relayed = true;
-            allowPreferredServers(shard, part.zone);
+            reserveServers(shard, part.zone);
         }
     }
     if (m_input.preferredZone) {
         for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
-            allowServersOfAskingHost(shard);
+            limitToServersLeft(shard);
         }
     }
 }
 
-void gather_run::allowPreferredServers(std::size_t shard, const zone_id &zone)
+void gather_run::reserveServers(std::size_t shard, const zone_id &zone)
 {
-    const replica_preference preference{zone, m_input.preferenceSeed};
-    m_shards[shard].allowed = m_registry.preferredReplicas(m_input.shards[shard], preference, m_input.maxServers);
+    auto &state = m_shards[shard];
+    state.known =
+        m_registry.preferredReplicas(m_input.shards[shard], {zone, m_input.preferenceSeed}, m_input.maxServers + namedServersBeyondMax);
+    const auto count = std::min<std::size_t>(reservedServers(), state.known.size());
+    state.reserved.emplace(state.known.begin(), state.known.begin() + static_cast<std::ptrdiff_t>(count));
 }
 
-void gather_run::allowServersOfAskingHost(std::size_t shard)
+void gather_run::limitToServersLeft(std::size_t shard)
 {
-    auto &allowed = m_shards[shard].allowed.emplace();
-    if (shard < m_input.allowedServers.size()) {
-        const auto &hashes = m_input.allowedServers[shard];
-        for (auto &server : m_registry.replicas(m_input.shards[shard])) {
-            if (std::find(hashes.begin(), hashes.end(), hashOf(*server)) != hashes.end()) {
-                allowed.push_back(std::move(server));
-            }
+    auto &state = m_shards[shard];
+    state.reserved.emplace();
+    state.otherServers = m_input.maxServers;
+    if (shard >= m_input.knownServers.size()) {
+        return;
+    }
+    const auto &hashes = m_input.knownServers[shard];
+    // Counts the reserved backend servers of which this host has no entry: the asking host may call them.
+    state.otherServers -= std::min({reservedServers(), state.otherServers, static_cast<std::uint32_t>(hashes.size())});
+    for (auto &server : m_registry.replicas(m_input.shards[shard])) {
+        const auto position = std::find(hashes.begin(), hashes.end(), hashOf(*server)) - hashes.begin();
+        if (position < std::min<std::ptrdiff_t>(reservedServers(), std::ssize(hashes))) {
+            state.reserved->push_back(server);
+        }
+        if (position < std::ssize(hashes)) {
+            state.known.push_back(std::move(server));
         }
     }
-    if (allowed.empty() && m_input.maxServers > 1) {
-        // This host has no entry of an allowed backend server: the two hosts have different entries, and either may have the newer
-        // ones. This host may call one other backend server; maxServersAfterRelay() of the asking host leaves room for it.
-        allowed = m_registry.preferredReplicas(m_input.shards[shard], {*m_input.preferredZone, m_input.preferenceSeed}, 1);
+}
+
+std::optional<std::vector<replica_registry::replica_ptr>> gather_run::allowedServers(const shard_state &shard)
+{
+    if (!shard.reserved) {
+        return std::nullopt;
+    }
+    auto allowed = *shard.reserved;
+    for (const auto &server : shard.tried) {
+        if (std::find(shard.reserved->begin(), shard.reserved->end(), server) == shard.reserved->end()) {
+            allowed.push_back(server);
+        }
+    }
+    if (allowed.size() - shard.reserved->size() >= shard.otherServers) {
+        return allowed;
     }
+    // If this host has no entry that the asking host knows, either may have the newer entries.
+    return shard.known.empty() ? std::nullopt : std::optional(shard.known);
 }
 
-std::vector<server_hashes> gather_run::allowedServers(std::size_t part) const
+std::vector<server_hashes> gather_run::knownServers(std::size_t part) const
 {
     std::vector<server_hashes> servers;
     for (const auto shard : m_input.relays[part].shards) {
         auto &hashes = servers.emplace_back();
-        for (const auto &server : *m_shards[shard].allowed) {
+        for (const auto &server : m_shards[shard].known) {
             hashes.push_back(hashOf(*server));
         }
     }
     return servers;
 }
 
-std::uint32_t gather_run::maxServersAfterRelay() const
+std::uint32_t gather_run::reservedServers() const
 {
-    // The gathering host may call one backend server that is not allowed, see allowServersOfAskingHost(). So this host calls one fewer.
+    // Leaves one backend server of each shard to the choice of the gathering host, which knows their state: it calls them for all hosts.
     return std::max(1U, m_input.maxServers - 1);
 }
 
@@ -183,9 +211,9 @@
 {
     auto &state = m_shards[shard];
     const auto unqueuedLatency = m_profile.unqueuedLatency(now);
+    const auto allowed = allowedServers(state);
     const auto server = m_registry.choose(
-        {&m_input.shards[shard], unqueuedLatency, &state.tried, reuseTried, requireFreeSlot, state.allowed ? &*state.allowed : nullptr},
-        now);
+        {&m_input.shards[shard], unqueuedLatency, &state.tried, reuseTried, requireFreeSlot, allowed ? &*allowed : nullptr}, now);
     if (!server) {
         return false;
     }
@@ -298,7 +326,7 @@
             continue;
         }
         ++state.sendCount; // Counts the call of the other host.
-        state.maxServers = maxServersAfterRelay();
+        state.maxServers = reservedServers();
         // Calling the backend servers of an overloaded host would add to their queues.
         const bool recoverable = result.end != gather_end::overloaded;
         markMissingAtRelay(positions[i], i < result.shards.size() ? result.shards[i].end : attempt_end::broken, recoverable);
@@ -419,8 +447,10 @@
     for (const auto shard : m_input.relays[part].shards) {
         auto &state = m_shards[shard];
         auto &budget = m_registry.budget(m_input.shards[shard]);
-        if (!noCallsSent) {
-            m_shards[shard].maxServers = maxServersAfterRelay();
+        if (noCallsSent) {
+            state.reserved.reset(); // No other host works on the shard.
+        } else {
+            state.maxServers = reservedServers();
         }
         const bool affordable = noCallsSent || budget.tokens() >= 1;
         if (affordable && send(shard, false, false, now)) {
--- a/libs/search/src/replica_registry.cpp
+++ b/libs/search/src/replica_registry.cpp
@@ -188,8 +188,7 @@
     }
     // Hosts that do not know each other yet could together exceed the limit many times.
     return m_hosts.settled()
-        && candidate.coldRate().tryAcquire(
-            rate * m_settings.coldFactor + m_settings.coldSlack, m_hosts.shareOf(candidate.entry()), now);
+        && candidate.coldRate().tryAcquire(rate * m_settings.coldFactor + m_settings.coldSlack, m_hosts.shareOf(candidate.entry()), now);
 }
 
 replica_registry::replica_ptr replica_registry::choose(const selection_criteria &criteria, time_point now)
@@ -262,9 +261,6 @@
         return {};
     }
     const auto &replicas = found->second.replicas;
-    if (replicas.size() <= maxCount) {
-        return replicas;
-    }
     struct ranked {
         bool otherZone;
         std::uint64_t rank;
--- a/libs/search/tests/test_gather_run.cpp
+++ b/libs/search/tests/test_gather_run.cpp
@@ -243,7 +243,8 @@
         const auto result = backends.runSearch(input);
         EXPECT_EQ(result.end, minCoverage < 1 ? gather_end::partial : gather_end::complete);
         EXPECT_EQ(result.retries, minCoverage < 1 ? 0U : 2U);
-        EXPECT_LE(backends.lastDuration(), milliseconds(60) + (minCoverage < 1 ? milliseconds(0) : gather_run::maxRelayDelay + milliseconds(6)));
+        EXPECT_LE(backends.lastDuration(),
+                  milliseconds(60) + (minCoverage < 1 ? milliseconds(0) : gather_run::maxRelayDelay + milliseconds(6)));
     }
 }
 
@@ -381,7 +382,7 @@
         part.keepPartial = true;
         part.preferredZone = zone_id("zb");
         part.preferenceSeed = input.preferenceSeed;
-        part.allowedServers = run.allowedServers(0);
+        part.knownServers = run.knownServers(0);
         auto result = gathering.runSearch(part);
         if (relayAnswers) {
             run.relayAnswered(0, {result.end, std::move(result.shards), std::move(result.records), 0, 0}, now);
@@ -400,7 +401,7 @@
 }
 
 // Guards against missing shards when only the asking host has the entries of replaced backend servers. The gathering host has
-// lost contact with the source of entries: it has an entry of one allowed backend server of the first shard, and of none of the second.
+// lost contact with the source of entries: it has an entry of one known backend server of the first shard, and of none of the second.
 TEST(GatherRunTest, gathersFromTheBackendServersThatItHasEntriesOf)
 {
     scripted_backends asking(2, 2);
@@ -417,13 +418,45 @@
     gather_run run(input, asking.registry(), asking.profile());
     auto part = gathering.makeInput(milliseconds(90), milliseconds(90), 0);
     part.preferredZone = zone_id("zb");
-    part.allowedServers = run.allowedServers(0);
+    part.knownServers = run.knownServers(0);
     EXPECT_EQ(gathering.runSearch(part).end, gather_end::complete);
     EXPECT_EQ(gathering.calls("s0-a"), 0);
     EXPECT_EQ(gathering.calls("s0-b"), 1);
     EXPECT_EQ(gathering.calls("s1-a") + gathering.calls("s1-b"), 1);
 }
 
+// Load pattern: a zone has gone dark, 15% of the other backend servers are ten times slower, and each shard has three. The gathering host
+// knows their state, because it calls them for all hosts; the asking host does not. Guards against a shard that is lost although one of
+// its backend servers is well: the asking host named two of the three by hash, and 5 to 10% of the shards were lost.
+TEST(GatherRunTest, theGatheringHostCallsTheBackendServerThatIsWell)
+{
+    scripted_backends asking(6, 3);
+    scripted_backends gathering(6, 3);
+    for (std::size_t shard = 0; shard < 6; ++shard) {
+        const auto well = static_cast<char>('a' + shard % 3);
+        for (char letter = 'a'; letter <= 'c'; ++letter) {
+            auto server = gathering.registry().replicas(service_id("s" + std::to_string(shard)))[static_cast<std::size_t>(letter - 'a')];
+            if (letter != well) {
+                server->callSent(1000, milliseconds(5), gathering.now());
+                server->callEnded(1000, attempt_end::unreachable, {}, milliseconds(5), gathering.now());
+                gathering.setBehaviour(serverId(shard, letter), {milliseconds(5), attempt_end::unreachable, {}});
+            } else {
+                gathering.setBehaviour(serverId(shard, letter), {milliseconds(5), attempt_end::served, makeRecord(1)});
+            }
+        }
+    }
+    auto input = asking.makeInput(milliseconds(100), milliseconds(600));
+    input.relays = {relay_part{{0, 1, 2, 3, 4, 5}, zone_id("zb")}};
+    gather_run run(input, asking.registry(), asking.profile());
+    auto part = gathering.makeInput(milliseconds(90), milliseconds(90), 0);
+    part.keepPartial = true;
+    part.preferredZone = zone_id("zb");
+    part.knownServers = run.knownServers(0);
+    const auto result = gathering.runSearch(part);
+    EXPECT_EQ(servedCount(result), 6U);
+    EXPECT_EQ(gathering.totalCalls(), 6);
+}
+
 // Load pattern: on a day with trouble, one of 90 shards is a few milliseconds late at its gathering host. Guards against a search that
 // gives up long before its deadline, and against repeated work: the call that is outstanding at the gathering host goes on.
 TEST(GatherRunTest, resumesAShardThatIsLateAtTheGatheringHost)
@@ -580,6 +613,7 @@
 {
     scripted_backends backends(2, 3);
     setAllBehaviours(backends, 2, {milliseconds(5), attempt_end::served, makeRecord(9)});
+    backends.setBehaviour("s1-c", {milliseconds(5), attempt_end::served, makeRecord(9)});
     auto input = backends.makeInput(milliseconds(60), milliseconds(600), 1);
     input.maxServers = 3;
     input.relays = {relay_part{{0, 1}, zone_id("zb")}};
--- a/libs/wire/include/wire/relay_messages.h
+++ b/libs/wire/include/wire/relay_messages.h
@@ -23,9 +23,9 @@
     std::vector<std::string> shards; ///< Ids of the services to search; each service is one shard.
     std::uint32_t maxRecords = 0; ///< Maximum number of records in the merged result.
     std::uint32_t maxServers = 1; ///< Maximum number of backend servers to call for each shard.
-    /// For each shard, hashes of the ids of the backend servers that may be called. If the receiver knows none of them and maxServers
-    /// is greater than 1, it may call one other backend server.
-    std::vector<std::vector<std::uint32_t>> allowedServers;
+    /// For each shard, hashes of the ids of the backend servers that the sender knows. It may call the first max(1, maxServers - 1) of them
+    /// itself. The receiver may call these too, and as many others as maxServers leaves.
+    std::vector<std::vector<std::uint32_t>> knownServers;
     std::chrono::microseconds targetLatency{0}; ///< Target latency of the route.
     std::chrono::microseconds remaining{0}; ///< Time until the answer must be sent, even if it is partial.
     /// Time after `remaining` during which outstanding calls go on, so that a relay_resume can fetch their answers.
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -62,7 +62,7 @@
           value.shards,
           value.maxRecords,
           value.maxServers,
-          value.allowedServers,
+          value.knownServers,
           value.targetLatency,
           value.remaining,
           value.resumeTime,
