Serve searches on hosts without a share of a backend server's connections

Where backend servers take 175 connections, a host of low rank had a share of none, could call no backend server and so refused each search as not started, although other hosts gather most of its shards. Change: each host may have one call outstanding. The limit on calls of this host no longer counts for shards that others gather. Test: hostsWithoutAShareOfTheConnectionsServeSearches (failed before).

--- a/libs/search/include/search/replica_registry.h
+++ b/libs/search/include/search/replica_registry.h
@@ -116,8 +116,8 @@
     /// @param factor Expected latency of a call as a multiple of its latency without queueing; 0: unknown.
     void setLoadHint(const service_id &service, double factor, time_point now);
 
-    /// @return Expected latency according to the latest load hint; expectedTime() when there is no hint or it is older than
-    /// maxHintAge.
+    /// @return Expected latency according to the latest load hint; otherwise, or if the hint is older than
+    /// maxHintAge, the lowest one of a usable backend server, whatever the limit on calls of this host.
     [[nodiscard]] std::optional<std::chrono::microseconds>
     expectedRelayTime(const service_id &service, std::chrono::microseconds unqueuedLatency, time_point now) const;
 
@@ -158,6 +158,12 @@
 
     void eraseReplica(const backend_id &id);
     [[nodiscard]] bool callable(const replica &candidate, time_point now) const;
+    // Lowest expected latency over the backend servers of a service that pass the filter, including stalledPenalty but no other penalty.
+    template<typename Filter>
+    [[nodiscard]] std::optional<std::chrono::microseconds> lowestExpectedTime(const service_id &service,
+                                                                              std::chrono::microseconds unqueuedLatency,
+                                                                              time_point now,
+                                                                              const Filter &mayBeCalled) const;
     // Limit on the outstanding calls of this host to the candidate; SIZE_MAX if there is none.
     [[nodiscard]] std::size_t callLimit(const replica &candidate) const;
     [[nodiscard]] std::chrono::microseconds cost(const replica &candidate, std::chrono::microseconds unqueuedLatency, time_point now) const;
--- a/libs/search/src/replica_registry.cpp
+++ b/libs/search/src/replica_registry.cpp
@@ -149,7 +149,9 @@
         return minCallLimit;
     }
     const std::uint32_t evenPart = connections / m_hosts.hostCount();
-    return evenPart >= minCallLimit ? evenPart : m_hosts.shareOf(candidate.entry()).divide(connections, minCallLimit);
+    // One call when there are more hosts than connections: few hosts call a backend server themselves, and one that can call none could
+    // not serve a shard that nobody gathers for it.
+    return evenPart >= minCallLimit ? evenPart : std::max(1U, m_hosts.shareOf(candidate.entry()).divide(connections, minCallLimit));
 }
 
 std::chrono::microseconds replica_registry::cost(const replica &candidate, std::chrono::microseconds unqueuedLatency, time_point now) const
@@ -230,8 +232,11 @@
     return nullptr;
 }
 
-std::optional<std::chrono::microseconds>
-replica_registry::expectedTime(const service_id &service, std::chrono::microseconds unqueuedLatency, time_point now) const
+template<typename Filter>
+std::optional<std::chrono::microseconds> replica_registry::lowestExpectedTime(const service_id &service,
+                                                                              std::chrono::microseconds unqueuedLatency,
+                                                                              time_point now,
+                                                                              const Filter &mayBeCalled) const
 {
     std::optional<std::chrono::microseconds> best;
     const auto found = m_services.find(service);
@@ -239,7 +244,7 @@
         return best;
     }
     for (const auto &server : found->second.replicas) {
-        if (!callable(*server, now)) {
+        if (!mayBeCalled(*server)) {
             continue;
         }
         auto expected = server->expectedTime(unqueuedLatency, now);
@@ -253,6 +258,12 @@
     return best;
 }
 
+std::optional<std::chrono::microseconds>
+replica_registry::expectedTime(const service_id &service, std::chrono::microseconds unqueuedLatency, time_point now) const
+{
+    return lowestExpectedTime(service, unqueuedLatency, now, [&](const replica &server) { return callable(server, now); });
+}
+
 std::vector<replica_registry::replica_ptr>
 replica_registry::preferredReplicas(const service_id &service, const replica_preference &preference, std::uint32_t maxCount) const
 {
@@ -317,7 +328,10 @@
     if (found != m_services.end() && found->second.loadHint > 0 && now - found->second.loadHintAt <= maxHintAge) {
         return std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(unqueuedLatency.count()) * found->second.loadHint));
     }
-    return expectedTime(service, unqueuedLatency, now);
+    // The limit on the calls of this host does not apply to the host that makes them.
+    return lowestExpectedTime(service, unqueuedLatency, now, [&](const replica &server) {
+        return server.usable(now) && !m_excludedZones.contains(server.entry().zone);
+    });
 }
 
 bool replica_registry::reachable(const service_id &service, time_point now) const
--- a/libs/search/tests/test_gather_run.cpp
+++ b/libs/search/tests/test_gather_run.cpp
@@ -287,6 +287,32 @@
     EXPECT_TRUE(result.shards[0].signature.starts_with("signature-s0"));
 }
 
+// Load pattern: 303 hosts share backend servers that take 175 connections. Guards against hosts without a share of them that refuse all
+// searches: 72% of the requests were refused although other hosts gather most shards, and none is called for the rest.
+TEST(GatherRunTest, hostsWithoutAShareOfTheConnectionsServeSearches)
+{
+    scripted_backends backends(4, 2);
+    setAllBehaviours(backends, 4, {milliseconds(5), attempt_end::served, makeRecord(1)});
+    std::vector<route_service> services;
+    for (const char *name : {"s0", "s1", "s2", "s3"}) {
+        services.emplace_back();
+        services.back().id = service_id(name);
+        services.back().maxConnections = 175;
+    }
+    backends.registry().setRouteTable(*route_table::create(1, {}, services, {}));
+    backends.registry().setHosts(host_ranking({}, {}, 303), 303); // This host has the last rank.
+    auto input = backends.makeInput(milliseconds(60), milliseconds(600));
+    input.relays = {relay_part{{0, 1, 2}, zone_id("zb")}};
+    bool first = true;
+    const auto result = backends.runSearch(input, [&](gather_run &run, time_point now) {
+        if (std::exchange(first, false)) {
+            const gathered_shard served{attempt_end::served, "p"};
+            run.relayAnswered(0, {gather_end::complete, {served, served, served}, makeRecord(2)}, now);
+        }
+    });
+    EXPECT_EQ(result.end, gather_end::complete);
+}
+
 // Guards against a search that is sent although the load hints show that the relayed shards are overloaded.
 TEST(GatherRunTest, refusesByTheLoadHintsOfTheGatheringHost)
 {
