--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -4,6 +4,7 @@
 #include <host_call.h>
 #include <publication_reader.h>
 #include <relayed_request.h>
+#include <search/host_ranking.h>
 #include <transport/http_exchange.h>
 #include <wire/codec.h>
 
@@ -77,23 +78,20 @@
     const auto now = monotonic_clock::now();
     const auto view = m_membership.view();
     m_counter.update(view->members.size(), now);
-    sharing_hosts sharing;
-    sharing.hostCount = m_counter.hostCount();
-    sharing.slackHosts = m_counter.slackHosts(now);
-    sharing.settled = m_counter.settled();
-    for (const auto &member : view->members) {
-        sharing.hosts.push_back({member.host, member.zone});
-    }
+    const sharing_hosts sharing{view, m_counter.hostCount(), m_counter.slackHosts(now), m_counter.settled()};
     if (sharing != m_sharing) {
+        std::vector<host_ranking::ranked_host> hosts;
+        for (const auto &member : view->members) {
+            hosts.push_back({member.host, member.zone});
+        }
         m_state.registry.setHosts(
-            host_ranking({m_state.settings.host, m_state.settings.zone}, sharing.hosts, sharing.hostCount, sharing.settled),
+            host_ranking({m_state.settings.host, m_state.settings.zone}, std::move(hosts), sharing.hostCount, sharing.settled),
             sharing.slackHosts);
         if (sharing.hostCount != m_sharing.hostCount || sharing.settled != m_sharing.settled) {
-            m_state.log.write("hosts",
-                              "sharingHosts",
-                              {{"hosts", std::int64_t{sharing.hostCount}}, {"settled", std::int64_t{sharing.settled}}});
+            m_state.log.write(
+                "hosts", "sharingHosts", {{"hosts", std::int64_t{sharing.hostCount}}, {"settled", std::int64_t{sharing.settled}}});
         }
-        m_sharing = std::move(sharing);
+        m_sharing = sharing;
     }
     updateRelays();
 }
--- a/libs/gateway/src/host_link.h
+++ b/libs/gateway/src/host_link.h
@@ -2,7 +2,6 @@
 
 #include <host_counter.h>
 #include <membership/membership.h>
-#include <search/host_ranking.h>
 #include <transport/http_client.h>
 #include <transport/http_handler.h>
 
@@ -11,7 +10,6 @@
 #include <cstdint>
 #include <memory>
 #include <unordered_map>
-#include <vector>
 
 namespace orioledrum
 {
@@ -42,7 +40,7 @@
 private:
     /// The hosts that share limits, and for how many hosts the limits are divided.
     struct sharing_hosts {
-        std::vector<host_ranking::ranked_host> hosts;
+        std::shared_ptr<const membership_view> view;
         std::uint32_t hostCount = 0;
         std::uint32_t slackHosts = 0;
         bool settled = false;
--- a/libs/limits/include/limits/limit_share.h
+++ b/libs/limits/include/limits/limit_share.h
@@ -12,8 +12,8 @@
 
     /// Divides a limit in whole calls. The parts of all ranks add up to at most the limit.
     /// @param limit Calls that all hosts together may have.
-    /// @param usefulCalls Smallest part that is useful to a host, at least 1. When the even part is smaller, hosts of low rank get this
-    /// many calls, and the others get one call each if the limit suffices for that, otherwise none.
+    /// @param usefulCalls Smallest part that is useful to a host, at least 1. When the even part is smaller, the first hosts in
+    /// rank get this many calls, and the others get one call each if the limit suffices for that, otherwise none.
     /// @return The calls that this host may have.
     [[nodiscard]] std::uint32_t divide(double limit, std::uint32_t usefulCalls) const;
 };
--- a/libs/search/include/search/host_ranking.h
+++ b/libs/search/include/search/host_ranking.h
@@ -20,17 +20,13 @@
     struct ranked_host {
         entry_host_id id;
         zone_id zone;
-        bool operator==(const ranked_host &) const = default;
     };
 
     /// @param self This host; counts even if it is not in `hosts`.
     /// @param hosts The other hosts, also those that were lost a short time ago.
     /// @param assumedHosts Number of hosts to assume if it exceeds the number of known ones. This host then has the last rank.
     /// @param settled False while other hosts may be unknown.
-    explicit host_ranking(ranked_host self = {},
-                          std::vector<ranked_host> hosts = {},
-                          std::uint32_t assumedHosts = 1,
-                          bool settled = true);
+    explicit host_ranking(ranked_host self = {}, std::vector<ranked_host> hosts = {}, std::uint32_t assumedHosts = 1, bool settled = true);
 
     [[nodiscard]] std::uint32_t hostCount() const { return m_hostCount; }
     [[nodiscard]] bool settled() const { return m_settled; }
--- a/libs/search/include/search/replica_registry.h
+++ b/libs/search/include/search/replica_registry.h
@@ -56,7 +56,7 @@
     /// The other half is reserved for connections that the backend server still counts although their host has lost power.
     static constexpr std::chrono::milliseconds connectionPenalty{40};
     /// Limit on outstanding calls to one backend server that is useful to a host. With a limit of 1, a single paused call would make the
-    /// backend server unavailable. When the connections do not suffice for all hosts, those of low rank get this limit.
+    /// backend server unavailable. When the connections do not suffice for all hosts, the first ones in rank get this limit.
     static constexpr std::uint32_t minCallLimit = 3;
     /// Age above which a load hint of another host is ignored.
     static constexpr std::chrono::milliseconds maxHintAge{250};
