--- a/libs/gateway/src/backend_caller.cpp
+++ b/libs/gateway/src/backend_caller.cpp
@@ -26,9 +26,10 @@
     time_point sentAt;
 };
 
-backend_caller::backend_caller(http_client &client, const message_codec &codec, gateway_metrics &metrics)
+backend_caller::backend_caller(http_client &client, const message_codec &codec, replica_registry &registry, gateway_metrics &metrics)
     : m_client(client)
     , m_codec(codec)
+    , m_registry(registry)
     , m_metrics(metrics)
 {
 }
@@ -49,6 +50,10 @@
     message.timeout = timeLeft + answerTransitTime;
     message.freshConnection = request->atMostOnce;
     message.sendOnce = request->atMostOnce;
+    message.beforeSend = [&account = m_registry.budget(call.server->entry().service).account()] {
+        account.recordWrite();
+        return true;
+    };
     m_metrics.callSent();
     outstanding_call outstanding{call.attempt, call.server, std::move(request), call.expectedLatency, now};
     return m_client.send(std::move(message),
@@ -87,6 +92,7 @@
             call.request->profile->record(outcome.latency, now);
         }
     } else if (!result.error().mayHaveBeenSent) {
+        m_registry.budget(call.server->entry().service).account().recordNotWritten();
         outcome.end = result.error().failure.code == error_code::cancelled ? attempt_end::abandoned : attempt_end::unreachable;
     } else if (result.error().failure.code == error_code::cancelled) {
         outcome.end = attempt_end::abandoned;
--- a/libs/gateway/src/backend_caller.h
+++ b/libs/gateway/src/backend_caller.h
@@ -16,6 +16,7 @@
 
 class gateway_metrics;
 class message_codec;
+class replica_registry;
 
 /// Content that is sent with every call for one caller's request. Shared by the request and its calls.
 struct call_template {
@@ -28,7 +29,7 @@
     std::shared_ptr<latency_profile> profile; ///< Records the latency of served calls.
 };
 
-/// Sends calls to backend servers. Updates each replica with the outcome of its calls and the state that it reports.
+/// Sends calls to backend servers and records each request that is written in the account of its service. Updates each replica with the outcome of its calls and the state that it reports.
 class backend_caller
 {
 public:
@@ -37,7 +38,7 @@
     using callback = std::function<void(call_outcome &&outcome, http_reply &&reply)>;
 
     /// All arguments must outlive this object.
-    backend_caller(http_client &client, const message_codec &codec, gateway_metrics &metrics);
+    backend_caller(http_client &client, const message_codec &codec, replica_registry &registry, gateway_metrics &metrics);
 
     /// @param call Backend server and deadline.
     /// @param request Content of the call.
@@ -54,6 +55,7 @@
 
     http_client &m_client;
     const message_codec &m_codec;
+    replica_registry &m_registry;
     gateway_metrics &m_metrics;
 };
 
--- /dev/null
+++ b/libs/gateway/src/call_audit.cpp
@@ -0,0 +1,39 @@
+#include <call_audit.h>
+
+#include <limits/call_account.h>
+#include <logging/event_log.h>
+#include <search/replica_registry.h>
+
+namespace orioledrum
+{
+
+call_audit::call_audit(const replica_registry &registry, event_log &log)
+    : m_registry(registry)
+    , m_log(log)
+{
+}
+
+void call_audit::check()
+{
+    m_registry.visitAccounts([this](const service_id &service, const call_account &account) {
+        const auto unpaid = account.unpaidWrites();
+        if (unpaid == 0) {
+            return;
+        }
+        auto &reported = m_reported[service];
+        if (unpaid <= reported) {
+            return;
+        }
+        reported = unpaid;
+        m_log.write("calls",
+                    "unpaidWrites",
+                    {{"service", service.str()},
+                     {"unpaid", static_cast<std::int64_t>(unpaid)},
+                     {"first", static_cast<std::int64_t>(account.firstCalls())},
+                     {"extra", static_cast<std::int64_t>(account.extraCalls())},
+                     {"written", static_cast<std::int64_t>(account.writes())},
+                     {"notWritten", static_cast<std::int64_t>(account.notWritten())}});
+    });
+}
+
+} // namespace orioledrum
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -1,5 +1,6 @@
 #include <gateway/gateway.h>
 
+#include <call_audit.h>
 #include <caller_front.h>
 #include <gateway_state.h>
 #include <host_link.h>
@@ -43,6 +44,7 @@
          change_source &source,
          http_client &client)
         : m_state(context, settings, codec, client)
+        , m_callAudit(m_state.registry, m_state.log)
         , m_front(m_state)
         , m_status(m_state)
         , m_reader(m_state, source, client)
@@ -104,11 +106,12 @@
     }
 
 private:
-    /// Updates gateway_state::canServeNow, now and every canServeInterval. While this host is stopping, or has a route table but cannot
+    /// Updates gateway_state::canServeNow and audits the calls, now and every canServeInterval. While this host is stopping, or has a route table but cannot
     /// serve, it closes the connections of callers after each answer, so that they reconnect to other hosts.
     void updateCanServeNow()
     {
         m_state.canServeNow = m_state.canServe(monotonic_clock::now());
+        m_callAudit.check();
         m_callerServer->setDraining(m_state.stopping || (m_state.table && !m_state.canServeNow));
         if (m_state.table && !m_state.stopping && m_state.table->limits().idleTimeout.count() > 0) {
             const auto &limits = m_state.table->limits();
@@ -149,6 +152,7 @@
     }
 
     gateway_state m_state;
+    call_audit m_callAudit;
     caller_front m_front;
     status_handler m_status;
     publication_reader m_reader;
--- a/libs/gateway/src/gateway_metrics.cpp
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -1,11 +1,14 @@
 #include <gateway_metrics.h>
 
+#include <limits/call_account.h>
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <sstream>
 
 namespace orioledrum
@@ -89,6 +92,10 @@
                        .Help("Latency of served calls to backend servers")
                        .Register(registry)
                        .Add({}, callBuckets);
+    m_serviceCalls = &prometheus::BuildCounter()
+                          .Name("orioledrum_service_calls_total")
+                          .Help("Calls to a service: decided as first or extra calls, written, not written, written without a decision")
+                          .Register(registry);
     m_hedges = makeCounter(registry, "orioledrum_hedges_total", "Hedged calls, sent because an earlier call was slow");
     m_retries = makeCounter(registry, "orioledrum_retries_total", "Calls retried after a failure");
     m_configVersion = makeGauge(registry, "orioledrum_config_version", "Version of the active route table; 0 before the first");
@@ -122,6 +129,20 @@
     m_requestTimes->Add({{"route", route}}, requestBuckets).Observe(seconds(latency));
 }
 
+void gateway_metrics::setServiceCalls(const std::string &service, const call_account &account)
+{
+    const auto set = [&](const char *kind, std::uint64_t count) {
+        auto &counter = m_serviceCalls->Add({{"service", service}, {"kind", kind}});
+        // Unpaid writes can seem to disappear while calls wait for their connection; a counter never decreases.
+        counter.Increment(std::max(0.0, static_cast<double>(count) - counter.Value()));
+    };
+    set("first", account.firstCalls());
+    set("extra", account.extraCalls());
+    set("written", account.writes());
+    set("notWritten", account.notWritten());
+    set("unpaid", account.unpaidWrites());
+}
+
 void gateway_metrics::addExtraCalls(std::uint32_t hedges, std::uint32_t retries)
 {
     m_hedges->Increment(hedges);
--- a/libs/gateway/src/gateway_metrics.h
+++ b/libs/gateway/src/gateway_metrics.h
@@ -21,6 +21,8 @@
 namespace orioledrum
 {
 
+class call_account;
+
 /// Prometheus metrics of one gateway; docs/OPERATIONS.md lists the name, unit and meaning of each.
 class gateway_metrics
 {
@@ -36,6 +38,8 @@
     /// @param route Name of the route, or "none" for a request that caller_front refused.
     /// @param outcome Value of the label "outcome".
     void requestEnded(const std::string &route, std::string_view outcome, std::chrono::microseconds latency);
+    /// @param account Counts of the calls to a service since the start.
+    void setServiceCalls(const std::string &service, const call_account &account);
     void addExtraCalls(std::uint32_t hedges, std::uint32_t retries);
     void setConfigVersion(std::uint64_t version);
     void setBackendServers(std::size_t count);
@@ -57,6 +61,7 @@
     prometheus::Counter *m_calls;
     std::map<attempt_end, prometheus::Counter *> m_callEnds;
     prometheus::Histogram *m_callTimes;
+    prometheus::Family<prometheus::Counter> *m_serviceCalls;
     prometheus::Counter *m_hedges;
     prometheus::Counter *m_retries;
     prometheus::Gauge *m_configVersion;
--- a/libs/gateway/src/status_handler.cpp
+++ b/libs/gateway/src/status_handler.cpp
@@ -27,6 +27,8 @@
         m_state.metrics.setHosts(m_state.registry.hostCount());
         m_state.metrics.setReady(ready());
         m_state.metrics.setOmittedLines(m_state.log.omitted());
+        m_state.registry.visitAccounts(
+            [this](const service_id &service, const call_account &account) { m_state.metrics.setServiceCalls(service.str(), account); });
         response.body = m_state.metrics.text();
         exchange->respond(std::move(response));
         return;
--- a/libs/limits/include/limits/extra_call_budget.h
+++ b/libs/limits/include/limits/extra_call_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <limits/call_account.h>
 #include <limits/token_bucket.h>
 
 #include <cstdint>
@@ -50,10 +51,14 @@
 
     [[nodiscard]] double tokens() const { return m_tokens.tokens(); }
 
+    /// @return The calls that this budget has counted; the sender adds the requests that it writes.
+    [[nodiscard]] call_account &account() { return m_account; }
+
 private:
     double m_slack;
     double m_granted; // Tokens given without a request: the highest capacity so far.
     token_bucket m_tokens;
+    call_account m_account;
 };
 
 } // namespace orioledrum
--- a/libs/limits/src/extra_call_budget.cpp
+++ b/libs/limits/src/extra_call_budget.cpp
@@ -35,11 +35,16 @@
 void extra_call_budget::recordFirstCall()
 {
     m_tokens.add(1);
+    m_account.recordFirstCall();
 }
 
 bool extra_call_budget::tryAcquireRetry()
 {
-    return m_tokens.tryAcquire();
+    if (!m_tokens.tryAcquire()) {
+        return false;
+    }
+    m_account.recordExtraCall();
+    return true;
 }
 
 bool extra_call_budget::canHedge() const
--- a/libs/search/include/search/replica_registry.h
+++ b/libs/search/include/search/replica_registry.h
@@ -9,6 +9,7 @@
 #include <search/replica.h>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -143,6 +144,9 @@
     /// @return The budget of retries and hedges for a service.
     [[nodiscard]] extra_call_budget &budget(const service_id &service);
 
+    /// Calls `visit` for each service to which calls were decided.
+    void visitAccounts(const std::function<void(const service_id &, const call_account &)> &visit) const;
+
     [[nodiscard]] std::size_t size() const { return m_byId.size(); }
     [[nodiscard]] std::uint32_t hostCount() const { return m_hosts.hostCount(); }
     /// @return The backend servers of a service.
--- a/libs/search/src/replica_registry.cpp
+++ b/libs/search/src/replica_registry.cpp
@@ -133,6 +133,15 @@
     return *state.budget;
 }
 
+void replica_registry::visitAccounts(const std::function<void(const service_id &, const call_account &)> &visit) const
+{
+    for (const auto &[service, state] : m_services) {
+        if (state.budget) {
+            visit(service, state.budget->account());
+        }
+    }
+}
+
 bool replica_registry::callable(const replica &candidate, time_point now) const
 {
     return candidate.usable(now) && !m_excludedZones.contains(candidate.entry().zone)
