Add a failing test of the calls that reach backend servers which end connections

The test compares what the gateways count with the arrivals at the stand-ins, over all hosts, for each way in which a backend server ends a connection, and checks the sliding windows against the bound.

--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import base64
+import bisect
 import collections
 import hashlib
 import json
@@ -19,6 +20,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 RECORD_BYTES = 16
+EXTRA_CALL_SHARE = 0.2  # Bound on retries and hedges to a service, per request in 10 s, over all gateways.
+EXTRA_CALL_SLACK = 60  # Added to that bound.
 
 
 def free_port():
@@ -152,11 +155,13 @@
     serve: answers
     shed: refuses with 503 and the header Not-Run
     reset: resets the connection without running the request
+    close: closes the connection without running the request
     hang: runs the request and answers it 30 s late
     detect_cancel: runs and answers the request, but stops it when its connection closes
     drop_answer: runs the request and resets the connection
     fail: runs the request and answers 500
     truncate: closes the connection 5 bytes before the end of the answer
+    truncate_head: closes the connection in the middle of the head of the answer
     wrong_id: answers with another Request-Id
     extra_answer: sends a second answer that belongs to no request
     unframed: answers without Content-Length; the body ends when the connection closes
@@ -232,7 +237,9 @@
             writer.write(make_response(503, {"Not-Run": "1", "Request-Id": request_id}))
             return True
         if mode == "reset":
-            writer.transport.abort()
+            reset_connection(writer)
+            return False
+        if mode == "close":
             return False
         self.ran.append((time.monotonic(), request_id, method, target, body))
         if mode == "hang":
@@ -263,6 +270,10 @@
             writer.write(whole[:-5])
             writer.close()
             return False
+        elif mode == "truncate_head":
+            writer.write(f"HTTP/1.1 200 OK\r\nServer-Stamp: {answer['Server-Stamp']}\r\nContent-".encode())
+            writer.close()
+            return False
         elif mode == "wrong_id":
             answer["Request-Id"] = "another"
             writer.write(make_response(200, answer, payload))
@@ -307,6 +318,7 @@
         self.gateways = {}
         self.config_version = 0
         self.request_count = 0
+        self.sent = []  # (time, target) of each request of a caller.
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
 
@@ -393,7 +405,7 @@
             ports = previous["ports"]
         seeds = [f"127.0.0.1:{gateway['ports']['hosts']}" for gateway in self.gateways.values()][:3] or [f"127.0.0.1:{ports['hosts']}"]
         settings = {"host": name, "zone": zone, "seeds": seeds, "platform": self.address, "maxDescriptors": 1024,
-                    "extraCallShare": 0.2, "extraCallSlack": 60, "coldFactor": 1.5, "coldSlack": 5, "configurationInForceMs": 3000,
+                    "extraCallShare": EXTRA_CALL_SHARE, "extraCallSlack": EXTRA_CALL_SLACK, "coldFactor": 1.5, "coldSlack": 5, "configurationInForceMs": 3000,
                     "contactLossMs": 4000, "stopTimeMs": 6000, "lapsedReturnMs": 1000, "callerDelayMs": 3}
         settings.update({key: f"127.0.0.1:{port}" for key, port in ports.items()})
         path = self.folder / f"{name}.json"
@@ -448,6 +460,8 @@
         """
         self.request_count += 1
         request_id = request_id or "r%06d" % self.request_count
+        if port == "callers":
+            self.sent.append((time.monotonic(), target))
         began = time.monotonic()
         try:
             if connection:
@@ -505,6 +519,40 @@
         assert answer.body == self.best_records(target, missing_shards=missing_shards), "the records are not the greatest ones"
         return missing
 
+    def extra_arrivals(self):
+        """Returns the times of all arrivals at the backend servers of each service, and of those beyond the first of their request."""
+        arrivals, extra = {}, {}
+        for service in sorted({backend.service for backend in self.backends.values()}):
+            entries = sorted(entry for backend in self.backends.values() if backend.service == service for entry in backend.arrivals)
+            seen = set()
+            arrivals[service], extra[service] = [], []
+            for at, request_id in entries:
+                arrivals[service].append(at)
+                if request_id in seen:
+                    extra[service].append(at)
+                seen.add(request_id)
+        return arrivals, extra
+
+    def check_call_budget(self, share=EXTRA_CALL_SHARE, slack=EXTRA_CALL_SLACK, window_s=10.0):
+        """Checks the arrivals beyond the first of each request, summed over all gateways, in sliding windows against the bound.
+
+        The requests for a service are those that callers sent on its routes in the window, the one before it or the one half a
+        window before it, whichever has most. Raises AssertionError with the service and the window.
+        """
+        _, extra = self.extra_arrivals()
+        searches = [at for at, target in self.sent if target.startswith("/search/")]
+        others = [at for at, target in self.sent if not target.startswith("/search/")]
+
+        def count(times, begin):
+            return bisect.bisect_left(times, begin + window_s) - bisect.bisect_left(times, begin)
+
+        for service, times in extra.items():
+            requests = searches if service in self.shards else others
+            for begin in times:
+                allowed = share * max(count(requests, begin - shift) for shift in (0, window_s / 2, window_s)) + slack
+                found = count(times, begin)
+                assert found <= allowed, f"{service}: {found} extra arrivals in {window_s} s, allowed {allowed:.0f}"
+
     def run_count(self, request_id):
         """Returns how often backend servers ran the request."""
         return sum(1 for backend in self.backends.values() for run in backend.ran if run[1] == request_id)
