Write the request of a call at most once, whatever becomes of its connection

Repeats beyond the budget load backend servers that are already in trouble.

Cause: libcurl sends a request again by itself when a reused connection is lost before the first byte of the reply. The client prevented that only for calls with sendOnce, which were those that must not run twice. For all others no budget knew of the second request, and none chose its backend server.

Change: no call is written twice, so sendOnce goes; entryhostd's own guard against it goes too. A second connection is refused before it is opened.

Why it works: a request that is to be sent again passes through gather_run or forward_run, which take a token for it.

--- a/libs/entryhost/src/backend_pool.cpp
+++ b/libs/entryhost/src/backend_pool.cpp
@@ -90,7 +90,6 @@
     time_point callDeadline; // Deadline that the limiter set when it started the call.
     bool resultWanted = true; // False after abandon().
     bool requestWritten = false; // The checks before the write passed, so the request may have been written.
-    bool resendPrevented = false; // The HTTP client tried to write the request a second time, which was prevented.
     std::string backendRequestId; // X-Request-Id or X-Order-Id; identifies the call in a cancellation.
 };
 
@@ -380,12 +379,6 @@
         if (!*alive || current == m_calls.end()) {
             return false;
         }
-        if (current->second->requestWritten) {
-            // libcurl tries to resend a request when the reused connection turns out to be closed. Here the call fails instead, so
-            // that the limiter learns of the closed connection before anything else is sent.
-            current->second->resendPrevented = true;
-            return false;
-        }
         if (opened) {
             target->callLimiter.connectionOpened(callNumber, monotonic_clock::now());
         }
@@ -445,12 +438,7 @@
         result.kind = mayHaveBeenSent ? backend_result_kind::failed : backend_result_kind::refused;
         result.code = code;
         result.mayHaveBeenSent = mayHaveBeenSent;
-        if (pending.resendPrevented) {
-            target.callLimiter.connectionClosed(callNumber, now);
-            result.kind = backend_result_kind::failed;
-            result.mayHaveBeenSent = true;
-            result.code = error_code::unreachable;
-        } else if (code == error_code::cancelled) {
+        if (code == error_code::cancelled) {
             // checkBeforeWrite() returned false.
             target.callLimiter.abandon(callNumber, now);
             result.code = error_code::notOwner;
--- a/libs/gateway/src/backend_caller.cpp
+++ b/libs/gateway/src/backend_caller.cpp
@@ -49,7 +49,6 @@
     message.defaultContentType = false;
     message.timeout = timeLeft + answerTransitTime;
     message.freshConnection = request->atMostOnce;
-    message.sendOnce = request->atMostOnce;
     message.beforeSend = [&account = m_registry.budget(call.server->entry().service).account()] {
         account.recordWrite();
         return true;
--- a/libs/gateway/src/backend_caller.h
+++ b/libs/gateway/src/backend_caller.h
@@ -25,7 +25,7 @@
     std::string target;
     std::string body;
     http_headers headers;
-    bool atMostOnce = false; ///< Each call is sent on a new connection and never resent by the HTTP client.
+    bool atMostOnce = false; ///< Each call is sent on a new connection.
     std::shared_ptr<latency_profile> profile; ///< Records the latency of served calls.
 };
 
--- a/libs/transport/include/transport/http_call.h
+++ b/libs/transport/include/transport/http_call.h
@@ -22,14 +22,10 @@
     /// Time from send() to the complete reply, including connecting. A call that takes longer fails with deadlineExceeded.
     std::chrono::milliseconds timeout{1000};
 
-    /// Opens a connection for this call only and closes it afterwards. Set this for requests that must not run twice:
-    /// libcurl resends a request on a new connection when a reused connection is lost before the reply.
+    /// Opens a connection for this call only and closes it afterwards. A server may close an idle connection at the moment at which a
+    /// request is written to it, and the request then counts as possibly run; a fresh connection avoids that.
     bool freshConnection = false;
 
-    /// Never writes the request twice. Where libcurl would resend it, the call fails with mayHaveBeenSent = true. Unlike with
-    /// freshConnection, the call may use an idle connection, and its connection may be reused.
-    bool sendOnce = false;
-
     /// Connections that have been idle for longer are not reused. In seconds, because libcurl accepts nothing finer.
     std::chrono::seconds maxIdleTime{118};
 
@@ -37,9 +33,8 @@
     /// have been written continues in the background until its reply or timeout, so that the connection can be reused.
     bool closeOnCancel = true;
 
-    /// Called each time immediately before libcurl writes the request; again before a resend, unless sendOnce prevents the
-    /// resend. If it returns false, the call fails with the code `cancelled`. Empty: the request is always sent. It must not
-    /// call the client.
+    /// Called once, immediately before the request is written. If it returns false, the call fails with the code `cancelled`. Empty: the
+    /// request is always sent. It must not call the client.
     std::function<bool()> beforeSend;
 };
 
--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -49,7 +49,7 @@
     std::size_t *bufferedBytes = nullptr; ///< Size of the reply bodies of all transfers of the client.
     bool writeAllowed = false; ///< libcurl was allowed to write the request, so it may have been sent.
     bool stoppedBeforeSend = false; ///< beforeSend returned false.
-    bool resendRefused = false; ///< libcurl tried to write a sendOnce request a second time.
+    bool resendRefused = false; ///< libcurl tried to send the request a second time.
     bool tooLarge = false; ///< The reply exceeded a limit.
     std::array<char, CURL_ERROR_SIZE> errorText{}; ///< Written by libcurl.
 
@@ -193,7 +193,8 @@
     if (running.lastSocket) {
         running.lastSocket->connected = true;
     }
-    if (running.writeAllowed && running.call.sendOnce) {
+    if (running.writeAllowed) {
+        // libcurl sends a request again when a reused connection is lost before the first byte of the reply.
         running.resendRefused = true;
         return CURL_PREREQFUNC_ABORT;
     }
@@ -623,6 +624,10 @@
     {
         auto &running = *static_cast<transfer *>(user);
         auto &self = *static_cast<impl *>(running.client);
+        if (running.writeAllowed) {
+            running.resendRefused = true; // Without this, a connection would be opened only to be closed by onBeforeSend().
+            return CURL_SOCKET_BAD;
+        }
         const int descriptor = ::socket(address->family, address->socktype | SOCK_CLOEXEC | SOCK_NONBLOCK, address->protocol);
         if (descriptor < 0) {
             return CURL_SOCKET_BAD;
