Do not take an answer that ends within its head for a complete one

What callers saw: a 200 with an empty body, framed as whole, when a backend server stopped in the middle of its answer's head and closed.

Cause: libcurl reports success when a connection is closed after the status line and before the end of the head; with a signature among the lines that arrived, the answer counted as served. A search lost the records of that shard without saying so.

Change: a transfer that ends without the empty line after the head of its final response fails as a lost connection; the request may have run.

--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -50,6 +50,7 @@
     bool writeAllowed = false; ///< libcurl was allowed to write the request, so it may have been sent.
     bool stoppedBeforeSend = false; ///< beforeSend returned false.
     bool resendRefused = false; ///< libcurl tried to send the request a second time.
+    bool headComplete = false; ///< The empty line after the head of the final reply was received.
     bool tooLarge = false; ///< The reply exceeded a limit.
     std::array<char, CURL_ERROR_SIZE> errorText{}; ///< Written by libcurl.
 
@@ -158,6 +159,9 @@
     if (ended.stoppedBeforeSend) {
         return makeFailure(error_code::cancelled, "the call was stopped before it was sent", ended.server, ended.writeAllowed);
     }
+    if (code == CURLE_OK) {
+        return makeFailure(error_code::unreachable, "the connection was closed within the head of the reply", ended.server, true);
+    }
     if (ended.tooLarge) {
         return makeFailure(error_code::tooLarge, "the reply is too large", ended.server, ended.writeAllowed);
     }
@@ -555,7 +559,8 @@
         if (!ended->done) {
             return;
         }
-        if (code == CURLE_OK) {
+        // libcurl reports success when the connection is closed within the head, after the status line.
+        if (code == CURLE_OK && ended->headComplete) {
             ended->done(std::move(ended->reply));
         } else {
             ended->tooLarge = ended->tooLarge || code == CURLE_FILESIZE_EXCEEDED;
@@ -845,6 +850,7 @@
     if (line.starts_with("HTTP/")) {
         // Discards an interim response such as "100 Continue" that precedes the final one.
         running.discardReply();
+        running.headComplete = false;
         const auto space = line.find(' ');
         if (space != std::string_view::npos) {
             const auto text = line.substr(space + 1);
@@ -852,7 +858,9 @@
         }
         return line.size();
     }
-    if (const auto colon = line.find(':'); colon != std::string_view::npos) {
+    if (trim(line).empty()) {
+        running.headComplete = running.reply.status >= 200;
+    } else if (const auto colon = line.find(':'); colon != std::string_view::npos) {
         running.reply.headers.push_back({std::string(trim(line.substr(0, colon))), std::string(trim(line.substr(colon + 1)))});
     }
     return line.size();
--- a/libs/transport/tests/test_http_client.cpp
+++ b/libs/transport/tests/test_http_client.cpp
@@ -348,6 +348,29 @@
     EXPECT_EQ(codeFor("HTTP/1.1 200 OK\r\n\r\n" + std::string(1000, 'x')), "none");
 }
 
+// Guards against an answer that breaks off in its head and is taken for a complete one with an empty body.
+TEST_F(HttpClientTest, RepliesThatEndInTheHeadFail)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nX-State: warm\r\nContent-Length: 0\r\n\r\n";
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    std::string bytes;
+    bool reset = false;
+    scripted_http_server server([&](const std::string &) { return scripted_http_server::action{bytes, true, {}, {}, reset}; });
+    for (const auto &prefix : {std::string(), interim}) {
+        for (std::size_t length = 0; length < whole.size(); ++length) {
+            for (const bool resets : {false, true}) {
+                bytes = prefix + whole.substr(0, length);
+                reset = resets;
+                const auto result = send(makeCall(server.url("/")));
+                EXPECT_FALSE(result.has_value()) << "'" << bytes << "' was taken for an answer with status " << result->status;
+                EXPECT_TRUE(result.has_value() || result.error().mayHaveBeenSent);
+            }
+        }
+    }
+    bytes = whole;
+    EXPECT_TRUE(send(makeCall(server.url("/"))).has_value());
+}
+
 // Guards against a server in trouble that sends bytes without end, in a head or a body: each call must end by its timeout, without the
 // memory of the process growing, and be reported as possibly run; its connection must be closed.
 TEST_F(HttpClientTest, EndlessRepliesEndWithTheCall)
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -72,7 +72,8 @@
     def test_orders_run_at_most_once(self):
         """Guards against orders that run twice, and orders that are refused although they ran, while backend servers fail."""
         self.platform.start_gateway("g1", "z1")
-        modes = ["serve", "drop_answer", "reset", "shed", "fail", "truncate", "wrong_id", "extra_answer", "unframed", "unframed_reset"]
+        modes = ["serve", "drop_answer", "reset", "close", "shed", "fail", "truncate", "truncate_head", "wrong_id", "extra_answer", "unframed",
+                 "unframed_reset"]
         for number in range(120):
             for index in range(2):
                 self.platform.backends[f"single-{index}"].mode = modes[(number + index * 3) % len(modes)]
@@ -89,7 +90,7 @@
         """Guards against a late or extra answer, or one with a wrong Request-Id, that is taken as the answer to another request."""
         self.platform.start_gateway("g1", "z1")
         for backend in self.platform.backends.values():
-            modes = iter(["extra_answer", "serve", "wrong_id", "serve", "truncate", "serve", "unframed", "unframed_reset"] * 1000)
+            modes = iter(["extra_answer", "serve", "wrong_id", "serve", "truncate", "truncate_head", "serve", "unframed", "unframed_reset"] * 1000)
             backend.mode = lambda modes=modes: next(modes)
         for number in range(80):
             request_id = f"fetch{number}"
