Keep a fifth of the slack of extra calls for hosts that restart

The whole slack was divided among the hosts, and a host that restarts gets tokens again, while its earlier process may have used its part in the same window. Only the unused share of the requests (15%) covered that: nothing in quiet traffic.

Change: 80% of the slack is divided among the hosts, the rest covers restarts.

--- a/libs/limits/include/limits/extra_call_budget.h
+++ b/libs/limits/include/limits/extra_call_budget.h
@@ -17,13 +17,17 @@
 /// Token bucket for the extra calls (retries and hedges) of this host to one service. Not thread-safe.
 ///
 /// In a time window of any length, each host makes at most `capacity + share * its requests` extra calls. The capacities of all hosts add
-/// up to the slack, so that all hosts together make at most `slack + share * all requests`.
+/// up to standingSlackShare of the slack, so that all hosts together make at most `slack + share * all requests`, also when some of them
+/// restart and get tokens anew.
 class extra_call_budget
 {
 public:
     /// Fraction of the allowed share that is used; the rest is a margin for requests that an observer counts in
-    /// another window than this host does.
-    static constexpr double shareSafetyFactor = 0.85;
+    /// another window than this host does, such as those that a paused host handles late.
+    static constexpr double shareSafetyFactor = 0.95;
+    /// Fraction of the slack that is divided among the hosts; the rest covers the tokens of hosts that restart. An earlier process of
+    /// such a host may have used its part in the same window.
+    static constexpr double standingSlackShare = 0.8;
     /// Tokens that hedges leave for retries of failed calls, as a fraction of the capacity.
     static constexpr double retryReserve = 0.3;
 
--- a/libs/limits/src/extra_call_budget.cpp
+++ b/libs/limits/src/extra_call_budget.cpp
@@ -10,7 +10,7 @@
 
 double slackPerHost(double slack, std::uint32_t hosts)
 {
-    return slack / std::max(1U, hosts);
+    return slack * extra_call_budget::standingSlackShare / std::max(1U, hosts);
 }
 
 } // namespace
