Answer requests that outlast a planned stop

What callers saw: when a host was stopped while backend servers were still at work, the requests were cut without an answer at the end of the stop time, those on kept connections late in it included, and those that may not be repeated.

Cause: the event loop stopped half a second before the process is killed, whatever was open.

Evidence: test_a_planned_stop_answers_requests_that_outlast_it failed at (status 0). It sends orders, single requests and searches to backend servers that do not answer, before and after the signal, on connections in use.

Change: requests that have no answer half a second before the end of the stop time get a 504, which says that they may have run; the loop stops 0.2 s later. Parts for other hosts end in the same way, so that the asking host goes on by itself.

--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -39,6 +39,7 @@
 {
     m_incoming.exchange = std::move(exchange);
     m_ended = false;
+    m_state.openRequests.emplace(this, weak_from_this());
     m_timerDue = time_point::max();
     watchCaller();
 }
@@ -46,6 +47,7 @@
 void caller_request::start()
 {
     watchCaller();
+    m_state.openRequests.emplace(this, weak_from_this());
     const auto now = monotonic_clock::now();
     startRun(now);
     advance(now);
@@ -61,8 +63,7 @@
     }
     startOtherWork(now);
     if (run().finished()) {
-        m_ended = true;
-        m_timer.cancel();
+        end();
         answer(now);
         return;
     }
@@ -108,18 +109,44 @@
     });
 }
 
-void caller_request::callerDisconnected()
+void caller_request::end()
 {
-    if (m_ended) {
-        return;
-    }
     m_ended = true;
+    m_state.openRequests.erase(this);
     m_timer.cancel();
-    const auto now = monotonic_clock::now();
+}
+
+void caller_request::cancelCalls()
+{
     for (const auto &call : std::exchange(m_openCalls, {})) {
         m_state.backendCaller.cancel(call.handle);
     }
     cancelOtherWork();
+}
+
+void caller_request::giveUp()
+{
+    if (m_ended) {
+        return;
+    }
+    const auto self = shared_from_this(); // The request may end with its last call.
+    end();
+    cancelCalls();
+    const error reason{error_code::draining, "this host stops before the request has an answer; it may have run", "stop", {}};
+    const auto now = monotonic_clock::now();
+    const auto latency = respond(m_state.codec.encodeFailure(504, reason), "stopped", now);
+    m_state.log.writeRequest(
+        "request", "stopped", now, {{"id", m_incoming.requestId}, {"route", m_incoming.matchedRoute->name}, {"ms", latency}});
+}
+
+void caller_request::callerDisconnected()
+{
+    if (m_ended) {
+        return;
+    }
+    end();
+    const auto now = monotonic_clock::now();
+    cancelCalls();
     const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(now - m_incoming.receivedAt);
     m_state.metrics.requestEnded(m_incoming.matchedRoute->name, "callerGone", latency);
     m_state.log.writeRequest(
--- a/libs/gateway/src/caller_request.h
+++ b/libs/gateway/src/caller_request.h
@@ -45,6 +45,10 @@
     /// Starts to serve the request.
     void start();
 
+    /// Answers with a failure that promises nothing, and cancels the open calls. Does nothing once ended(). Called when this host stops
+    /// before the request has an answer.
+    void giveUp();
+
 protected:
     caller_request(gateway_state &state, incoming_request received);
 
@@ -86,6 +90,9 @@
     };
 
     void send(const send_call &call);
+    // Marks the request as ended and stops its timer.
+    void end();
+    void cancelCalls();
     void armTimer(time_point now);
     void watchCaller();
     void callerDisconnected();
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <call_audit.h>
 #include <caller_front.h>
+#include <caller_request.h>
 #include <gateway_state.h>
 #include <host_link.h>
 #include <publication_reader.h>
@@ -13,6 +14,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace orioledrum
 {
@@ -30,8 +32,10 @@
 constexpr std::chrono::milliseconds stopPollInterval{50};
 /// Interval at which canServe() is evaluated; the load balancer checks readiness once a second.
 constexpr std::chrono::milliseconds canServeInterval{200};
-/// The event loop stops at the latest this long before the process is killed.
+/// Requests that still have no answer get a failure this long before the process is killed.
 constexpr std::chrono::milliseconds stopMargin{500};
+/// Time after these answers until the event loop stops, in which they leave this host.
+constexpr std::chrono::milliseconds flushTime{200};
 
 } // namespace
 
@@ -138,7 +142,16 @@
         // Other hosts may still wait for parts of searches that this host gathers.
         const bool finished =
             elapsed >= balancerDrainTime + lastRequestTime && m_callerServer->openRequests() == 0 && m_hostServer->openRequests() == 0;
-        if (finished || elapsed >= m_state.settings.stopTime - stopMargin) {
+        const auto lastAnswerTime = m_state.settings.stopTime - stopMargin;
+        if (!finished && elapsed >= lastAnswerTime) {
+            // A request leaves the map when it ends.
+            for (const auto &[key, open] : std::vector(m_state.openRequests.begin(), m_state.openRequests.end())) {
+                if (const auto request = open.lock()) {
+                    request->giveUp();
+                }
+            }
+        }
+        if (finished || elapsed >= lastAnswerTime + flushTime) {
             m_state.log.write("main", "stopped", {{"openRequests", static_cast<std::int64_t>(m_callerServer->openRequests())}});
             m_state.context.stop();
             return;
--- a/libs/gateway/src/gateway_state.h
+++ b/libs/gateway/src/gateway_state.h
@@ -25,6 +25,8 @@
 namespace orioledrum
 {
 
+class caller_request;
+
 /// State that the components of a gateway share. Used by one thread only.
 struct gateway_state {
     gateway_state(asio::io_context &ioContext, gateway_settings gatewaySettings, const message_codec &messageCodec, http_client &client);
@@ -47,6 +49,8 @@
     relay_client relays;
     service_split serviceSplit;
     std::shared_ptr<const route_table> table; ///< Active route table; null before the first one.
+    /// Requests that have no answer yet, those of other hosts included.
+    std::unordered_map<const caller_request *, std::weak_ptr<caller_request>> openRequests;
     bool stopping = false;
     bool canServeNow = false; ///< Latest result of canServe().
     /// Number of received requests by route::key(), that is, the Host header value and the path prefix.
--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -379,10 +379,10 @@
     def add_backend(self, name, service, zone):
         self.run(self._add_backend(name, service, zone))
 
-    def publish_routes_on_loop(self, single="single", extra=()):
+    def publish_routes_on_loop(self, single="single", extra=(), timeout_ms=1500):
         """Publishes the next version of the routes, with one more route for each name in `extra`. Runs in the thread of the loop."""
         self.config_version += 3
-        base = {"host": "h.example", "timeout_ms": 1500, "target_latency_ms": 120, "priority": 1, "max_attempts": 2}
+        base = {"host": "h.example", "timeout_ms": timeout_ms, "target_latency_ms": 120, "priority": 1, "max_attempts": 2}
         search = {"kind": "idempotent", "gather": self.shards, "top_k": 10, "min_coverage": 0.75}
         routes = [{**base, **search, "name": "search", "prefix": "/search/"},
                   {**base, "name": "fetch", "prefix": "/fetch/", "kind": "idempotent", "service": single},
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -352,6 +352,40 @@
         self.assertGreater(len(outcomes), 100)
         self.assertEqual(set(outcomes), {200})
 
+    def test_a_planned_stop_answers_requests_that_outlast_it(self):
+        """Guards against requests that are cut without an answer at the end of the stop time, when their backend servers are still at
+        work: they were sent before the stop or on kept connections late in it, and some may not be repeated.
+        """
+        self.platform.publish_routes(timeout_ms=20000)
+        self.platform.start_gateway("g1", "z1")
+        for backend in self.platform.backends.values():
+            backend.mode = "hang"
+        began = time.monotonic()
+
+        async def caller(number, delay_s):
+            kind, method, body = (("order", "POST", b"one"), ("fetch", "GET", b""), ("search", "GET", b""))[number % 3]
+            connection = []
+            await self.platform.send("g1", "/none/x", connection=connection)
+            end = time.monotonic() + delay_s
+            while time.monotonic() < end:  # Keeps the connection in use until the request.
+                await asyncio.sleep(0.04)
+                await self.platform.send("g1", "/none/x", connection=connection)
+            return await self.platform.send("g1", f"/{kind}/x", method=method, body=body, connection=connection, deadline_ms=20000)
+
+        async def load():
+            return await asyncio.gather(*(caller(number, 0.3 * number) for number in range(6)))
+
+        future = asyncio.run_coroutine_threadsafe(load(), self.platform.loop)
+        time.sleep(0.7)
+        self.platform.signal("g1", signal.SIGTERM)
+        answers = future.result(20)
+        self.assertEqual(self.platform.gateways["g1"]["process"].wait(8), 0)
+        self.assertLess(time.monotonic() - began, 0.7 + 6)
+        # A connection that the gateway closed before it read the request is no request without an answer.
+        taken = [answer.status for answer in answers if answer.status != 0 or answer.seconds > 0.1]
+        self.assertGreaterEqual(len(taken), 2)
+        self.assertEqual(set(taken), {504})
+
     def test_refuses_and_reports_itself_when_cut_off(self):
         """Guards against a gateway that, without reachable backend servers, stays ready, keeps caller connections open or does not
         refuse searches at once, and against one that does not become ready when the backend servers return.
