Send nothing to backend servers that say in their answers that they leave, or want no requests for a time

What callers saw: requests that went to backend servers that were shutting down or had just asked for quiet, and refusals with a time to come back that was too early. Neither header was read.

A call_suspension of each incarnation says whether it may be called; it is checked when a backend server is chosen and again before a request is written. It outlives the entry. After a quiet time one call goes first.

In anOverloadThatAsksForQuietDoesNotFeedItself 200 searches send no call to shards that want none, and searches of other shards are served.

--- a/libs/gateway/include/gateway/message_codec.h
+++ b/libs/gateway/include/gateway/message_codec.h
@@ -33,6 +33,11 @@
     std::string server; ///< Id of the backend server; empty when missing.
     std::optional<replica_load> load;
     std::optional<std::chrono::milliseconds> coldRemaining; ///< Remaining time for which the backend server is cold.
+    /// The backend server leaves and wants no more requests. Also set with requestMismatch: an answer that comes late says it, too.
+    bool leaving = false;
+    /// A refusal says that the backend server wants no request for this time. Also set with requestMismatch.
+    std::optional<std::chrono::milliseconds> quietTime;
+    std::string unreadableQuietTime; ///< The text of a quiet time that is not a number of seconds, at most 40 characters.
 };
 
 /// Translates between the HTTP messages of callers and backend servers and the types of the query tier.
--- a/libs/gateway/src/backend_caller.cpp
+++ b/libs/gateway/src/backend_caller.cpp
@@ -2,6 +2,7 @@
 
 #include <gateway/message_codec.h>
 #include <gateway_metrics.h>
+#include <logging/event_log.h>
 
 #include <algorithm>
 #include <utility>
@@ -14,6 +15,10 @@
 
 /// A call times out this long after its deadline: an answer that was sent in time may still be on its way.
 constexpr std::chrono::milliseconds answerTransitTime{30};
+/// Bounds of the random time that is added to a quiet time: long enough to separate hosts by several calls of 10 ms, and short enough that a
+/// shard does not lack its backend servers for long.
+constexpr std::chrono::milliseconds minQuietSpread{50};
+constexpr std::chrono::milliseconds maxQuietSpread{500};
 
 } // namespace
 
@@ -26,11 +31,13 @@
     time_point sentAt;
 };
 
-backend_caller::backend_caller(http_client &client, const message_codec &codec, replica_registry &registry, gateway_metrics &metrics)
+backend_caller::backend_caller(http_client &client, const message_codec &codec, replica_registry &registry, gateway_metrics &metrics, event_log &log)
     : m_client(client)
     , m_codec(codec)
     , m_registry(registry)
     , m_metrics(metrics)
+    , m_log(log)
+    , m_random(random_source::fromSystem())
 {
 }
 
@@ -49,7 +56,11 @@
     message.defaultContentType = false;
     message.timeout = timeLeft + answerTransitTime;
     message.freshConnection = request->atMostOnce;
-    message.beforeSend = [&account = m_registry.budget(call.server->entry().service).account()] {
+    message.beforeSend = [&account = m_registry.budget(call.server->entry().service).account(), server = call.server] {
+        // The call may have waited for its connection while another answer asked for no more calls.
+        if (server->suspension().active(monotonic_clock::now())) {
+            return false;
+        }
         account.recordWrite();
         return true;
     };
@@ -66,6 +77,35 @@
     m_client.cancel(handle);
 }
 
+void backend_caller::applyNotices(replica &server, const backend_fields &fields, const std::string &requestId, time_point now)
+{
+    const auto write = [&](const char *event, std::chrono::milliseconds time, const std::string &text) {
+        m_metrics.noticeReceived(event);
+        m_log.writeRequest("calls",
+                           event,
+                           now,
+                           {{"id", requestId},
+                            {"server", server.entry().id.str()},
+                            {"service", server.entry().service.str()},
+                            {"ms", std::int64_t{time.count()}},
+                            {"text", text}});
+    };
+    if (fields.leaving && server.setLeaving()) {
+        write("serverLeaving", {}, {});
+    }
+    if (fields.quietTime) {
+        const auto quiet = std::min<std::chrono::milliseconds>(*fields.quietTime, call_suspension::maxQuietTime);
+        // Each host waits a little longer, by a random time, so that not all of them call at once.
+        const auto spread = std::clamp(quiet / 4, minQuietSpread, maxQuietSpread);
+        const auto until = now + quiet + std::chrono::milliseconds(m_random.below(static_cast<std::uint64_t>(spread.count())));
+        if (server.setQuietUntil(until)) {
+            write("serverQuiet", quiet, quiet < *fields.quietTime ? "asked for longer" : "");
+        }
+    } else if (!fields.unreadableQuietTime.empty()) {
+        write("unreadableQuietTime", {}, fields.unreadableQuietTime);
+    }
+}
+
 void backend_caller::callEnded(const outstanding_call &call, http_client::result &&result, const callback &done)
 {
     const auto now = monotonic_clock::now();
@@ -76,6 +116,7 @@
     if (result) {
         reply = std::move(*result);
         auto fields = m_codec.decodeReply(reply, call.request->requestId);
+        applyNotices(*call.server, fields, call.request->requestId, now);
         outcome.end = fields.end;
         outcome.signature = std::move(fields.signature);
         closeIdle = fields.requestMismatch;
@@ -92,7 +133,9 @@
         }
     } else if (!result.error().mayHaveBeenSent) {
         m_registry.budget(call.server->entry().service).account().recordNotWritten();
-        outcome.end = result.error().failure.code == error_code::cancelled ? attempt_end::abandoned : attempt_end::unreachable;
+        const bool cancelled = result.error().failure.code == error_code::cancelled;
+        const bool stopped = cancelled && call.server->suspension().active(now);
+        outcome.end = stopped ? attempt_end::shed : cancelled ? attempt_end::abandoned : attempt_end::unreachable;
     } else if (result.error().failure.code == error_code::cancelled) {
         outcome.end = attempt_end::abandoned;
     } else if (result.error().failure.code == error_code::deadlineExceeded) {
--- a/libs/gateway/src/backend_caller.h
+++ b/libs/gateway/src/backend_caller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <base/random_source.h>
 #include <search/call_outcome.h>
 #include <search/call_run.h>
 #include <search/latency_profile.h>
@@ -14,9 +15,11 @@
 namespace orioledrum
 {
 
+class event_log;
 class gateway_metrics;
 class message_codec;
 class replica_registry;
+struct backend_fields;
 
 /// Content that is sent with every call for one caller's request. Shared by the request and its calls.
 struct call_template {
@@ -38,7 +41,7 @@
     using callback = std::function<void(call_outcome &&outcome, http_reply &&reply)>;
 
     /// All arguments must outlive this object.
-    backend_caller(http_client &client, const message_codec &codec, replica_registry &registry, gateway_metrics &metrics);
+    backend_caller(http_client &client, const message_codec &codec, replica_registry &registry, gateway_metrics &metrics, event_log &log);
 
     /// @param call Backend server and deadline.
     /// @param request Content of the call.
@@ -46,6 +49,10 @@
     /// @return Handle for cancel().
     http_call_handle send(const send_call &call, std::shared_ptr<const call_template> request, callback done);
 
+    /// Applies what an answer, also one to a status check, says about further requests to the backend server.
+    /// @param requestId For the log; empty for a status check.
+    void applyNotices(replica &server, const backend_fields &fields, const std::string &requestId, time_point now);
+
     /// Cancels a call and closes its connection. The callback of the call is still called.
     void cancel(http_call_handle handle);
 
@@ -57,6 +64,8 @@
     const message_codec &m_codec;
     replica_registry &m_registry;
     gateway_metrics &m_metrics;
+    event_log &m_log;
+    random_source m_random;
 };
 
 } // namespace orioledrum
--- a/libs/gateway/src/forwarded_request.cpp
+++ b/libs/gateway/src/forwarded_request.cpp
@@ -2,6 +2,7 @@
 
 #include <gateway_state.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace orioledrum
@@ -47,7 +48,9 @@
     case forward_end::notRun: {
         const error reason{error_code::overloaded, "no backend server could take the request", "forward", m_service.str()};
         status = 503;
-        latency = respond(state().codec.encodeNotRun(reason, retryAfterNotRun), toString(m_run.end()), now);
+        const auto reachableFrom = state().registry.reachableFrom(m_service, now).value_or(now);
+        const auto wait = std::max(retryAfterNotRun, std::chrono::ceil<std::chrono::milliseconds>(reachableFrom - now));
+        latency = respond(state().codec.encodeNotRun(reason, wait), toString(m_run.end()), now);
         break;
     }
     case forward_end::failed: {
--- a/libs/gateway/src/gateway_metrics.cpp
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -96,6 +96,10 @@
                           .Name("orioledrum_service_calls_total")
                           .Help("Calls to a service: decided as first or extra calls, written, not written, written without a decision")
                           .Register(registry);
+    m_notices = &prometheus::BuildCounter()
+                     .Name("orioledrum_backend_notices_total")
+                     .Help("Answers of backend servers that ask for no more requests, by what they say")
+                     .Register(registry);
     m_hedges = makeCounter(registry, "orioledrum_hedges_total", "Hedged calls, sent because an earlier call was slow");
     m_retries = makeCounter(registry, "orioledrum_retries_total", "Calls retried after a failure");
     m_configVersion = makeGauge(registry, "orioledrum_config_version", "Version of the active route table; 0 before the first");
@@ -143,6 +147,11 @@
     set("unpaid", account.unpaidWrites());
 }
 
+void gateway_metrics::noticeReceived(const std::string &kind)
+{
+    m_notices->Add({{"kind", kind}}).Increment();
+}
+
 void gateway_metrics::addExtraCalls(std::uint32_t hedges, std::uint32_t retries)
 {
     m_hedges->Increment(hedges);
--- a/libs/gateway/src/gateway_metrics.h
+++ b/libs/gateway/src/gateway_metrics.h
@@ -40,6 +40,8 @@
     void requestEnded(const std::string &route, std::string_view outcome, std::chrono::microseconds latency);
     /// @param account Counts of the calls to a service since the start.
     void setServiceCalls(const std::string &service, const call_account &account);
+    /// @param kind Event of the log line.
+    void noticeReceived(const std::string &kind);
     void addExtraCalls(std::uint32_t hedges, std::uint32_t retries);
     void setConfigVersion(std::uint64_t version);
     void setBackendServers(std::size_t count);
@@ -62,6 +64,7 @@
     std::map<attempt_end, prometheus::Counter *> m_callEnds;
     prometheus::Histogram *m_callTimes;
     prometheus::Family<prometheus::Counter> *m_serviceCalls;
+    prometheus::Family<prometheus::Counter> *m_notices;
     prometheus::Counter *m_hedges;
     prometheus::Counter *m_retries;
     prometheus::Gauge *m_configVersion;
--- a/libs/gateway/src/gateway_state.cpp
+++ b/libs/gateway/src/gateway_state.cpp
@@ -22,7 +22,7 @@
     , codec(messageCodec)
     , log(settings.host.str())
     , registry({settings.zone, settings.extraCalls, settings.coldFactor, settings.coldSlack}, random_source::fromSystem())
-    , backendCaller(client, messageCodec, registry, metrics)
+    , backendCaller(client, messageCodec, registry, metrics, log)
     , relays(client, registry, settings.hosts.text())
 {
 }
--- a/libs/gateway/src/gathered_request.cpp
+++ b/libs/gateway/src/gathered_request.cpp
@@ -175,7 +175,7 @@
         latency = respond(state().codec.encodeNotRun(reason, std::clamp(wait / 2, maxRetryAfter / 4, maxRetryAfter)), toString(end), now);
     } else if (end == gather_end::notStarted) {
         const error reason{error_code::unreachable, "too few shards have a backend server", "search", missingShard};
-        latency = respond(state().codec.encodeNotRun(reason, maxRetryAfter), toString(end), now);
+        latency = respond(state().codec.encodeNotRun(reason, std::max(result.reachableIn, maxRetryAfter)), toString(end), now);
     } else {
         const bool late = end == gather_end::late;
         const error reason{late ? error_code::deadlineExceeded : error_code::unreachable,
@@ -201,6 +201,7 @@
                               {"resumed", m_resumedParts},
                               {"lostRelays", m_lostRelays},
                               {"expectedMs", result.expected},
+                              {"reachableInMs", std::int64_t{result.reachableIn.count()}},
                               {"slowestMs", result.slowest},
                               {"missingShard", missingShard},
                               {"missingBecause", result.missing == 0 ? std::string() : std::string(toString(result.firstMissingEnd))},
--- a/libs/gateway/src/replica_prober.cpp
+++ b/libs/gateway/src/replica_prober.cpp
@@ -58,6 +58,9 @@
         if (result) {
             const auto fields = m_state.codec.decodeReply(*result, {});
             answered = fields.server.empty() || fields.server == server->entry().id.str();
+            if (answered) {
+                m_state.backendCaller.applyNotices(*server, fields, {}, now);
+            }
             if (answered && fields.coldRemaining) {
                 server->setCold(*fields.coldRemaining, now);
             }
--- a/libs/search/include/search/gather_run.h
+++ b/libs/search/include/search/gather_run.h
@@ -104,6 +104,8 @@
     /// gathered_shard::end of firstMissingShard; timedOut when a call was still outstanding or the search was not sent.
     attempt_end firstMissingEnd = attempt_end::timedOut;
     std::uint32_t skipped = 0; ///< Number of shards that were not called because their answers were expected too late.
+    /// With `notStarted`: time until enough shards want calls again; 0 when that is not known.
+    std::chrono::milliseconds reachableIn{0};
     std::chrono::microseconds expected{0}; ///< Time until enough shards have answered, as estimated at the start; 0 with `notStarted`.
 
     [[nodiscard]] bool succeeded() const { return end == gather_end::complete || end == gather_end::partial; }
@@ -240,6 +242,8 @@
     [[nodiscard]] std::uint32_t reservedServers() const;
     // Finishes the run when too few shards are reachable or would answer in time; otherwise marks shards to skip. False when finished.
     bool admit(time_point now);
+    // Time until enough shards are reachable, rounded up; 0 when not known.
+    [[nodiscard]] std::chrono::milliseconds timeUntilReachable(time_point now) const;
     // Queues a call; false when no backend server may be called. The flags are those of selection_criteria.
     bool send(std::size_t shard, bool reuseTried, bool requireFreeSlot, time_point now);
     // Sends a retry if it is allowed; false when none is sent.
--- a/libs/search/include/search/replica.h
+++ b/libs/search/include/search/replica.h
@@ -3,6 +3,8 @@
 #include <base/ids.h>
 #include <base/monotonic_clock.h>
 #include <limits/cold_rate_limit.h>
+#include <search/call_suspension.h>
+#include <search/server_incarnation.h>
 
 #include <chrono>
 #include <cstdint>
@@ -23,6 +25,8 @@
     bool draining = false; ///< The backend server will shut down soon and should get no new calls.
     std::chrono::milliseconds coldRemaining{0}; ///< Time for which the backend server stays cold, counted from the writing of the entry.
     std::optional<std::chrono::milliseconds> startedAt; ///< Time at which the process started, as Unix time.
+
+    [[nodiscard]] server_incarnation incarnation() const { return {startedAt, address}; }
 };
 
 /// Load that a backend server reports with an answer.
@@ -77,8 +81,8 @@
 
     replica(replica_entry entry, time_point now);
 
-    /// Applies a newer entry. After a restart (a new start time or address) the cold time is that of the entry, and the
-    /// statistics, the reported load and the backoff are reset.
+    /// Applies an entry. After a restart (a new start time or address) the cold time is that of the entry, and the statistics, the reported
+    /// load and the backoff are reset. Only an entry of a later incarnation ends a suspension, see server_incarnation::isAfter().
     void update(replica_entry entry, time_point now);
 
     /// Records that a call was sent.
@@ -103,6 +107,21 @@
     /// Records that a probe was sent. No further probe is due before it has ended.
     void probeSent() { m_probing = true; }
 
+    /// Records that the backend server says that it leaves: it gets no more calls and probes. @return False when that was known.
+    bool setLeaving() { return m_suspension.setLeaving(); }
+
+    /// Records that the backend server wants no calls and probes until the given time. After that time it gets one call at a time until it
+    /// has answered one. @return False when a later time was known.
+    bool setQuietUntil(time_point until);
+
+    /// Takes over what an earlier object of the same incarnation has recorded.
+    void restoreSuspension(const call_suspension &suspension);
+
+    [[nodiscard]] const call_suspension &suspension() const { return m_suspension; }
+
+    /// @return True after a quiet time while the first call since then has no answer yet.
+    [[nodiscard]] bool waitsForFirstAnswer() const { return m_reopening && !m_outstanding.empty(); }
+
     /// Treats the backend server as cold for at least this long from now.
     void setCold(std::chrono::milliseconds remaining, time_point now);
 
@@ -111,8 +130,8 @@
     [[nodiscard]] bool cold(time_point now) const { return now < m_coldUntil; }
     [[nodiscard]] cold_rate_limit &coldRate() { return m_coldRate; }
 
-    /// @return True when calls may be sent: no backoff is running, the backend server is not known to be unreachable, and it has
-    /// not been draining for drainGracePeriod.
+    /// @return True when calls may be sent: no backoff is running, the backend server is not known to be unreachable, its calls are not
+    /// suspended, and it has not been draining for drainGracePeriod.
     [[nodiscard]] bool usable(time_point now) const;
 
     /// @return True when the backend server does not respond: it is unreachable or stalled.
@@ -122,7 +141,10 @@
     [[nodiscard]] bool stalled(time_point now) const;
 
     /// @return True when the backend server is unresponsive and should be probed now.
-    [[nodiscard]] bool probeDue(time_point now) const { return !m_probing && now >= m_backoffUntil && unresponsive(now); }
+    [[nodiscard]] bool probeDue(time_point now) const
+    {
+        return !m_probing && now >= m_backoffUntil && unresponsive(now) && !m_suspension.active(now);
+    }
 
     /// @return True when the oldest outstanding call is so old that the backend server seems to be paused.
     [[nodiscard]] bool paused(time_point now) const;
@@ -176,6 +198,8 @@
     bool m_probing = false;
     time_point m_lastResponseAt; // Latest answer to a call or probe, with any status.
     cold_rate_limit m_coldRate;
+    call_suspension m_suspension;
+    bool m_reopening = false; // A quiet time was asked for, and no call has been served since.
 };
 
 } // namespace orioledrum
--- a/libs/search/include/search/replica_registry.h
+++ b/libs/search/include/search/replica_registry.h
@@ -63,6 +63,9 @@
     static constexpr std::chrono::milliseconds maxHintAge{250};
     /// Added to the expected latency of a stalled backend server.
     static constexpr std::chrono::milliseconds stalledPenalty{2000};
+    /// Time for which the suspension of a backend server without an entry is kept, in case its entry comes back. Longer than any
+    /// shutdown takes.
+    static constexpr std::chrono::minutes suspensionMemory{10};
 
     replica_registry(replica_registry_settings settings, random_source random);
 
@@ -125,6 +128,10 @@
     /// @return True when a backend server of the service in a zone that is not excluded is usable and not stalled.
     [[nodiscard]] bool reachable(const service_id &service, time_point now) const;
 
+    /// @return `now` when the service is reachable; else the time at which the first of its backend servers wants calls again; nullopt when
+    /// none has asked for quiet, so that the time is not known.
+    [[nodiscard]] std::optional<time_point> reachableFrom(const service_id &service, time_point now) const;
+
     /// @return True when the zone is not excluded and a backend server of the service in it is usable and not stalled.
     [[nodiscard]] bool reachableIn(const service_id &service, const zone_id &zone, time_point now) const;
 
@@ -160,7 +167,12 @@
         time_point loadHintAt;
     };
 
-    void eraseReplica(const backend_id &id);
+    struct removed_replica {
+        call_suspension suspension;
+        time_point removedAt;
+    };
+
+    void eraseReplica(const backend_id &id, time_point now);
     [[nodiscard]] bool callable(const replica &candidate, time_point now) const;
     // Lowest expected latency over the backend servers of a service that pass the filter, including stalledPenalty but no other penalty.
     template<typename Filter>
@@ -179,6 +191,7 @@
     std::unordered_map<backend_id, replica_ptr> m_byId;
     std::unordered_map<service_id, service_state> m_services;
     std::unordered_map<backend_id, time_point> m_deferredRemovals;
+    std::unordered_map<backend_id, removed_replica> m_suspended; // Backend servers without an entry that have asked for no calls.
     time_point m_deferRemovalsUntil;
     std::set<zone_id> m_excludedZones;
     std::shared_ptr<const route_table> m_routeTable;
--- a/libs/search/src/gather_run.cpp
+++ b/libs/search/src/gather_run.cpp
@@ -184,6 +184,7 @@
         }
     }
     if (expected.size() < requiredShards()) {
+        m_result.reachableIn = timeUntilReachable(now);
         finish(gather_end::notStarted);
         return false;
     }
@@ -207,6 +208,21 @@
     return true;
 }
 
+std::chrono::milliseconds gather_run::timeUntilReachable(time_point now) const
+{
+    std::vector<time_point> times;
+    for (const auto &service : m_input.shards) {
+        if (const auto from = m_registry.reachableFrom(service, now)) {
+            times.push_back(*from);
+        }
+    }
+    if (times.size() < requiredShards()) {
+        return std::chrono::milliseconds(0);
+    }
+    std::sort(times.begin(), times.end());
+    return std::chrono::ceil<std::chrono::milliseconds>(times[requiredShards() - 1] - now);
+}
+
 bool gather_run::send(std::size_t shard, bool reuseTried, bool requireFreeSlot, time_point now)
 {
     auto &state = m_shards[shard];
--- a/libs/search/src/replica.cpp
+++ b/libs/search/src/replica.cpp
@@ -27,12 +27,17 @@
     , m_drainingSince(now)
     , m_coldUntil(now + m_entry.coldRemaining)
     , m_backoffUntil(now)
+    , m_suspension(m_entry.incarnation())
 {
 }
 
 void replica::update(replica_entry entry, time_point now)
 {
     const bool restarted = entry.startedAt != m_entry.startedAt || entry.address != m_entry.address;
+    if (m_suspension.empty() || entry.incarnation().isAfter(m_suspension.incarnation())) {
+        m_suspension = call_suspension(entry.incarnation());
+        m_reopening = false;
+    }
     if (entry.draining && !m_entry.draining) {
         m_drainingSince = now;
     }
@@ -70,6 +75,7 @@
     m_failureShare *= weight;
     m_statisticsAt = now;
     const bool answered = end == attempt_end::served;
+    m_reopening = m_reopening && !(answered && !m_suspension.active(now));
     m_failureShare += ((answered ? 0.0 : 1.0) - m_failureShare) * failureWeight;
     if (answered || end == attempt_end::timedOut) {
         const double sample =
@@ -86,6 +92,18 @@
     }
 }
 
+bool replica::setQuietUntil(time_point until)
+{
+    m_reopening = true;
+    return m_suspension.setQuietUntil(until);
+}
+
+void replica::restoreSuspension(const call_suspension &suspension)
+{
+    m_suspension = suspension;
+    m_reopening = suspension.quietUntil() != time_point::min();
+}
+
 void replica::setReportedLoad(replica_load load, time_point now)
 {
     m_load = load;
@@ -129,7 +147,7 @@
 
 bool replica::usable(time_point now) const
 {
-    if (now < m_backoffUntil || m_unreachable) {
+    if (now < m_backoffUntil || m_unreachable || m_suspension.active(now)) {
         return false;
     }
     return !m_entry.draining || now - m_drainingSince < drainGracePeriod;
--- a/libs/search/src/replica_registry.cpp
+++ b/libs/search/src/replica_registry.cpp
@@ -25,10 +25,16 @@
             found->second->update(std::move(entry), now);
             return;
         }
-        eraseReplica(found->first);
+        eraseReplica(backend_id(found->first), now);
     }
     const auto id = entry.id;
     auto added = std::make_shared<replica>(std::move(entry), now);
+    if (const auto removed = m_suspended.find(id); removed != m_suspended.end()) {
+        if (!added->entry().incarnation().isAfter(removed->second.suspension.incarnation())) {
+            added->restoreSuspension(removed->second.suspension);
+        }
+        m_suspended.erase(removed);
+    }
     m_services[added->entry().service].replicas.push_back(added);
     m_byId[id] = std::move(added);
 }
@@ -42,7 +48,7 @@
         m_deferredRemovals.emplace(id, m_deferRemovalsUntil);
         return;
     }
-    eraseReplica(backend_id(id));
+    eraseReplica(backend_id(id), now);
 }
 
 void replica_registry::replaceAll(std::vector<replica_entry> entries, time_point now)
@@ -81,17 +87,21 @@
     }
     for (const auto &id : due) {
         m_deferredRemovals.erase(id);
-        eraseReplica(id);
+        eraseReplica(id, now);
     }
     return next;
 }
 
-void replica_registry::eraseReplica(const backend_id &id)
+void replica_registry::eraseReplica(const backend_id &id, time_point now)
 {
     const auto found = m_byId.find(id);
     if (found == m_byId.end()) {
         return;
     }
+    if (found->second->suspension().active(now)) {
+        std::erase_if(m_suspended, [now](const auto &entry) { return now - entry.second.removedAt > suspensionMemory; });
+        m_suspended.insert_or_assign(id, removed_replica{found->second->suspension(), now});
+    }
     auto &list = m_services[found->second->entry().service].replicas;
     std::erase(list, found->second);
     m_byId.erase(found);
@@ -144,7 +154,7 @@
 
 bool replica_registry::callable(const replica &candidate, time_point now) const
 {
-    return candidate.usable(now) && !m_excludedZones.contains(candidate.entry().zone)
+    return candidate.usable(now) && !candidate.waitsForFirstAnswer() && !m_excludedZones.contains(candidate.entry().zone)
         && candidate.outstandingCalls() < callLimit(candidate);
 }
 
@@ -352,6 +362,25 @@
            });
 }
 
+std::optional<time_point> replica_registry::reachableFrom(const service_id &service, time_point now) const
+{
+    if (reachable(service, now)) {
+        return now;
+    }
+    std::optional<time_point> earliest;
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return earliest;
+    }
+    for (const auto &server : found->second.replicas) {
+        const auto &suspension = server->suspension();
+        if (!suspension.leaving() && suspension.quietUntil() > now && !m_excludedZones.contains(server->entry().zone)) {
+            earliest = std::min(earliest.value_or(suspension.quietUntil()), suspension.quietUntil());
+        }
+    }
+    return earliest;
+}
+
 bool replica_registry::reachable(const route &route, time_point now) const
 {
     if (!route.isSearch()) {
--- a/libs/search/tests/fakes/scripted_backends.cpp
+++ b/libs/search/tests/fakes/scripted_backends.cpp
@@ -104,6 +104,12 @@
     return run.takeResult();
 }
 
+replica_registry::replica_ptr scripted_backends::server(const std::string &id) const
+{
+    const auto servers = m_registry.replicas(service_id(id.substr(0, id.find('-'))));
+    return *std::find_if(servers.begin(), servers.end(), [&](const auto &server) { return server->entry().id.str() == id; });
+}
+
 int scripted_backends::calls(const std::string &server) const
 {
     const auto found = m_calls.find(server);
--- a/libs/search/tests/fakes/scripted_backends.h
+++ b/libs/search/tests/fakes/scripted_backends.h
@@ -42,6 +42,8 @@
     gather_result runSearch(gather_input input, const std::function<void(gather_run &, time_point)> &onEvent);
 
     [[nodiscard]] replica_registry &registry() { return m_registry; }
+    /// @return A backend server by its id, which must exist.
+    [[nodiscard]] replica_registry::replica_ptr server(const std::string &id) const;
     [[nodiscard]] latency_profile &profile() { return m_profile; }
     [[nodiscard]] time_point now() const { return m_now; }
     void advanceTime(std::chrono::milliseconds duration) { m_now += duration; }
--- a/libs/search/tests/test_gather_run.cpp
+++ b/libs/search/tests/test_gather_run.cpp
@@ -657,3 +657,29 @@
     EXPECT_EQ(result.shards[0].signature, "p0");
     EXPECT_EQ(result.records, makeRecord(9) + makeRecord(1));
 }
+
+// Load pattern: an overload in which all backend servers of some shards refuse calls and ask for quiet. Guards against searches that feed it
+// with retries, hedges or first calls, that hold their callers, or that do not tell when they can be served; and against searches of other
+// shards that are refused with them.
+TEST(GatherRunTest, anOverloadThatAsksForQuietDoesNotFeedItself)
+{
+    scripted_backends backends(4, 2);
+    setAllBehaviours(backends, 4, {milliseconds(5), attempt_end::served, {}});
+    for (std::size_t shard = 0; shard < 2; ++shard) {
+        for (const char letter : {'a', 'b'}) {
+            backends.server(serverId(shard, letter))->setQuietUntil(backends.now() + milliseconds(shard == 0 ? 700 : 900));
+        }
+    }
+    const int before = backends.totalCalls();
+    for (int search = 0; search < 200; ++search) {
+        const auto result = backends.runSearch(backends.makeInput(milliseconds(60), milliseconds(600), 0.75));
+        EXPECT_EQ(result.end, gather_end::notStarted);
+        EXPECT_EQ(result.reachableIn, milliseconds(700));
+        EXPECT_EQ(result.retries + result.hedges, 0U);
+    }
+    EXPECT_EQ(backends.totalCalls(), before);
+    const auto other = backends.runSearch(backends.makeInput(milliseconds(60), milliseconds(600), 0.5));
+    EXPECT_EQ(other.end, gather_end::partial);
+    EXPECT_EQ(other.missing, 2U);
+    EXPECT_EQ(backends.totalCalls(), before + 2);
+}
--- a/libs/search/tests/test_replica_registry.cpp
+++ b/libs/search/tests/test_replica_registry.cpp
@@ -70,6 +70,72 @@
     EXPECT_EQ(choose(), "b");
 }
 
+// Guards against calls and probes to a backend server that says in an answer that it leaves, also after its entry was written again, or was
+// removed and came back; a later incarnation gets calls.
+TEST_F(ReplicaRegistryTest, aLeavingBackendServerGetsNothingUntilItsNextIncarnation)
+{
+    auto entry = makeEntry("a", "near");
+    entry.startedAt = milliseconds(1000);
+    m_registry.put(entry, m_now);
+    EXPECT_TRUE(find("a")->setLeaving());
+    EXPECT_FALSE(find("a")->setLeaving());
+    const auto expectSuspended = [&] {
+        EXPECT_EQ(choose(), "b");
+        EXPECT_FALSE(find("a")->probeDue(m_now));
+    };
+    expectSuspended();
+    m_registry.put(entry, m_now);
+    expectSuspended();
+    auto older = entry;
+    older.startedAt = milliseconds(900);
+    older.address = "127.0.0.1:7";
+    m_registry.put(older, m_now);
+    expectSuspended();
+    m_registry.put(entry, m_now);
+    m_registry.remove(entry.id, m_now);
+    m_now += std::chrono::seconds(30);
+    m_registry.put(entry, m_now);
+    expectSuspended();
+    auto later = entry;
+    later.startedAt = milliseconds(2000);
+    m_registry.remove(entry.id, m_now);
+    m_registry.put(later, m_now);
+    EXPECT_EQ(choose(), "a");
+}
+
+// Guards against calls to a backend server that wants none for a time, a time that a shorter one cuts off, and many calls at its end.
+TEST_F(ReplicaRegistryTest, aQuietBackendServerGetsNothingUntilTheTimeIsOver)
+{
+    const auto server = find("a");
+    EXPECT_TRUE(server->setQuietUntil(m_now + milliseconds(800)));
+    EXPECT_FALSE(server->setQuietUntil(m_now + milliseconds(300)));
+    for (int step = 0; step < 8; ++step, m_now += milliseconds(100)) {
+        EXPECT_EQ(choose(), "b");
+        EXPECT_FALSE(server->probeDue(m_now));
+    }
+    ASSERT_EQ(choose(), "a");
+    server->callSent(1, callLatency, m_now);
+    EXPECT_EQ(choose(), "b") << "a second call before the first one is answered";
+    server->callEnded(1, attempt_end::served, callLatency, callLatency, m_now);
+    EXPECT_EQ(choose(), "a");
+    server->callSent(2, callLatency, m_now);
+    EXPECT_EQ(choose(), "a");
+}
+
+// Guards against a wrong time after which callers may come back: the earliest one of the backend servers that will want calls again.
+TEST_F(ReplicaRegistryTest, tellsWhenAQuietServiceCanBeCalled)
+{
+    EXPECT_EQ(m_registry.reachableFrom(service, m_now), m_now);
+    find("a")->setQuietUntil(m_now + milliseconds(800));
+    EXPECT_EQ(m_registry.reachableFrom(service, m_now), m_now);
+    find("b")->setQuietUntil(m_now + milliseconds(500));
+    EXPECT_EQ(m_registry.reachableFrom(service, m_now), m_now + milliseconds(500));
+    find("b")->setLeaving();
+    EXPECT_EQ(m_registry.reachableFrom(service, m_now), m_now + milliseconds(800));
+    find("a")->setLeaving();
+    EXPECT_EQ(m_registry.reachableFrom(service, m_now), std::nullopt);
+}
+
 // Load pattern: lookups of 90 ms at single backend servers, all of them idle or nearly so. Guards against answers from another zone that
 // only the random part of the estimate prefers, and against waiting in a long queue of the local zone.
 TEST_F(ReplicaRegistryTest, longCallsStayInTheZoneWhileItIsNotBusy)
--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -181,6 +181,9 @@
         self.server = None
         self.connections = set()
         self.draining = False
+        self.leaving = False  # Says in all answers that it leaves.
+        self.retry_after = None  # Refuses requests and status checks with this value of Retry-After.
+        self.probes = []  # Times of status checks.
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -224,11 +227,16 @@
     async def answer(self, message, reader, writer):
         line, header, body = message
         method, target, _ = line.split(" ", 2)
+        leaving = {"Server-Leaving": "1"} if self.leaving else {}
         if target == "/health":
-            writer.write(make_response(200, {"Instance-Id": self.name}))
+            self.probes.append(time.monotonic())
+            writer.write(make_response(200, {"Instance-Id": self.name, **leaving}))
             return True
         request_id = header.get("request-id", "")
         self.arrivals.append((time.monotonic(), request_id))
+        if self.retry_after is not None:
+            writer.write(make_response(503, {"Not-Run": "1", "Request-Id": request_id, "Retry-After": self.retry_after, **leaving}))
+            return True
         if header.get("expect-instance", self.name) != self.name:
             writer.write(make_response(421, {"Instance-Id": self.name}))
             return True
@@ -261,7 +269,8 @@
         if mode == "drop_answer":
             writer.transport.abort()
             return False
-        answer = {"Request-Id": request_id, "Server-Stamp": self.signature(request_id), "Server-Load": f"{self.running},0,{self.slots}"}
+        answer = {"Request-Id": request_id, "Server-Stamp": self.signature(request_id), "Server-Load": f"{self.running},0,{self.slots}",
+                  **leaving}
         payload = b"".join(self.records(target)) if self.service.startswith("shard") else b"bytes of " + request_id.encode()
         if mode == "fail":
             writer.write(make_response(500, answer, b"failed"))
--- a/tools/orioledrumctl/explanation.cpp
+++ b/tools/orioledrumctl/explanation.cpp
@@ -81,6 +81,15 @@
             if (record.service != service) {
                 continue;
             }
+            if (record.suspension != nullptr) {
+                const bool leaving = record.suspension->event == "serverLeaving";
+                const auto notice =
+                    leaving ? std::string(": not called since it said that it leaves, in its answer to ")
+                            : ": not called for " + record.suspension->field("ms") + " ms since it asked for that in its answer to ";
+                const auto &request = record.suspension->field("id");
+                found.push_back(
+                    makeItem("backend server " + server + notice + (request.empty() ? "a status check" : request), *record.suspension));
+            }
             if (record.gone != nullptr) {
                 found.push_back(makeItem("backend server " + server + ": its entry was removed", *record.gone));
                 continue;
@@ -128,6 +137,7 @@
         const log_line *listed = nullptr;
         const log_line *gone = nullptr;
         const log_line *probe = nullptr;
+        const log_line *suspension = nullptr; // The backend server leaves, or wants no calls for a time.
     };
 
     void applyLine(const log_line &line)
@@ -138,6 +148,10 @@
             auto &server = m_servers[line.field("server")];
             server.service = line.field("service");
             server.probe = &line;
+        } else if (line.event == "serverLeaving" || line.event == "serverQuiet") {
+            auto &server = m_servers[line.field("server")];
+            server.service = line.field("service");
+            server.suspension = &line;
         } else if (line.part == "hosts" && line.event == "hostState") {
             m_peers[line.field("peer")] = &line;
         } else if (line.part == "main" && line.event == "started") {
@@ -156,7 +170,7 @@
             m_lastZonesOut = &line;
         } else if (line.event == "backendServer") {
             auto &server = m_servers[line.field("server")];
-            server = {line.field("service"), &line, nullptr, nullptr};
+            server = {line.field("service"), &line, nullptr, nullptr, server.suspension};
         } else if (line.event == "backendServerGone") {
             m_servers[line.field("server")].gone = &line;
         }
