--- a/libs/gateway/src/backend_caller.cpp
+++ b/libs/gateway/src/backend_caller.cpp
@@ -15,8 +15,8 @@
 
 /// A call times out this long after its deadline: an answer that was sent in time may still be on its way.
 constexpr std::chrono::milliseconds answerTransitTime{30};
-/// Bounds of the random time that is added to a quiet time: long enough to separate hosts by several calls of 10 ms, and short enough that a
-/// shard does not lack its backend servers for long.
+/// Bounds of the random time that is added to a quiet time: long enough to separate hosts by several calls of 10 ms, and short enough that
+/// a shard does not lack its backend servers for long.
 constexpr std::chrono::milliseconds minQuietSpread{50};
 constexpr std::chrono::milliseconds maxQuietSpread{500};
 
@@ -31,7 +31,11 @@
     time_point sentAt;
 };
 
-backend_caller::backend_caller(http_client &client, const message_codec &codec, replica_registry &registry, gateway_metrics &metrics, event_log &log)
+backend_caller::backend_caller(http_client &client,
+                               const message_codec &codec,
+                               replica_registry &registry,
+                               gateway_metrics &metrics,
+                               event_log &log)
     : m_client(client)
     , m_codec(codec)
     , m_registry(registry)
--- a/libs/gateway/src/backend_caller.h
+++ b/libs/gateway/src/backend_caller.h
@@ -32,7 +32,8 @@
     std::shared_ptr<latency_profile> profile; ///< Records the latency of served calls.
 };
 
-/// Sends calls to backend servers and records each request that is written in the account of its service. Updates each replica with the outcome of its calls and the state that it reports.
+/// Sends calls to backend servers and records each request that is written in the account of its service. Updates each replica with the
+/// outcome of its calls and the state that it reports.
 class backend_caller
 {
 public:
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -110,8 +110,8 @@
     }
 
 private:
-    /// Updates gateway_state::canServeNow and audits the calls, now and every canServeInterval. While this host is stopping, or has a route table but cannot
-    /// serve, it closes the connections of callers after each answer, so that they reconnect to other hosts.
+    /// Updates gateway_state::canServeNow and audits the calls, now and every canServeInterval. While this host is stopping, or has a route
+    /// table but cannot serve, it closes the connections of callers after each answer, so that they reconnect to other hosts.
     void updateCanServeNow()
     {
         m_state.canServeNow = m_state.canServe(monotonic_clock::now());
--- a/libs/search/include/search/call_suspension.h
+++ b/libs/search/include/search/call_suspension.h
@@ -14,8 +14,8 @@
 class call_suspension
 {
 public:
-    /// Longest time for which a backend server may ask. A longer one is taken as this; no overload lasts so long, and a faulty backend server
-    /// must not be lost for good.
+    /// Longest time for which a backend server may ask. A longer one is taken as this; no overload lasts so long, and a faulty backend
+    /// server must not be lost for good.
     static constexpr std::chrono::hours maxQuietTime{1};
 
     explicit call_suspension(server_incarnation incarnation)
--- a/libs/search/include/search/server_incarnation.h
+++ b/libs/search/include/search/server_incarnation.h
@@ -12,7 +12,8 @@
     std::optional<std::chrono::milliseconds> startedAt; ///< Start of the process, as Unix time.
     std::string address; ///< "ip:port".
 
-    /// @return True when this is certainly another, later run: its start time is later or, if one of them is not known, the address differs.
+    /// @return True when this is certainly another, later run: its start time is later or, if one of them is not known, the address
+    /// differs.
     [[nodiscard]] bool isAfter(const server_incarnation &other) const
     {
         return startedAt && other.startedAt ? *startedAt > *other.startedAt : address != other.address;
--- a/libs/search/tests/test_gather_run.cpp
+++ b/libs/search/tests/test_gather_run.cpp
@@ -658,9 +658,9 @@
     EXPECT_EQ(result.records, makeRecord(9) + makeRecord(1));
 }
 
-// Load pattern: an overload in which all backend servers of some shards refuse calls and ask for quiet. Guards against searches that feed it
-// with retries, hedges or first calls, that hold their callers, or that do not tell when they can be served; and against searches of other
-// shards that are refused with them.
+// Load pattern: an overload in which all backend servers of some shards refuse calls and ask for quiet. Guards against searches that feed
+// it with retries, hedges or first calls, that hold their callers, or that do not tell when they can be served; and against searches of
+// other shards that are refused with them.
 TEST(GatherRunTest, anOverloadThatAsksForQuietDoesNotFeedItself)
 {
     scripted_backends backends(4, 2);
--- a/tools/orioledrumctl/explanation.cpp
+++ b/tools/orioledrumctl/explanation.cpp
@@ -83,12 +83,12 @@
             }
             if (record.suspension != nullptr) {
                 const bool leaving = record.suspension->event == "serverLeaving";
-                const auto notice =
-                    leaving ? std::string(": not called since it said that it leaves, in its answer to ")
-                            : ": not called for " + record.suspension->field("ms") + " ms since it asked for that in its answer to ";
                 const auto &request = record.suspension->field("id");
-                found.push_back(
-                    makeItem("backend server " + server + notice + (request.empty() ? "a status check" : request), *record.suspension));
+                std::string description = "backend server " + server + ": not called ";
+                description += leaving ? "since it said that it leaves" : "for " + record.suspension->field("ms") + " ms, as it asked";
+                description += ", in its answer to ";
+                description += request.empty() ? "a status check" : request;
+                found.push_back(makeItem(description, *record.suspension));
             }
             if (record.gone != nullptr) {
                 found.push_back(makeItem("backend server " + server + ": its entry was removed", *record.gone));
--- a/tools/orioledrumctl/host_commands.cpp
+++ b/tools/orioledrumctl/host_commands.cpp
@@ -2,6 +2,7 @@
 
 #include "admin_client.h"
 #include "command_line.h"
+#include "gateway_status.h"
 #include "log_commands.h"
 #include "timeline.h"
 
@@ -155,17 +156,56 @@
     return exitCode;
 }
 
+int printGatewayStatus(const command_line &commandLine)
+{
+    const auto host = commandLine.values["gateway"].as<std::string>();
+    if (!isValidHost(host) || commandLine.values.count("host") > 0) {
+        std::cerr << "orioledrumctl status: "
+                  << (isValidHost(host) ? "--host and --gateway exclude each other"
+                                        : "--gateway " + host + " must be an IP address and a port")
+                  << '\n';
+        return exitUsage;
+    }
+    const std::chrono::milliseconds timeout(commandLine.values["timeout-ms"].as<std::uint32_t>());
+    const auto metrics = admin_client({}, timeout).get(host, "/metrics");
+    if (!metrics) {
+        std::cerr << "orioledrumctl: " << metrics.error().describe() << '\n';
+        return exitCodeFor(metrics.error());
+    }
+    const auto status = gateway_status::parse(*metrics, host);
+    if (!status) {
+        std::cerr << "orioledrumctl: " << status.error().describe() << '\n';
+        return exitFailure;
+    }
+    std::cout << (commandLine.json() ? status->json() + "\n" : status->text());
+    return status->totalCalls().unpaid == 0 ? exitOk : exitFailure;
+}
+
 } // namespace
 
 int runStatus(const std::vector<std::string> &arguments)
 {
     int exitCode = exitOk;
     po::options_description options;
-    addHostOptions(options, false);
-    const auto commandLine = parseCommand("status", "Prints the status of an entry host.", arguments, options, {}, exitCode);
+    addHostOptions(options, true);
+    options.add_options()("gateway", po::value<std::string>(), "ip:port of the metrics address of gatewayd, instead of --host and a token");
+    const auto commandLine = parseCommand("status",
+                                          "Prints the status of an entry host: entryhostd by --host, gatewayd by --gateway. For gatewayd "
+                                          "the exit code is 1 when requests were written that no decision paid for.",
+                                          arguments,
+                                          options,
+                                          {},
+                                          exitCode);
     if (!commandLine) {
         return exitCode;
     }
+    if (commandLine->values.count("gateway") > 0) {
+        return printGatewayStatus(*commandLine);
+    }
+    if (commandLine->values.count("host") == 0) {
+        std::cerr << "orioledrumctl status: --host or --gateway is required\n";
+        return exitUsage;
+    }
     const auto hostOptions = readHostOptions("status", commandLine->values);
     if (!hostOptions) {
         return exitUsage;
