Let restarted hosts save up the extra calls that their requests earn

Cause: for 10 s after its start a host could hold 1.6 tokens. That bound is needed for tokens that it gets without requests, because an earlier process may have used its part in the same window. Earned tokens need it not: those used in the window in which they are earned are covered by the share, and those saved up by the host's part.

Change: slack_division tells the two apart. A settled host saves up its whole part at once and is granted the rest of it after 10 s, as before.

--- a/libs/gateway/src/host_counter.cpp
+++ b/libs/gateway/src/host_counter.cpp
@@ -32,12 +32,13 @@
     return m_settled && known > 1 ? known : std::max(known, assumedHosts);
 }
 
-std::uint32_t host_counter::slackHosts(time_point now) const
+slack_division host_counter::slackDivision(time_point now) const
 {
-    if (m_settled && now - m_startedAt >= restartTime) {
-        return hostCount();
+    const auto cautious = std::max(hostCount(), static_cast<std::uint32_t>(m_slack / restartTokens));
+    if (!m_settled) {
+        return {cautious, cautious};
     }
-    return std::max(hostCount(), static_cast<std::uint32_t>(m_slack / restartTokens));
+    return {hostCount(), now - m_startedAt >= restartTime ? hostCount() : cautious};
 }
 
 } // namespace orioledrum
--- a/libs/gateway/src/host_counter.h
+++ b/libs/gateway/src/host_counter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/monotonic_clock.h>
+#include <limits/slack_division.h>
 
 #include <chrono>
 #include <cstddef>
@@ -20,8 +21,9 @@
     static constexpr std::chrono::milliseconds maxSettleTime{4000};
     /// Number of hosts that a host assumes when it knows no other.
     static constexpr std::uint32_t assumedHosts = 10;
-    /// Time after the start in which extra calls are limited to restartTokens. Users count extra calls in windows of 10 s, and an
-    /// earlier process of this host may have used its part of the slack in the same window.
+    /// Time after the start in which a host gets no more than restartTokens without requests. Users count extra calls in windows of 10 s,
+    /// and an earlier process of this host may have used its part of the slack in the same window. What requests earn is not limited:
+    /// they are counted in the window in which it is used, or saved up within the host's part.
     static constexpr std::chrono::seconds restartTime{10};
     /// Extra calls to a service that a host may make in that time before it has earned others by requests. Enough for one hedge.
     static constexpr double restartTokens = 2;
@@ -36,8 +38,8 @@
     [[nodiscard]] bool settled() const { return m_settled; }
     /// @return Number of hosts that share limits.
     [[nodiscard]] std::uint32_t hostCount() const;
-    /// @return Number of hosts among which the slack of extra calls is divided.
-    [[nodiscard]] std::uint32_t slackHosts(time_point now) const;
+    /// @return How the slack of extra calls is divided.
+    [[nodiscard]] slack_division slackDivision(time_point now) const;
 
 private:
     time_point m_startedAt;
--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -78,7 +78,7 @@
     const auto now = monotonic_clock::now();
     const auto view = m_membership.view();
     m_counter.update(view->members.size(), now);
-    const sharing_hosts sharing{view, m_counter.hostCount(), m_counter.slackHosts(now), m_counter.settled()};
+    const sharing_hosts sharing{view, m_counter.hostCount(), m_counter.slackDivision(now), m_counter.settled()};
     if (sharing != m_sharing) {
         std::vector<host_ranking::ranked_host> hosts;
         for (const auto &member : view->members) {
@@ -86,7 +86,7 @@
         }
         m_state.registry.setHosts(
             host_ranking({m_state.settings.host, m_state.settings.zone}, std::move(hosts), sharing.hostCount, sharing.settled),
-            sharing.slackHosts);
+            sharing.slack);
         if (sharing.hostCount != m_sharing.hostCount || sharing.settled != m_sharing.settled) {
             m_state.log.write(
                 "hosts", "sharingHosts", {{"hosts", std::int64_t{sharing.hostCount}}, {"settled", std::int64_t{sharing.settled}}});
--- a/libs/gateway/src/host_link.h
+++ b/libs/gateway/src/host_link.h
@@ -42,7 +42,7 @@
     struct sharing_hosts {
         std::shared_ptr<const membership_view> view;
         std::uint32_t hostCount = 0;
-        std::uint32_t slackHosts = 0;
+        slack_division slack;
         bool settled = false;
         bool operator==(const sharing_hosts &) const = default;
     };
--- a/libs/gateway/tests/test_shared_limits_at_scale.cpp
+++ b/libs/gateway/tests/test_shared_limits_at_scale.cpp
@@ -53,6 +53,7 @@
         for (const auto end = m_gossip.now() + duration; m_gossip.now() < end;) {
             m_gossip.run(100ms);
             double slackSum = 0;
+            double capacitySum = 0;
             double coldSum = 0;
             double connectionSum = 0;
             bool settled = true;
@@ -63,7 +64,9 @@
                 auto &counter = *m_counters[host];
                 const auto view = m_gossip.membershipOf(host)->view();
                 counter.update(view->members.size(), m_gossip.now());
-                slackSum += slack / counter.slackHosts(m_gossip.now());
+                const auto division = counter.slackDivision(m_gossip.now());
+                slackSum += slack / division.grantHosts;
+                capacitySum += slack / division.capacityHosts;
                 settled = settled && counter.settled();
                 if (!counter.settled()) {
                     continue;
@@ -73,6 +76,7 @@
                 connectionSum += share.divide(connections, usefulConnections);
             }
             maxSlack = std::max(maxSlack, slackSum);
+            maxCapacity = std::max(maxCapacity, capacitySum);
             maxCold = std::max(maxCold, coldSum);
             maxConnections = std::max(maxConnections, connectionSum);
             lastCold = coldSum;
@@ -81,6 +85,7 @@
     }
 
     double maxSlack = 0; ///< Extra calls that all hosts together may make without having earned them.
+    double maxCapacity = 0; ///< Extra calls that all hosts together may save up from earlier requests.
     double maxCold = 0; ///< Calls of all settled hosts to a cold backend server in a window.
     double maxConnections = 0; ///< Outstanding calls of all settled hosts to a backend server.
     double lastCold = 0;
@@ -121,6 +126,7 @@
             }
             fleet.run(5s);
             EXPECT_LE(fleet.maxSlack, fleet_limits::slack);
+            EXPECT_LE(fleet.maxCapacity, fleet_limits::slack);
             EXPECT_LE(fleet.maxCold, fleet_limits::coldCalls);
             EXPECT_LE(fleet.maxConnections, fleet_limits::connections);
             EXPECT_TRUE(fleet.allSettled);
@@ -149,6 +155,7 @@
         fleet.start(1);
         fleet.run(10s);
         EXPECT_LE(fleet.maxSlack, fleet_limits::slack);
+        EXPECT_LE(fleet.maxCapacity, fleet_limits::slack);
         EXPECT_LE(fleet.maxCold, fleet_limits::coldCalls);
         EXPECT_LE(fleet.maxConnections, fleet_limits::connections);
         EXPECT_EQ(fleet.lastCold, fleet_limits::coldCalls);
--- a/libs/limits/include/limits/extra_call_budget.h
+++ b/libs/limits/include/limits/extra_call_budget.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include <limits/call_account.h>
+#include <limits/slack_division.h>
 #include <limits/token_bucket.h>
 
-#include <cstdint>
-
 namespace orioledrum
 {
 
@@ -32,12 +31,12 @@
     static constexpr double retryReserve = 0.3;
 
     /// @param limits Limits over all hosts.
-    /// @param hosts Number of hosts that split the slack, at least 1.
-    extra_call_budget(extra_call_limits limits, std::uint32_t hosts);
+    /// @param division Hosts that split the slack.
+    extra_call_budget(extra_call_limits limits, slack_division division);
 
-    /// Changes the number of hosts that split the slack. The first time that the capacity exceeds all earlier ones, the difference is
-    /// added as tokens.
-    void setHosts(std::uint32_t hosts);
+    /// Changes the hosts that split the slack. The first time that the granted part exceeds all earlier ones, the difference is added as
+    /// tokens.
+    void setDivision(slack_division division);
 
     /// Adds a fraction of a token (the share times shareSafetyFactor) for the first call of a request.
     void recordFirstCall();
@@ -60,7 +59,7 @@
 
 private:
     double m_slack;
-    double m_granted; // Tokens given without a request: the highest capacity so far.
+    double m_granted; // Tokens given without a request: the highest granted part so far.
     token_bucket m_tokens;
     call_account m_account;
 };
--- a/libs/limits/src/extra_call_budget.cpp
+++ b/libs/limits/src/extra_call_budget.cpp
@@ -1,6 +1,7 @@
 #include <limits/extra_call_budget.h>
 
 #include <algorithm>
+#include <cstdint>
 
 namespace orioledrum
 {
@@ -15,20 +16,20 @@
 
 } // namespace
 
-extra_call_budget::extra_call_budget(extra_call_limits limits, std::uint32_t hosts)
+extra_call_budget::extra_call_budget(extra_call_limits limits, slack_division division)
     : m_slack(limits.slack)
-    , m_granted(slackPerHost(limits.slack, hosts))
-    , m_tokens(limits.share * shareSafetyFactor, slackPerHost(limits.slack, hosts), slackPerHost(limits.slack, hosts))
+    , m_granted(slackPerHost(limits.slack, division.grantHosts))
+    , m_tokens(limits.share * shareSafetyFactor, slackPerHost(limits.slack, division.capacityHosts), m_granted)
 {
 }
 
-void extra_call_budget::setHosts(std::uint32_t hosts)
+void extra_call_budget::setDivision(slack_division division)
 {
-    const auto capacity = slackPerHost(m_slack, hosts);
-    m_tokens.setCapacity(capacity);
-    if (capacity > m_granted) {
-        m_tokens.grant(capacity - m_granted);
-        m_granted = capacity;
+    m_tokens.setCapacity(slackPerHost(m_slack, division.capacityHosts));
+    const auto granted = slackPerHost(m_slack, division.grantHosts);
+    if (granted > m_granted) {
+        m_tokens.grant(granted - m_granted);
+        m_granted = granted;
     }
 }
 
--- a/libs/limits/tests/test_shared_limits.cpp
+++ b/libs/limits/tests/test_shared_limits.cpp
@@ -25,7 +25,7 @@
 {
     const extra_call_limits limits{0.2, 58};
     const auto hosts = *rc::gen::inRange<std::uint32_t>(1, 12);
-    std::vector<extra_call_budget> budgets(hosts, extra_call_budget(limits, hosts));
+    std::vector<extra_call_budget> budgets(hosts, extra_call_budget(limits, {hosts, hosts}));
     struct call_record {
         int atMs;
         bool extra;
@@ -67,21 +67,70 @@
         }
     };
     for (std::uint32_t host = 0; host < hosts; ++host) {
-        extra_call_budget budget(limits, hosts);
+        extra_call_budget budget(limits, {hosts, hosts});
         useUp(budget);
     }
     for (int restart = 0; restart < 5; ++restart) {
-        extra_call_budget budget(limits, hostsAfterRestart);
+        extra_call_budget budget(limits, {hosts, hostsAfterRestart});
         useUp(budget);
     }
     EXPECT_LE(extra, limits.slack);
     EXPECT_GE(extra, limits.slack * 0.7);
 }
 
+// Load pattern: backend servers fail while hosts are restarted. Guards against hosts that together exceed the bound, and against hosts that
+// have no tokens after a restart although their requests have earned some: a host may save up its whole part.
+RC_GTEST_PROP(ExtraCallBudgetTest, restartedHostsUseWhatTheirRequestsEarn, ())
+{
+    const extra_call_limits limits{0.2, 52};
+    constexpr std::uint32_t hosts = 4;
+    constexpr std::uint32_t hostsAfterRestart = 26; // As host_counter assumes for 10 s: two tokens for a restarted host.
+    constexpr int windowMs = 10'000;
+    std::vector<extra_call_budget> budgets(hosts, extra_call_budget(limits, {hosts, hosts}));
+    std::vector<int> startedAtMs(hosts, -windowMs);
+    std::deque<int> restartsMs;
+    std::vector<std::pair<int, bool>> history; // Time and whether the call is an extra one.
+    int now = 0;
+    for (int i = 0; i < 3000; ++i) {
+        now += *rc::gen::inRange(0, 30);
+        const auto host = static_cast<std::size_t>(*rc::gen::inRange<std::uint32_t>(0, hosts));
+        if (now - startedAtMs[host] >= windowMs) {
+            budgets[host].setDivision({hosts, hosts});
+        }
+        while (!restartsMs.empty() && now - restartsMs.front() >= windowMs) {
+            restartsMs.pop_front();
+        }
+        const int event = *rc::gen::inRange(0, 100);
+        if (event == 0 && restartsMs.size() < 5) {
+            budgets[host] = extra_call_budget(limits, {hosts, hostsAfterRestart});
+            startedAtMs[host] = now;
+            restartsMs.push_back(now);
+        } else if (event < 60) {
+            budgets[host].recordFirstCall();
+            history.emplace_back(now, false);
+        } else if (budgets[host].tryAcquireRetry()) {
+            history.emplace_back(now, true);
+        }
+    }
+    for (std::size_t begin = 0; begin < history.size(); ++begin) {
+        int extra = 0;
+        int first = 0;
+        for (std::size_t i = begin; i < history.size() && history[i].first < history[begin].first + windowMs; ++i) {
+            ++(history[i].second ? extra : first);
+        }
+        RC_ASSERT(static_cast<double>(extra) <= limits.share * static_cast<double>(first) + limits.slack);
+    }
+    extra_call_budget restarted(limits, {hosts, hostsAfterRestart});
+    for (int request = 0; request < 100; ++request) {
+        restarted.recordFirstCall();
+    }
+    RC_ASSERT(restarted.tokens() >= 10);
+}
+
 // Guards against hedges that use up the tokens for retries of failed calls.
 TEST(ExtraCallBudgetTest, hedgesLeaveTokensForRetries)
 {
-    extra_call_budget budget({0.2, 20}, 2);
+    extra_call_budget budget({0.2, 20}, {2, 2});
     while (budget.tryAcquireHedge()) {
     }
     EXPECT_TRUE(budget.tryAcquireRetry());
@@ -91,8 +140,8 @@
 // Guards against hosts that keep their larger shares of the slack after more hosts have joined.
 TEST(ExtraCallBudgetTest, moreHostsShrinkTheCapacityAtOnce)
 {
-    extra_call_budget budget({0.2, 25}, 2);
-    budget.setHosts(10);
+    extra_call_budget budget({0.2, 25}, {2, 2});
+    budget.setDivision({10, 10});
     int taken = 0;
     while (budget.tryAcquireRetry()) {
         ++taken;
@@ -150,11 +199,11 @@
 // Guards against hosts that restart and get their part of the slack a second time within the users' window.
 TEST(ExtraCallBudgetTest, aHigherCapacityIsGrantedOnce)
 {
-    extra_call_budget budget({0.2, 20}, 10);
+    extra_call_budget budget({0.2, 20}, {10, 10});
     EXPECT_TRUE(budget.tryAcquireRetry());
-    budget.setHosts(4);
-    budget.setHosts(10);
-    budget.setHosts(4);
+    budget.setDivision({4, 4});
+    budget.setDivision({10, 10});
+    budget.setDivision({4, 4});
     int taken = 0;
     while (budget.tryAcquireRetry()) {
         ++taken;
--- a/libs/search/include/search/replica_registry.h
+++ b/libs/search/include/search/replica_registry.h
@@ -87,8 +87,8 @@
     /// Sets the route table from which the limits of services are read.
     void setRouteTable(std::shared_ptr<const route_table> table);
     /// Sets the entry hosts that share the limits of backend servers and services.
-    /// @param slackHosts Number of hosts that divide the slack of extra calls, at least 1.
-    void setHosts(host_ranking hosts, std::uint32_t slackHosts);
+    /// @param division Hosts that divide the slack of extra calls.
+    void setHosts(host_ranking hosts, slack_division division);
 
     /// Criteria by which choose() selects a backend server.
     struct selection_criteria {
@@ -196,7 +196,7 @@
     std::set<zone_id> m_excludedZones;
     std::shared_ptr<const route_table> m_routeTable;
     host_ranking m_hosts;
-    std::uint32_t m_slackHosts = 1;
+    slack_division m_slackDivision;
 };
 
 } // namespace orioledrum
--- a/libs/search/src/replica_registry.cpp
+++ b/libs/search/src/replica_registry.cpp
@@ -123,13 +123,13 @@
     m_routeTable = std::move(table);
 }
 
-void replica_registry::setHosts(host_ranking hosts, std::uint32_t slackHosts)
+void replica_registry::setHosts(host_ranking hosts, slack_division division)
 {
     m_hosts = std::move(hosts);
-    m_slackHosts = slackHosts;
+    m_slackDivision = division;
     for (auto &[id, state] : m_services) {
         if (state.budget) {
-            state.budget->setHosts(m_slackHosts);
+            state.budget->setDivision(m_slackDivision);
         }
     }
 }
@@ -138,7 +138,7 @@
 {
     auto &state = m_services[service];
     if (!state.budget) {
-        state.budget = std::make_unique<extra_call_budget>(m_settings.extraCalls, m_slackHosts);
+        state.budget = std::make_unique<extra_call_budget>(m_settings.extraCalls, m_slackDivision);
     }
     return *state.budget;
 }
--- a/libs/search/tests/fakes/scripted_backends.cpp
+++ b/libs/search/tests/fakes/scripted_backends.cpp
@@ -27,7 +27,7 @@
     , m_registry({zone_id("za"), limits, 1.5, 5}, random_source(7))
     , m_now(std::chrono::hours(1))
 {
-    m_registry.setHosts(makeHosts(2), 2);
+    m_registry.setHosts(makeHosts(2), {2, 2});
     for (std::size_t shard = 0; shard < shards; ++shard) {
         for (std::size_t i = 0; i < replicas; ++i) {
             replica_entry entry;
--- a/libs/search/tests/test_gather_run.cpp
+++ b/libs/search/tests/test_gather_run.cpp
@@ -300,7 +300,7 @@
         services.back().maxConnections = 175;
     }
     backends.registry().setRouteTable(*route_table::create(1, {}, services, {}));
-    backends.registry().setHosts(host_ranking({}, {}, 303), 303); // This host has the last rank.
+    backends.registry().setHosts(host_ranking({}, {}, 303), {303, 303}); // This host has the last rank.
     auto input = backends.makeInput(milliseconds(60), milliseconds(600));
     input.relays = {relay_part{{0, 1, 2}, zone_id("zb")}};
     bool first = true;
--- a/libs/search/tests/test_replica_registry.cpp
+++ b/libs/search/tests/test_replica_registry.cpp
@@ -265,7 +265,7 @@
     limits.id = service;
     limits.maxConnections = 12;
     m_registry.setRouteTable(*route_table::create(1, {}, {limits}, {}));
-    m_registry.setHosts(makeHosts(3), 3);
+    m_registry.setHosts(makeHosts(3), {3, 3});
     for (const char *id : {"a", "b"}) {
         for (std::uint64_t call = 0; call < 4; ++call) {
             EXPECT_FALSE(choose().empty());
@@ -282,7 +282,7 @@
     limits.id = service;
     limits.maxColdRequestsPerSecond = 10;
     m_registry.setRouteTable(*route_table::create(1, {}, {limits}, {}));
-    m_registry.setHosts(makeHosts(4), 4); // (10 * 1.5 + 5) / 4 = 5 calls for each host.
+    m_registry.setHosts(makeHosts(4), {4, 4}); // (10 * 1.5 + 5) / 4 = 5 calls for each host.
     m_registry.remove(backend_id("b"), m_now);
     find("a")->setCold(milliseconds(3000), m_now);
     int sent = 0;
@@ -313,7 +313,7 @@
         for (const bool cold : {false, true}) {
             replica_registry registry({host.zone, {0.2, 630}, 1.5, 5}, random_source(3));
             registry.setRouteTable(table);
-            registry.setHosts(host_ranking(host, fleet), hosts);
+            registry.setHosts(host_ranking(host, fleet), {hosts, hosts});
             registry.put(makeEntry("a", "near"), m_now);
             if (cold) {
                 registry.replicas(service).front()->setCold(milliseconds(3000), m_now);
@@ -344,7 +344,7 @@
     limits.id = service;
     limits.maxColdRequestsPerSecond = 10;
     m_registry.setRouteTable(*route_table::create(1, {}, {limits}, {}));
-    m_registry.setHosts(host_ranking({}, {}, 10, false), 10);
+    m_registry.setHosts(host_ranking({}, {}, 10, false), {10, 10});
     m_registry.remove(backend_id("b"), m_now);
     EXPECT_EQ(choose(), "a");
     find("a")->setCold(milliseconds(3000), m_now);
