Compute the saved-up extra calls of a simulated fleet as the hosts do

It divided the whole slack, while hosts divide 80% of it (extra_call_budget::standingSlackShare), so the sum of the hosts is 504. The bound, the whole slack, stays as it is.

--- a/libs/gateway/tests/test_shared_limits_at_scale.cpp
+++ b/libs/gateway/tests/test_shared_limits_at_scale.cpp
@@ -1,5 +1,6 @@
 #include <host_counter.h>
 
+#include <limits/extra_call_budget.h>
 #include <search/host_ranking.h>
 #include <search/replica.h>
 #include <tests/fakes/fake_gossip.h>
@@ -66,7 +67,7 @@
                 counter.update(view->members.size(), m_gossip.now());
                 const auto division = counter.slackDivision(m_gossip.now());
                 slackSum += slack / division.grantHosts;
-                capacitySum += slack / division.capacityHosts;
+                capacitySum += slack * extra_call_budget::standingSlackShare / division.capacityHosts;
                 settled = settled && counter.settled();
                 if (!counter.settled()) {
                     continue;
