Guard the answer of a test server that is changed while its threads may read it

ThreadSanitizer reported a data race in RepliesThatEndInTheHeadFail: the test changed the bytes of the next answer while a thread of the scripted server could still read them.

--- a/libs/transport/tests/test_http_client.cpp
+++ b/libs/transport/tests/test_http_client.cpp
@@ -356,19 +356,27 @@
     const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
     std::string bytes;
     bool reset = false;
-    scripted_http_server server([&](const std::string &) { return scripted_http_server::action{bytes, true, {}, {}, reset}; });
+    std::mutex mutex; // The server answers on its own threads.
+    scripted_http_server server([&](const std::string &) {
+        const std::lock_guard lock(mutex);
+        return scripted_http_server::action{bytes, true, {}, {}, reset};
+    });
+    const auto setAnswer = [&](std::string newBytes, bool newReset) {
+        const std::lock_guard lock(mutex);
+        bytes = std::move(newBytes);
+        reset = newReset;
+    };
     for (const auto &prefix : {std::string(), interim}) {
         for (std::size_t length = 0; length < whole.size(); ++length) {
             for (const bool resets : {false, true}) {
-                bytes = prefix + whole.substr(0, length);
-                reset = resets;
+                setAnswer(prefix + whole.substr(0, length), resets);
                 const auto result = send(makeCall(server.url("/")));
                 EXPECT_FALSE(result.has_value()) << "'" << bytes << "' was taken for an answer with status " << result->status;
                 EXPECT_TRUE(result.has_value() || result.error().mayHaveBeenSent);
             }
         }
     }
-    bytes = whole;
+    setAnswer(whole, false);
     EXPECT_TRUE(send(makeCall(server.url("/"))).has_value());
 }
 
