Pass the body of a search on to the hosts that gather it

Cause: relay_search had no field for the body, and the gathering host filled what the message lacks with a default. Related: a refusal of the gathering host counted as a call that may have run, so that the asking host needed the budget of extra calls for calls of its own. In a rolling update each message is refused.

Change: the message has the body. The receiver refuses a message with fields of another version, lists that do not fit together or no backend server to call, and logs the reason. The asking host takes statuses of 4xx and 503 as "nothing was called" and calls the backend servers itself.

--- a/libs/gateway/src/gathered_request.cpp
+++ b/libs/gateway/src/gathered_request.cpp
@@ -58,6 +58,7 @@
         message.headerNames.push_back(header.name);
         message.headerValues.push_back(header.value);
     }
+    message.body = call.body;
     for (const auto position : m_relayParts[partIndex].part.shards) {
         message.shards.push_back(route.shards[position].str());
     }
--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -96,18 +96,28 @@
     updateRelays();
 }
 
-void host_link::handleRelaySearch(const http_request &request, std::shared_ptr<http_exchange> exchange)
+void host_link::handleRelaySearch(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
 {
-    const auto message = decode<relay_search>(request.body);
-    if (!message) {
-        exchange->respond(errorResponse(400, message.error()));
-    } else if (m_state.stopping || message->shards.empty()) {
+    if (m_state.stopping) {
         exchange->respond(errorResponse(503, {error_code::draining, "this host is stopping", "relay search", {}}));
-    } else {
-        const auto search = relayed_request::create(m_state, *message, std::move(exchange));
-        m_relayedSearches[message->token] = search;
-        search->start();
+        return;
+    }
+    // A host with another software version may send other fields.
+    const auto message = decode<relay_search>(request.body);
+    const auto search = message ? relayed_request::create(m_state, *message, exchange)
+                                : expected<std::shared_ptr<relayed_request>>(tl::unexpected(message.error()));
+    if (!search) {
+        m_state.log.writeRequest("relay",
+                                 "refused",
+                                 monotonic_clock::now(),
+                                 {{"id", message ? message->request : std::string()},
+                                  {"peer", request.remoteAddress},
+                                  {"error", search.error().describe()}});
+        exchange->respond(errorResponse(400, search.error()));
+        return;
     }
+    m_relayedSearches[message->token] = *search;
+    (*search)->start();
 }
 
 void host_link::handleRelayResume(const http_request &request, const std::shared_ptr<http_exchange> &exchange)
@@ -179,7 +189,7 @@
 void host_link::handle(http_request request, std::shared_ptr<http_exchange> exchange)
 {
     if (request.path == relayPath) {
-        handleRelaySearch(request, std::move(exchange));
+        handleRelaySearch(request, exchange);
         return;
     }
     if (request.path == changesPath) {
--- a/libs/gateway/src/host_link.h
+++ b/libs/gateway/src/host_link.h
@@ -47,7 +47,7 @@
         bool operator==(const sharing_hosts &) const = default;
     };
 
-    void handleRelaySearch(const http_request &request, std::shared_ptr<http_exchange> exchange);
+    void handleRelaySearch(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
     void handleRelayResume(const http_request &request, const std::shared_ptr<http_exchange> &exchange);
     /// Drops relayed searches that can no longer be resumed.
     void dropExpiredSearches(time_point now);
--- a/libs/gateway/src/relay_client.cpp
+++ b/libs/gateway/src/relay_client.cpp
@@ -29,6 +29,12 @@
            });
 }
 
+/// @return True when the status is a refusal, see relay_search. A host with another software version refuses messages that it cannot read.
+bool isRefusal(int status)
+{
+    return (status >= 400 && status < 500) || status == 503;
+}
+
 } // namespace
 
 relay_client::relay_client(http_client &client, replica_registry &registry, std::string self)
@@ -216,7 +222,7 @@
         auto gathered = decodeResult(*result, token, address);
         if (!gathered) {
             m_selector.failed(address, now);
-            done(std::nullopt, false);
+            done(std::nullopt, isRefusal(result->status));
             return;
         }
         m_selector.answered(address);
--- a/libs/gateway/src/relay_client.h
+++ b/libs/gateway/src/relay_client.h
@@ -28,7 +28,8 @@
     static constexpr double minZoneShare = 0.75;
 
     /// @param result What the other host gathered; nullopt when the call failed or was cancelled, or the answer is a refusal or invalid.
-    /// @param notSent True when the other host has certainly not received the search; only meaningful without a result.
+    /// @param notSent True when the other host has certainly called no backend server, because it has not received the search or has
+    ///     refused it; only meaningful without a result.
     using callback = std::function<void(std::optional<relay_result> result, bool notSent)>;
 
     /// Maximum number of shards in a part. On a host limited to a quarter of a CPU core, a larger part takes about 10 ms to send
--- a/libs/gateway/src/relayed_request.cpp
+++ b/libs/gateway/src/relayed_request.cpp
@@ -16,11 +16,33 @@
 /// overflow, and the request is kept in memory until then.
 constexpr std::chrono::microseconds maxRelayTime = std::chrono::minutes(1);
 
+/// Checks the lists whose sizes the calls depend on: a value that is missing must not become a default.
+expected<void> checkMessage(const relay_search &message)
+{
+    const auto invalid = [](const char *reason) { return makeError(error_code::invalidArgument, "relay search", reason); };
+    if (message.shards.empty()) {
+        return invalid("there are no shards");
+    }
+    if (message.headerNames.size() != message.headerValues.size()) {
+        return invalid("the header has names without values or values without names");
+    }
+    if (message.knownServers.size() != message.shards.size()) {
+        return invalid("the backend servers that the sender knows are not given for each shard");
+    }
+    if (message.maxServers == 0) {
+        return invalid("no backend server may be called");
+    }
+    return {};
+}
+
 } // namespace
 
-std::shared_ptr<relayed_request>
-relayed_request::create(gateway_state &state, const relay_search &message, std::shared_ptr<http_exchange> exchange)
+expected<std::shared_ptr<relayed_request>>
+relayed_request::create(gateway_state &state, const relay_search &message, const std::shared_ptr<http_exchange> &exchange)
 {
+    if (auto checked = checkMessage(message); !checked) {
+        return tl::unexpected(checked.error());
+    }
     auto partRoute = std::make_shared<route>();
     partRoute->name = message.routeName;
     partRoute->host = message.routeHost;
@@ -35,10 +57,11 @@
     incoming_request received;
     received.request.method = message.method;
     received.request.target = message.target;
-    for (std::size_t i = 0; i < message.headerNames.size() && i < message.headerValues.size(); ++i) {
+    for (std::size_t i = 0; i < message.headerNames.size(); ++i) {
         received.request.headers.push_back({message.headerNames[i], message.headerValues[i]});
     }
-    received.exchange = std::move(exchange);
+    received.request.body = message.body;
+    received.exchange = exchange;
     received.requestId = message.request;
     received.matchedRoute = partRoute.get();
     received.receivedAt = monotonic_clock::now();
--- a/libs/gateway/src/relayed_request.h
+++ b/libs/gateway/src/relayed_request.h
@@ -12,8 +12,9 @@
 {
 public:
     /// Creates the request and the route that contains only the shards of this part.
-    static std::shared_ptr<relayed_request>
-    create(gateway_state &state, const relay_search &message, std::shared_ptr<http_exchange> exchange);
+    /// @return The request, or invalidArgument when the message lacks something that the calls need; `exchange` is then unused.
+    static expected<std::shared_ptr<relayed_request>>
+    create(gateway_state &state, const relay_search &message, const std::shared_ptr<http_exchange> &exchange);
 
     /// Public only for std::make_shared; use create().
     relayed_request(gateway_state &state, incoming_request received, std::shared_ptr<const route> partRoute, const relay_search &message);
--- a/libs/gateway/tests/test_relay_client.cpp
+++ b/libs/gateway/tests/test_relay_client.cpp
@@ -2,6 +2,11 @@
 
 #include <search/replica_registry.h>
 #include <transport/http_client.h>
+#include <transport/http_exchange.h>
+#include <transport/http_handler.h>
+#include <transport/http_request.h>
+#include <transport/http_response.h>
+#include <transport/http_server.h>
 
 #include <asio/io_context.hpp>
 #include <gtest/gtest.h>
@@ -57,6 +62,45 @@
     }
 }
 
+/// Another entry host that answers each message with the same status.
+class answering_host final : public http_handler
+{
+public:
+    explicit answering_host(int status)
+        : m_status(status)
+    {
+    }
+
+    void handle(http_request, std::shared_ptr<http_exchange> exchange) override
+    {
+        exchange->respond(errorResponse(m_status, {error_code::protocolError, "answered by the test", "relay search", {}}));
+    }
+
+private:
+    int m_status;
+};
+
+/// @return The notSent of the callback after a search was answered with a status.
+bool callsNothing(int status)
+{
+    asio::io_context context;
+    answering_host handler(status);
+    const auto server = http_server::createOn(context, {}, handler);
+    const auto address = "127.0.0.1:" + std::to_string((*server)->port());
+    fleet_host host(context, hostAddress(0), zoneName(0));
+    relay_search message;
+    message.remaining = milliseconds(500);
+    std::optional<bool> notSent;
+    host.relays.send(address, message, [&](std::optional<relay_result> result, bool isNotSent) {
+        EXPECT_FALSE(result);
+        notSent = isNotSent;
+        context.stop();
+    });
+    context.run_for(std::chrono::seconds(5));
+    EXPECT_TRUE(notSent) << "no answer";
+    return notSent.value_or(false);
+}
+
 /// A fleet of 118 hosts in 6 zones and 180 shards.
 class LargeFleetTest : public testing::Test
 {
@@ -152,3 +196,14 @@
     }
     EXPECT_GE(delegated, shardCount / 3);
 }
+
+// Guards against a refused search that counts as called: the asking host then needs the budget of extra calls for its own calls, and may
+// call only some of the backend servers. In a rolling update each message to a host of the other version is refused.
+TEST(RelayClient, ARefusedSearchHasCalledNothing)
+{
+    EXPECT_TRUE(callsNothing(400)); // Not readable for a host with another software version.
+    EXPECT_TRUE(callsNothing(413));
+    EXPECT_TRUE(callsNothing(503)); // The host is stopping.
+    EXPECT_FALSE(callsNothing(500));
+    EXPECT_FALSE(callsNothing(504)); // The host has stopped after it had called backend servers.
+}
--- a/libs/wire/include/wire/relay_messages.h
+++ b/libs/wire/include/wire/relay_messages.h
@@ -10,7 +10,9 @@
 namespace orioledrum
 {
 
-/// Asks an entry host near the backend servers to search some of the shards and to merge their results.
+/// Asks an entry host near the backend servers to search some of the shards and to merge their results. It holds all of the request and of
+/// its route that the calls depend on: the receiver fills nothing in, and refuses a message that it cannot read or use. A refusal has a
+/// status of 4xx or 503 and says that no backend server was called; the sender then calls the backend servers itself.
 struct relay_search {
     std::string request; ///< Request id of the caller.
     std::string routeName;
@@ -20,6 +22,7 @@
     std::string target; ///< HTTP request target: path and query.
     std::vector<std::string> headerNames;
     std::vector<std::string> headerValues; ///< Same size and order as headerNames.
+    std::string body; ///< Body of the request, unchanged.
     std::vector<std::string> shards; ///< Ids of the services to search; each service is one shard.
     std::uint32_t maxRecords = 0; ///< Maximum number of records in the merged result.
     std::uint32_t maxServers = 1; ///< Maximum number of backend servers to call for each shard.
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -59,6 +59,7 @@
           value.target,
           value.headerNames,
           value.headerValues,
+          value.body,
           value.shards,
           value.maxRecords,
           value.maxServers,
--- a/libs/wire/tests/test_codec.cpp
+++ b/libs/wire/tests/test_codec.cpp
@@ -1,6 +1,7 @@
 #include <wire/codec.h>
 #include <wire/control_messages.h>
 #include <wire/order_messages.h>
+#include <wire/relay_messages.h>
 #include <wire/search_messages.h>
 
 #include <gtest/gtest.h>
@@ -52,6 +53,49 @@
     EXPECT_EQ(decoded->removed, message.removed);
 }
 
+// Guards against a search that loses its body, or another part of the request, on the way to the gathering host.
+TEST(Codec, RelaySearchRoundTrip)
+{
+    relay_search message;
+    message.request = "r1";
+    message.method = "POST";
+    message.target = "/search/x?y=1";
+    message.headerNames = {"Accept"};
+    message.headerValues = {"*/*"};
+    message.body = std::string("oak\0pine", 8);
+    message.shards = {"s1", "s2"};
+    message.knownServers = {{1, 2}, {3}};
+    const auto decoded = decode<relay_search>(encode(message));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->method, message.method);
+    EXPECT_EQ(decoded->target, message.target);
+    EXPECT_EQ(decoded->headerNames, message.headerNames);
+    EXPECT_EQ(decoded->headerValues, message.headerValues);
+    EXPECT_EQ(decoded->body, message.body);
+    EXPECT_EQ(decoded->shards, message.shards);
+    EXPECT_EQ(decoded->knownServers, message.knownServers);
+}
+
+// Guards against a default in place of a field that a host with another software version does not send or that this host does not know.
+TEST(Codec, RelaySearchWithOtherFieldsIsRejected)
+{
+    relay_search message;
+    message.body = "the body";
+    const std::string bytes = encode(message);
+    ASSERT_EQ(bytes.substr(0, 2), std::string("\xdc\x00", 2)) << "an array with a count of two bytes";
+
+    std::string withoutBody = bytes;
+    const auto at = withoutBody.find(message.body);
+    ASSERT_NE(at, std::string::npos);
+    withoutBody.erase(at - 1, message.body.size() + 1); // The byte before the text holds its length.
+    --withoutBody[2];
+    EXPECT_FALSE(decode<relay_search>(withoutBody).has_value());
+
+    std::string withAnotherField = bytes + '\x00';
+    ++withAnotherField[2];
+    EXPECT_FALSE(decode<relay_search>(withAnotherField).has_value());
+}
+
 // Guards against accepting a truncated message, and against a crash while decoding it.
 TEST(Codec, EveryTruncationIsRejected)
 {
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -59,6 +59,33 @@
         answers = [self.search().status for _ in range(40)]
         self.assertGreaterEqual(answers.count(200), 38, answers)
 
+    def test_relayed_searches_keep_their_bodies(self):
+        """Guards against a search that another host gathers with an empty body: the caller got the complete answer to another query."""
+        self.platform.start_gateway("g1", "z3")  # No backend server is in this zone, so every shard is relayed.
+        self.platform.start_gateway("g2", "z1")
+        self.platform.start_gateway("g3", "z2")
+        sent = {}
+
+        def search():
+            request_id = f"query{len(sent)}"
+            sent[request_id] = f"the query number {len(sent)}".encode()
+            return self.search(request_id=request_id, method="POST", body=sent[request_id]).status
+
+        self.platform.wait_until("30 relayed searches", lambda: search() and sum(
+            1 for event in self.platform.events("g1") if event.get("relays")) >= 30, 10)
+        runs = [run for backend in self.platform.backends.values() for run in backend.ran]
+        self.assertGreaterEqual(len(runs), 30 * len(self.platform.shards))
+        for _, request_id, method, target, body in runs:
+            self.assertEqual((method, target, body), ("POST", f"/search/{request_id}", sent[request_id]))
+
+    def test_a_message_of_another_version_is_refused(self):
+        """Guards against a part of a search that is gathered although fields of the message are missing, in a rolling update."""
+        self.platform.start_gateway("g1", "z1")
+        for message in (b"", b"\x90", b"\xdc\x00\x10" + b"\xa0" * 16):  # MessagePack: arrays of no field and of 16 empty texts.
+            answer = self.platform.get("g1", "/hosts/search", method="POST", body=message, port="hosts")
+            self.assertEqual(answer.status, 400)
+        self.assertEqual([backend.ran for backend in self.platform.backends.values() if backend.ran], [])
+
     def test_orders_run_at_most_once(self):
         """Guards against orders that run twice, and orders that are refused although they ran, while backend servers fail."""
         self.platform.start_gateway("g1", "z1")
