Let a request take as long as its route allows

Cause: http_server_settings::handleTimeout, 60 s by default, which nobody set and nothing compared with the time-outs of routes.

Change: the setting is removed. Each handler answers by a deadline that depends on its request, and an exchange that is dropped is answered with 500, so a limit of the server has no use.

--- a/libs/transport/include/transport/http_server_settings.h
+++ b/libs/transport/include/transport/http_server_settings.h
@@ -8,7 +8,8 @@
 namespace orioledrum
 {
 
-/// Address, timeouts and limits of an http_server.
+/// Address, timeouts and limits of an http_server. There is no limit on the time in which the handler answers: only the handler knows how
+/// long its caller waits. A request whose exchange is dropped is answered with status 500.
 struct http_server_settings {
     std::string address = "127.0.0.1"; ///< IP address to listen on.
     std::uint16_t port = 0; ///< 0: the system chooses a free port.
@@ -18,7 +19,6 @@
     /// process's descriptor limit.
     std::size_t maxConnections = 10'000;
     std::chrono::milliseconds idleTimeout{60'000}; ///< A connection is closed when no complete request arrives within this time.
-    std::chrono::milliseconds handleTimeout{60'000}; ///< A connection is closed when its request is not answered within this time.
     std::chrono::milliseconds drainIdleTimeout{200}; ///< stop() keeps connections without a request open for at most this long.
 };
 
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -68,6 +68,8 @@
 constexpr std::size_t maxHeaderNameBytes = 1024;
 constexpr std::size_t maxHeaderValueBytes = std::size_t{16} * 1024;
 constexpr std::size_t maxHeaderCount = 200;
+/// RESTinio always limits the time until a request is answered. It adds the limit to the current time, which must not overflow.
+constexpr std::chrono::hours unlimitedTime{24 * 365 * 100};
 
 /// Caps the connections at half of the process's descriptor limit. RESTinio permanently stops accepting when a connection
 /// cannot be accepted because no descriptor is free.
@@ -405,7 +407,7 @@
             .port(m_settings.port)
             .ip_blocker(std::make_shared<connection_limiter>(m_core->context, limitByDescriptors(m_settings.maxConnections)))
             .read_next_http_message_timelimit(m_settings.idleTimeout)
-            .handle_request_timeout(m_settings.handleTimeout)
+            .handle_request_timeout(unlimitedTime)
             .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                           .max_url_size(maxTargetBytes)
                                           .max_field_name_size(maxHeaderNameBytes)
