Keep the limits of services that the route table of a host does not name

Cause: route_table::service returned default settings for a service without an entry, and a default of 0 stands for "no limit". The cold rate, the limit on connections and the warm-up time of a returning zone were all read that way.

Change: findService returns nothing for such a service, and service_limits::unknown holds the strictest limits. relay_search carries the limits of each shard and the version of the asking host's route table; the gathering host uses them where its table is older or lacks the service, the stricter ones where both have some. A host without a route table refuses to gather. The test that expected default settings for an unknown service is replaced by one that expects none.

--- a/libs/config/include/config/route.h
+++ b/libs/config/include/config/route.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/ids.h>
+#include <config/service_limits.h>
 
 #include <chrono>
 #include <cstdint>
@@ -48,9 +49,21 @@
 struct route_service {
     service_id id;
     std::string healthPath; ///< Path of the health check.
-    std::uint32_t maxConnections = 0; ///< Maximum connections of one backend server with all hosts; 0: unknown, calls are not limited.
+    std::uint32_t maxConnections = 0; ///< Maximum connections of one backend server with all hosts; 0: calls are not limited.
     std::chrono::milliseconds warmUpTime{0}; ///< Duration of the warm-up of a backend server after a cold start.
     double maxColdRequestsPerSecond = 0; ///< Request rate of a cold backend server, before coldFactor and coldSlack; 0: no limit.
+
+    [[nodiscard]] service_limits limits() const
+    {
+        service_limits result;
+        if (maxConnections > 0) {
+            result.maxConnections = maxConnections;
+        }
+        if (maxColdRequestsPerSecond > 0) {
+            result.maxColdRequestsPerSecond = maxColdRequestsPerSecond;
+        }
+        return result;
+    }
 };
 
 /// Size limits for the requests of callers.
--- a/libs/config/include/config/route_table.h
+++ b/libs/config/include/config/route_table.h
@@ -3,6 +3,7 @@
 #include <base/error.h>
 #include <config/route.h>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -19,8 +20,7 @@
 public:
     /// Checks that each route is valid and that no two routes have the same host and prefix.
     /// @param version Number of the version; greater numbers are newer.
-    /// @param services Settings of services. A service without an entry has default settings. Of several entries for the same
-    /// service, the first is used.
+    /// @param services Settings of services. Of several entries for the same service, the first is used.
     /// @param limits Size limits for requests.
     /// @return The table, or invalidArgument with the name of the invalid route and the reason.
     static expected<std::shared_ptr<const route_table>>
@@ -31,8 +31,11 @@
     /// @return The route of the host with the longest matching prefix, or nullptr. Valid for the lifetime of the table.
     [[nodiscard]] const route *find(std::string_view host, std::string_view path) const;
 
-    /// @return The settings of a service; default settings when it has no entry.
-    [[nodiscard]] const route_service &service(const service_id &id) const;
+    /// @return The settings of a service, or nullptr when it has no entry. Valid for the lifetime of the table.
+    [[nodiscard]] const route_service *findService(const service_id &id) const;
+
+    /// @return The longest route_service::warmUpTime of all entries; 0 when there are none.
+    [[nodiscard]] std::chrono::milliseconds longestWarmUpTime() const { return m_longestWarmUpTime; }
 
     [[nodiscard]] std::uint64_t version() const { return m_version; }
     [[nodiscard]] const std::vector<route> &routes() const { return m_routes; }
@@ -53,7 +56,7 @@
     http_request_limits m_limits;
     text_map<text_map<std::size_t>> m_byHost; ///< Position in m_routes by host and then by prefix.
     std::unordered_map<service_id, route_service> m_services;
-    route_service m_defaultService;
+    std::chrono::milliseconds m_longestWarmUpTime{0};
 };
 
 } // namespace orioledrum
--- a/libs/config/src/route_table.cpp
+++ b/libs/config/src/route_table.cpp
@@ -1,5 +1,6 @@
 #include <config/route_table.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace orioledrum
@@ -61,6 +62,7 @@
     }
     for (auto &service : services) {
         auto id = service.id;
+        table->m_longestWarmUpTime = std::max(table->m_longestWarmUpTime, service.warmUpTime);
         table->m_services.emplace(std::move(id), std::move(service));
     }
     return table;
@@ -83,10 +85,10 @@
     return nullptr;
 }
 
-const route_service &route_table::service(const service_id &id) const
+const route_service *route_table::findService(const service_id &id) const
 {
     const auto found = m_services.find(id);
-    return found == m_services.end() ? m_defaultService : found->second;
+    return found == m_services.end() ? nullptr : &found->second;
 }
 
 } // namespace orioledrum
--- a/libs/config/tests/test_route_table.cpp
+++ b/libs/config/tests/test_route_table.cpp
@@ -52,13 +52,14 @@
     EXPECT_FALSE(route_table::create(1, {makeRoute("a", "/a/"), makeRoute("b", "/a/")}, {}, {}));
 }
 
-// Guards against a failing lookup of a service that has no entry, and against losing the settings of one that has.
-TEST(RouteTableTest, UnknownServicesHaveDefaultSettings)
+// Guards against default settings, without limits, for a service that has no entry, and against losing the settings of one that has.
+TEST(RouteTableTest, UnknownServicesHaveNoSettings)
 {
     route_service configured;
     configured.id = service_id("s");
     configured.maxConnections = 26;
     const auto table = route_table::create(1, {makeRoute("r", "/a/")}, {configured}, {});
-    EXPECT_EQ((*table)->service(service_id("s")).maxConnections, 26U);
-    EXPECT_EQ((*table)->service(service_id("other")).maxConnections, 0U);
+    ASSERT_NE((*table)->findService(service_id("s")), nullptr);
+    EXPECT_EQ((*table)->findService(service_id("s"))->maxConnections, 26U);
+    EXPECT_EQ((*table)->findService(service_id("other")), nullptr);
 }
--- a/libs/gateway/src/gathered_request.cpp
+++ b/libs/gateway/src/gathered_request.cpp
@@ -60,8 +60,13 @@
     }
     message.body = call.body;
     for (const auto position : m_relayParts[partIndex].part.shards) {
-        message.shards.push_back(route.shards[position].str());
+        const auto &shard = route.shards[position];
+        const auto *service = incoming().table->findService(shard);
+        const auto limits = service != nullptr ? service->limits() : service_limits::unknown();
+        message.shards.push_back(shard.str());
+        message.shardLimits.push_back({limits.maxConnections, limits.maxColdRequestsPerSecond});
     }
+    message.configVersion = incoming().table->version();
     message.maxRecords = route.maxRecords;
     message.maxServers = route.maxServers;
     message.knownServers = run().knownServers(partIndex);
--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -102,17 +102,20 @@
         exchange->respond(errorResponse(503, {error_code::draining, "this host is stopping", "relay search", {}}));
         return;
     }
+    if (!m_state.table) {
+        exchange->respond(errorResponse(503, {error_code::notReady, "no routes are known yet", "relay search", {}}));
+        return;
+    }
     // A host with another software version may send other fields.
     const auto message = decode<relay_search>(request.body);
     const auto search = message ? relayed_request::create(m_state, *message, exchange)
                                 : expected<std::shared_ptr<relayed_request>>(tl::unexpected(message.error()));
     if (!search) {
-        m_state.log.writeRequest("relay",
-                                 "refused",
-                                 monotonic_clock::now(),
-                                 {{"id", message ? message->request : std::string()},
-                                  {"peer", request.remoteAddress},
-                                  {"error", search.error().describe()}});
+        m_state.log.writeRequest(
+            "relay",
+            "refused",
+            monotonic_clock::now(),
+            {{"id", message ? message->request : std::string()}, {"peer", request.remoteAddress}, {"error", search.error().describe()}});
         exchange->respond(errorResponse(400, search.error()));
         return;
     }
--- a/libs/gateway/src/relayed_request.cpp
+++ b/libs/gateway/src/relayed_request.cpp
@@ -29,6 +29,15 @@
     if (message.knownServers.size() != message.shards.size()) {
         return invalid("the backend servers that the sender knows are not given for each shard");
     }
+    if (message.shardLimits.size() != message.shards.size()) {
+        return invalid("the limits are not given for each shard");
+    }
+    for (const auto &limits : message.shardLimits) {
+        // The comparison is also false for a rate that is not a number.
+        if (limits.maxConnections == 0U || !(limits.maxColdRequestsPerSecond.value_or(0) >= 0)) {
+            return invalid("a limit is not valid");
+        }
+    }
     if (message.maxServers == 0) {
         return invalid("no backend server may be called");
     }
@@ -54,6 +63,10 @@
     for (const auto &shard : message.shards) {
         partRoute->shards.emplace_back(shard);
     }
+    for (std::size_t i = 0; i < message.shards.size(); ++i) {
+        const auto &limits = message.shardLimits[i];
+        state.registry.learnLimits(partRoute->shards[i], {limits.maxConnections, limits.maxColdRequestsPerSecond}, message.configVersion);
+    }
     incoming_request received;
     received.request.method = message.method;
     received.request.target = message.target;
--- a/libs/gateway/src/replica_prober.cpp
+++ b/libs/gateway/src/replica_prober.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds tickInterval{100};
 /// A health check waits for a slot like any request, and a slow call takes about 200 ms.
 constexpr std::chrono::milliseconds probeTimeout{500};
+/// Path for a service that the route table does not name. Any answer shows that the backend server can be reached.
+const std::string defaultHealthPath = "/health";
 
 } // namespace
 
@@ -47,9 +49,9 @@
 void replica_prober::probe(const replica_registry::replica_ptr &server)
 {
     const auto &entry = server->entry();
-    const auto &path = m_state.table->service(entry.service).healthPath;
+    const auto *service = m_state.table->findService(entry.service);
     http_call call;
-    call.url = "http://" + entry.address + (path.empty() ? "/health" : path);
+    call.url = "http://" + entry.address + (service == nullptr || service->healthPath.empty() ? defaultHealthPath : service->healthPath);
     call.timeout = probeTimeout;
     call.freshConnection = true; // A kept-alive connection may have gone silent while new ones work.
     m_client.send(std::move(call), [this, server](http_client::result result) {
--- a/libs/search/include/search/replica_registry.h
+++ b/libs/search/include/search/replica_registry.h
@@ -86,6 +86,11 @@
     void setExcludedZones(std::set<zone_id> zones, time_point now);
     /// Sets the route table from which the limits of services are read.
     void setRouteTable(std::shared_ptr<const route_table> table);
+    /// Takes the limits of a service from another host, which has them from a route table of the given version. They are used when that
+    /// table is newer than the own one, together with the own limits, or when the own one does not name the service.
+    void learnLimits(const service_id &service, const service_limits &limits, std::uint64_t version);
+    /// @return The limits of a service: the strictest that this host knows, service_limits::unknown() when it knows none.
+    [[nodiscard]] service_limits limits(const service_id &service) const;
     /// Sets the entry hosts that share the limits of backend servers and services.
     /// @param division Hosts that divide the slack of extra calls.
     void setHosts(host_ranking hosts, slack_division division);
@@ -167,6 +172,11 @@
         time_point loadHintAt;
     };
 
+    struct learned_limits {
+        service_limits limits;
+        std::uint64_t version = 0; // Of the route table that another host has them from.
+    };
+
     struct removed_replica {
         call_suspension suspension;
         time_point removedAt;
@@ -195,6 +205,7 @@
     time_point m_deferRemovalsUntil;
     std::set<zone_id> m_excludedZones;
     std::shared_ptr<const route_table> m_routeTable;
+    std::unordered_map<service_id, learned_limits> m_learnedLimits; // Only those that differ from what m_routeTable says or lacks.
     host_ranking m_hosts;
     slack_division m_slackDivision;
 };
--- a/libs/search/src/replica_registry.cpp
+++ b/libs/search/src/replica_registry.cpp
@@ -112,7 +112,8 @@
     for (const auto &[id, server] : m_byId) {
         const auto &zone = server->entry().zone;
         if (m_excludedZones.contains(zone) && !zones.contains(zone) && m_routeTable) {
-            server->setCold(m_routeTable->service(server->entry().service).warmUpTime, now);
+            const auto *service = m_routeTable->findService(server->entry().service);
+            server->setCold(service != nullptr ? service->warmUpTime : m_routeTable->longestWarmUpTime(), now);
         }
     }
     m_excludedZones = std::move(zones);
@@ -121,6 +122,29 @@
 void replica_registry::setRouteTable(std::shared_ptr<const route_table> table)
 {
     m_routeTable = std::move(table);
+    // Limits that another host needs again come with its next message.
+    std::erase_if(m_learnedLimits, [this](const auto &entry) { return entry.second.version <= m_routeTable->version(); });
+}
+
+void replica_registry::learnLimits(const service_id &service, const service_limits &limits, std::uint64_t version)
+{
+    if (m_routeTable && version <= m_routeTable->version() && m_routeTable->findService(service) != nullptr) {
+        return;
+    }
+    const auto [found, added] = m_learnedLimits.try_emplace(service, learned_limits{limits, version});
+    if (!added && version >= found->second.version) {
+        found->second = {limits, version};
+    }
+}
+
+service_limits replica_registry::limits(const service_id &service) const
+{
+    const auto *configured = m_routeTable ? m_routeTable->findService(service) : nullptr;
+    const auto learned = m_learnedLimits.find(service);
+    if (learned == m_learnedLimits.end()) {
+        return configured != nullptr ? configured->limits() : service_limits::unknown();
+    }
+    return configured != nullptr ? service_limits::strictest(configured->limits(), learned->second.limits) : learned->second.limits;
 }
 
 void replica_registry::setHosts(host_ranking hosts, slack_division division)
@@ -160,12 +184,13 @@
 
 std::size_t replica_registry::callLimit(const replica &candidate) const
 {
-    const std::uint32_t connections = m_routeTable ? m_routeTable->service(candidate.entry().service).maxConnections : 0;
-    if (connections == 0) {
+    const auto maxConnections = limits(candidate.entry().service).maxConnections;
+    if (!maxConnections) {
         return SIZE_MAX;
     }
+    const auto connections = *maxConnections;
     if (!m_hosts.settled()) {
-        return minCallLimit;
+        return std::min(minCallLimit, connections);
     }
     const std::uint32_t evenPart = connections / m_hosts.hostCount();
     // One call when there are more hosts than connections: few hosts call a backend server themselves, and one that can call none could
@@ -200,16 +225,16 @@
 
 bool replica_registry::acquireColdPermit(replica &candidate, time_point now) const
 {
-    if (!candidate.cold(now) || !m_routeTable) {
+    if (!candidate.cold(now)) {
         return true;
     }
-    const double rate = m_routeTable->service(candidate.entry().service).maxColdRequestsPerSecond;
-    if (rate <= 0) {
+    const auto rate = limits(candidate.entry().service).maxColdRequestsPerSecond;
+    if (!rate) {
         return true;
     }
     // Hosts that do not know each other yet could together exceed the limit many times.
     return m_hosts.settled()
-        && candidate.coldRate().tryAcquire(rate * m_settings.coldFactor + m_settings.coldSlack, m_hosts.shareOf(candidate.entry()), now);
+        && candidate.coldRate().tryAcquire(*rate * m_settings.coldFactor + m_settings.coldSlack, m_hosts.shareOf(candidate.entry()), now);
 }
 
 replica_registry::replica_ptr replica_registry::choose(const selection_criteria &criteria, time_point now)
--- a/libs/search/tests/fakes/scripted_backends.cpp
+++ b/libs/search/tests/fakes/scripted_backends.cpp
@@ -28,7 +28,9 @@
     , m_now(std::chrono::hours(1))
 {
     m_registry.setHosts(makeHosts(2), {2, 2});
+    std::vector<route_service> services;
     for (std::size_t shard = 0; shard < shards; ++shard) {
+        services.emplace_back().id = service_id("s" + std::to_string(shard)); // Without limits.
         for (std::size_t i = 0; i < replicas; ++i) {
             replica_entry entry;
             const auto service = "s" + std::to_string(shard);
@@ -41,6 +43,7 @@
             m_registry.put(entry, m_now);
         }
     }
+    m_registry.setRouteTable(*route_table::create(0, {}, std::move(services), {}));
 }
 
 gather_input scripted_backends::makeInput(std::chrono::milliseconds target, std::chrono::milliseconds deadline, double minCoverage) const
--- a/libs/search/tests/test_replica_registry.cpp
+++ b/libs/search/tests/test_replica_registry.cpp
@@ -32,10 +32,32 @@
     replica_registry_fixture()
         : m_registry({zone_id("near"), {0.2, 20}, 1.5, 5}, random_source(3))
     {
+        setLimits({}, 0);
         m_registry.put(makeEntry("a", "near"), m_now);
         m_registry.put(makeEntry("b", "far"), m_now);
     }
 
+    /// Sets a route table that names the service.
+    void setLimits(route_service limits, std::uint64_t version)
+    {
+        limits.id = service;
+        m_registry.setRouteTable(*route_table::create(version, {}, {std::move(limits)}, {}));
+    }
+
+    /// @return The calls that this host, one of 2, may send at once to the backend server "a".
+    int countColdCalls()
+    {
+        m_registry.setHosts(makeHosts(2), {2, 2});
+        m_registry.remove(backend_id("b"), m_now);
+        m_now += milliseconds(2000); // No earlier call counts.
+        find("a")->setCold(milliseconds(3000), m_now);
+        int sent = 0;
+        while (sent < 100 && !choose().empty()) {
+            ++sent;
+        }
+        return sent;
+    }
+
     std::string choose(std::chrono::microseconds latency = callLatency)
     {
         replica_registry::selection_criteria criteria;
@@ -337,6 +359,36 @@
     EXPECT_GE(coldCalls, 18U);
 }
 
+// Guards against unlimited calls to a cold backend server of a service that the route table of this host does not name: another host, which
+// has a newer table, has its searches gathered here. All backend servers of a new set of shards crashed.
+TEST_F(ReplicaRegistryTest, limitsTheCallsToAServiceThatTheRouteTableDoesNotName)
+{
+    m_registry.setRouteTable(*route_table::create(1, {}, {}, {}));
+    EXPECT_EQ(m_registry.limits(service), service_limits::unknown());
+    EXPECT_EQ(countColdCalls(), 2); // No more than the slack of 5, of which each of the two hosts has a half.
+    m_registry.learnLimits(service, {std::nullopt, 4.0}, 2);
+    EXPECT_EQ(countColdCalls(), 5); // (4 * 1.5 + 5) / 2
+    m_registry.learnLimits(service, {std::nullopt, 10.0}, 1);
+    EXPECT_EQ(countColdCalls(), 5); // The limits of the newer version hold.
+    setLimits({}, 3);
+    EXPECT_EQ(countColdCalls(), 100); // The own table is newer, and it sets no limit.
+}
+
+// Guards against the limits of an older configuration when another host knows that a newer one has stricter ones.
+TEST_F(ReplicaRegistryTest, usesTheStrictestLimitsWhileTheRouteTableIsOld)
+{
+    route_service limits;
+    limits.maxConnections = 20;
+    limits.maxColdRequestsPerSecond = 10;
+    setLimits(limits, 4);
+    m_registry.learnLimits(service, {30, 4.0}, 5);
+    EXPECT_EQ(m_registry.limits(service), (service_limits{20, 4.0}));
+    m_registry.learnLimits(service, {2, 1.0}, 3); // Older than the own table.
+    EXPECT_EQ(m_registry.limits(service), (service_limits{20, 4.0}));
+    setLimits(limits, 5);
+    EXPECT_EQ(m_registry.limits(service), (service_limits{20, 10.0}));
+}
+
 // Guards against calls to a cold backend server by hosts that do not know each other yet: their parts would be too large.
 TEST_F(ReplicaRegistryTest, unsettledHostsDoNotCallColdBackendServers)
 {
@@ -366,6 +418,18 @@
     EXPECT_FALSE(find("b")->cold(m_now));
 }
 
+// The same for a service that the route table does not name: the longest warm-up time that this host knows counts.
+TEST_F(ReplicaRegistryTest, backendServersOfAnUnknownServiceInAReturningZoneCountAsCold)
+{
+    route_service other;
+    other.id = service_id("other");
+    other.warmUpTime = milliseconds(3000);
+    m_registry.setRouteTable(*route_table::create(1, {}, {other}, {}));
+    m_registry.setExcludedZones({zone_id("near")}, m_now);
+    m_registry.setExcludedZones({}, m_now);
+    EXPECT_TRUE(find("a")->cold(m_now));
+}
+
 // Guards against calls to more backend servers than a request allows when several hosts choose backend servers for it.
 TEST(ReplicaPreferenceTest, hostsChooseTheSameBackendServers)
 {
--- a/libs/wire/include/wire/relay_messages.h
+++ b/libs/wire/include/wire/relay_messages.h
@@ -4,12 +4,19 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace orioledrum
 {
 
+/// Limits of a service as the sender knows them; see service_limits.
+struct relay_limits {
+    std::optional<std::uint32_t> maxConnections; ///< At least 1; nullopt: not limited.
+    std::optional<double> maxColdRequestsPerSecond; ///< At least 0; nullopt: not limited.
+};
+
 /// Asks an entry host near the backend servers to search some of the shards and to merge their results. It holds all of the request and of
 /// its route that the calls depend on: the receiver fills nothing in, and refuses a message that it cannot read or use. A refusal has a
 /// status of 4xx or 503 and says that no backend server was called; the sender then calls the backend servers itself.
@@ -24,6 +31,9 @@
     std::vector<std::string> headerValues; ///< Same size and order as headerNames.
     std::string body; ///< Body of the request, unchanged.
     std::vector<std::string> shards; ///< Ids of the services to search; each service is one shard.
+    /// For each shard, its limits. The receiver may not know the shard, or may have an older configuration.
+    std::vector<relay_limits> shardLimits;
+    std::uint64_t configVersion = 0; ///< Version of the route table that shards and limits are from.
     std::uint32_t maxRecords = 0; ///< Maximum number of records in the merged result.
     std::uint32_t maxServers = 1; ///< Maximum number of backend servers to call for each shard.
     /// For each shard, hashes of the ids of the backend servers that the sender knows. It may call the first max(1, maxServers - 1) of them
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -49,6 +49,11 @@
     visit(value.request, value.service, value.customer, value.snapshot, value.remaining, value.query, value.limit, value.calls);
 }
 template<typename Visitor>
+void visitFields(relay_limits &value, Visitor &&visit)
+{
+    visit(value.maxConnections, value.maxColdRequestsPerSecond);
+}
+template<typename Visitor>
 void visitFields(relay_search &value, Visitor &&visit)
 {
     visit(value.request,
@@ -61,6 +66,8 @@
           value.headerValues,
           value.body,
           value.shards,
+          value.shardLimits,
+          value.configVersion,
           value.maxRecords,
           value.maxServers,
           value.knownServers,
--- a/libs/wire/tests/test_codec.cpp
+++ b/libs/wire/tests/test_codec.cpp
@@ -64,6 +64,8 @@
     message.headerValues = {"*/*"};
     message.body = std::string("oak\0pine", 8);
     message.shards = {"s1", "s2"};
+    message.shardLimits = {{26, 4.5}, {}};
+    message.configVersion = 7;
     message.knownServers = {{1, 2}, {3}};
     const auto decoded = decode<relay_search>(encode(message));
     ASSERT_TRUE(decoded.has_value());
@@ -73,6 +75,11 @@
     EXPECT_EQ(decoded->headerValues, message.headerValues);
     EXPECT_EQ(decoded->body, message.body);
     EXPECT_EQ(decoded->shards, message.shards);
+    EXPECT_EQ(decoded->configVersion, 7U);
+    ASSERT_EQ(decoded->shardLimits.size(), 2U);
+    EXPECT_EQ(decoded->shardLimits[0].maxConnections, 26U);
+    EXPECT_EQ(decoded->shardLimits[0].maxColdRequestsPerSecond, 4.5);
+    EXPECT_FALSE(decoded->shardLimits[1].maxConnections || decoded->shardLimits[1].maxColdRequestsPerSecond);
     EXPECT_EQ(decoded->knownServers, message.knownServers);
 }
 
--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -149,6 +149,36 @@
                 pass
 
 
+class StoreLink:
+    """A network link between one gateway and the store. While it is `cut`, bytes in both directions are lost, on open and on new
+    connections.
+    """
+
+    def __init__(self, store_address):
+        self.store_address = store_address
+        self.cut = False
+
+    async def start(self):
+        """Returns the address at which the gateway reads the store."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        host, port = self.store_address.split(":")
+        store_reader, store_writer = await asyncio.open_connection(host, int(port))
+        await asyncio.gather(self.pass_on(reader, store_writer), self.pass_on(store_reader, writer))
+
+    async def pass_on(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                if not self.cut:
+                    writer.write(data)
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+
 class Backend:
     """One backend server. `mode` is how it treats requests, or a function that returns the mode for the next request.
 
@@ -389,8 +419,10 @@
     def add_backend(self, name, service, zone):
         self.run(self._add_backend(name, service, zone))
 
-    def publish_routes_on_loop(self, single="single", extra=(), timeout_ms=1500):
-        """Publishes the next version of the routes, with one more route for each name in `extra`. Runs in the thread of the loop."""
+    def publish_routes_on_loop(self, single="single", extra=(), timeout_ms=1500, warm_up_s=1.0, cold_per_s=0.0):
+        """Publishes the next version of the routes, with one more route for each name in `extra`. Runs in the thread of the loop.
+        `cold_per_s` limits the requests to a cold backend server; 0: not limited.
+        """
         self.config_version += 3
         base = {"host": "h.example", "timeout_ms": timeout_ms, "target_latency_ms": 120, "priority": 1, "max_attempts": 2}
         search = {"kind": "idempotent", "gather": self.shards, "top_k": 10, "min_coverage": 0.75}
@@ -398,8 +430,8 @@
                   {**base, "name": "fetch", "prefix": "/fetch/", "kind": "idempotent", "service": single},
                   {**base, "name": "order", "prefix": "/order/", "kind": "non_idempotent", "service": single}]
         routes += [{**base, "name": name, "prefix": f"/{name}/", "kind": "idempotent", "service": single} for name in extra]
-        services = [{"name": name, "health_path": "/health", "max_conns": 60, "protocol": "h1", "tls": False, "warmup_s": 1.0,
-                     "cold_per_s": 0.0} for name in [*self.shards, "single", "other"]]
+        services = [{"name": name, "health_path": "/health", "max_conns": 60, "protocol": "h1", "tls": False, "warmup_s": warm_up_s,
+                     "cold_per_s": cold_per_s} for name in [*self.shards, "single", "other"]]
         limits = {"max_header_bytes": 16384, "max_body_bytes": 10000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
         self.store.put("op/config", {"version": self.config_version, "routes": routes, "services": services, "limits": limits})
 
@@ -414,7 +446,7 @@
         if previous:
             ports = previous["ports"]
         seeds = [f"127.0.0.1:{gateway['ports']['hosts']}" for gateway in self.gateways.values()][:3] or [f"127.0.0.1:{ports['hosts']}"]
-        settings = {"host": name, "zone": zone, "seeds": seeds, "platform": self.address, "maxDescriptors": 1024,
+        settings = {"host": name, "zone": zone, "seeds": seeds, "platform": self.store_address(name), "maxDescriptors": 1024,
                     "extraCallShare": EXTRA_CALL_SHARE, "extraCallSlack": EXTRA_CALL_SLACK, "coldFactor": 1.5, "coldSlack": 5, "configurationInForceMs": 3000,
                     "contactLossMs": 4000, "stopTimeMs": 6000, "lapsedReturnMs": 1000, "callerDelayMs": 3}
         settings.update({key: f"127.0.0.1:{port}" for key, port in ports.items()})
@@ -427,6 +459,10 @@
         if wait:
             self.wait_ready(name)
 
+    def store_address(self, _name):
+        """Returns the address at which a gateway reads the store. Tests replace it to put a StoreLink between."""
+        return self.address
+
     def wait_ready(self, name, seconds=10):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
