Read a stop time with a fraction of a second as it is written

Cause: the settings template appended "000" to the platform's seconds. A bound with a fraction, which the platform allows, became some milliseconds: 6.5 gave 6.5000 ms, and a stopping host answered all open requests with 504 at once.

Result: stopTimeMayHaveAFractionOfASecond passes.

--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -52,6 +52,28 @@
         target = std::chrono::milliseconds(static_cast<std::int64_t>(value));
     }
 
+    /// Reads a number of seconds that may have a fraction, and rounds it down to milliseconds.
+    void readSeconds(const char *key, std::chrono::milliseconds &target)
+    {
+        double value = 0;
+        readNumber(key, 0.001, value);
+        target = std::chrono::milliseconds(static_cast<std::int64_t>(value * 1000));
+    }
+
+    /// Reads a time from one of two keys, of which exactly one must be present.
+    void readMillisecondsOrSeconds(const char *millisecondsKey, const char *secondsKey, std::chrono::milliseconds &target)
+    {
+        if (has(millisecondsKey) && has(secondsKey)) {
+            fail(millisecondsKey, "must not be given together with '" + std::string(secondsKey) + "'");
+        } else if (has(secondsKey)) {
+            readSeconds(secondsKey, target);
+        } else {
+            readMilliseconds(millisecondsKey, target);
+        }
+    }
+
+    [[nodiscard]] bool has(const char *key) const { return m_object.contains(key); }
+
     void readAddress(const char *key, listen_address &target)
     {
         std::string value;
@@ -142,7 +164,7 @@
     reader.readNumber("coldSlack", 0, settings.coldSlack);
     reader.readMilliseconds("configurationInForceMs", settings.maxActivationDelay);
     reader.readMilliseconds("contactLossMs", settings.contactLossTimeout);
-    reader.readMilliseconds("stopTimeMs", settings.stopTime);
+    reader.readMillisecondsOrSeconds("stopTimeMs", "stopTimeS", settings.stopTime);
     reader.readMilliseconds("lapsedReturnMs", settings.expiredEntryReturnTime);
     reader.readMilliseconds("callerDelayMs", settings.callerDelay);
     if (!reader.firstProblem().empty()) {
--- a/libs/gateway/tests/test_gateway_settings.cpp
+++ b/libs/gateway/tests/test_gateway_settings.cpp
@@ -63,6 +63,21 @@
     }
 }
 
+// Guards against a stop time with a fraction of a second that becomes some milliseconds, so that all open requests are given up at once.
+TEST(GatewaySettingsTest, stopTimeMayHaveAFractionOfASecond)
+{
+    auto inSeconds = makeSettings();
+    inSeconds.erase("stopTimeMs");
+    inSeconds["stopTimeS"] = 6.5;
+    const auto settings = gateway_settings::parse(inSeconds.dump(), "f");
+    ASSERT_TRUE(settings) << settings.error().describe();
+    EXPECT_EQ(settings->stopTime, std::chrono::milliseconds(6500));
+    inSeconds["stopTimeMs"] = 6000;
+    const auto both = gateway_settings::parse(inSeconds.dump(), "f");
+    ASSERT_FALSE(both);
+    EXPECT_NE(both.error().message.find("'stopTimeS'"), std::string::npos) << both.error().message;
+}
+
 TEST(GatewaySettingsTest, rejectsInvalidFiles)
 {
     EXPECT_FALSE(gateway_settings::parse("", "f"));
