Take the window of extra calls from the deployment's bounds

Cause: a restarted host gets its whole part of the slack after 10 s, a constant. In a deployment with a longer window its earlier process may have used that part in the same window, so that both together exceed the slack.

Settings without it mean 10 s, as before.

Result: aRestartedHostWaitsForTheWindowOfTheDeployment passes.

--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -34,6 +34,7 @@
     std::string platform; ///< "ip:port" of the platform's store.
     std::uint32_t maxDescriptors = 4096; ///< Limit of file descriptors of this process.
     extra_call_limits extraCalls; ///< Limits of hedges and retries.
+    std::chrono::milliseconds extraCallWindow{10000}; ///< Length of the windows in which these limits hold.
     double coldFactor = 1; ///< Highest request rate of a cold backend server, as a multiple of its service's maxColdRequestsPerSecond.
     double coldSlack = 0; ///< Requests per second added to that rate.
     std::chrono::milliseconds maxActivationDelay{3000}; ///< Maximum time from the publication of a configuration to its use.
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -160,6 +160,9 @@
     reader.readNumber("maxDescriptors", 64, descriptors);
     reader.readNumber("extraCallShare", 0, settings.extraCalls.share);
     reader.readNumber("extraCallSlack", 0, settings.extraCalls.slack);
+    if (reader.has("extraCallWindowS")) {
+        reader.readSeconds("extraCallWindowS", settings.extraCallWindow);
+    }
     reader.readNumber("coldFactor", 0, settings.coldFactor);
     reader.readNumber("coldSlack", 0, settings.coldSlack);
     reader.readMilliseconds("configurationInForceMs", settings.maxActivationDelay);
--- a/libs/gateway/src/host_counter.cpp
+++ b/libs/gateway/src/host_counter.cpp
@@ -5,9 +5,10 @@
 namespace orioledrum
 {
 
-host_counter::host_counter(time_point startedAt, double slack)
+host_counter::host_counter(time_point startedAt, double slack, std::chrono::milliseconds window)
     : m_startedAt(startedAt)
     , m_slack(slack)
+    , m_window(window)
     , m_growthAt(startedAt)
 {
 }
@@ -38,7 +39,7 @@
     if (!m_settled) {
         return {cautious, cautious};
     }
-    return {hostCount(), now - m_startedAt >= restartTime ? hostCount() : cautious};
+    return {hostCount(), now - m_startedAt >= m_window ? hostCount() : cautious};
 }
 
 } // namespace orioledrum
--- a/libs/gateway/src/host_counter.h
+++ b/libs/gateway/src/host_counter.h
@@ -21,15 +21,14 @@
     static constexpr std::chrono::milliseconds maxSettleTime{4000};
     /// Number of hosts that a host assumes when it knows no other.
     static constexpr std::uint32_t assumedHosts = 10;
-    /// Time after the start in which a host gets no more than restartTokens without requests. Users count extra calls in windows of 10 s,
-    /// and an earlier process of this host may have used its part of the slack in the same window. What requests earn is not limited:
-    /// they are counted in the window in which it is used, or saved up within the host's part.
-    static constexpr std::chrono::seconds restartTime{10};
-    /// Extra calls to a service that a host may make in that time before it has earned others by requests. Enough for one hedge.
+    /// Extra calls to a service that a host may make in its first window before it has earned others by requests. Enough for one hedge. An
+    /// earlier process of this host may have used its part of the slack in the same window. What requests earn is not limited: they are
+    /// counted in the window in which it is used, or saved up within the host's part.
     static constexpr double restartTokens = 2;
 
     /// @param slack extra_call_limits::slack
-    host_counter(time_point startedAt, double slack);
+    /// @param window gateway_settings::extraCallWindow
+    host_counter(time_point startedAt, double slack, std::chrono::milliseconds window);
 
     /// @param knownHosts Number of known hosts, this host included, also those that were lost a short time ago.
     void update(std::size_t knownHosts, time_point now);
@@ -44,6 +43,7 @@
 private:
     time_point m_startedAt;
     double m_slack;
+    std::chrono::milliseconds m_window;
     std::size_t m_knownHosts = 1;
     std::size_t m_hostsAtGrowth = 1; // Number of known hosts at the latest growth.
     time_point m_growthAt;
--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -40,7 +40,7 @@
     , m_reader(reader)
     , m_membership(makeSettings(state.settings, std::move(seeds)), random_source::fromSystem(), monotonic_clock::now())
     , m_timer(state.context)
-    , m_counter(monotonic_clock::now(), state.settings.extraCalls.slack)
+    , m_counter(monotonic_clock::now(), state.settings.extraCalls.slack, state.settings.extraCallWindow)
 {
     updateSharingHosts();
 }
--- a/libs/gateway/tests/test_gateway_settings.cpp
+++ b/libs/gateway/tests/test_gateway_settings.cpp
@@ -1,4 +1,5 @@
 #include <gateway/gateway_settings.h>
+#include <host_counter.h>
 #include <service_split.h>
 
 #include <gtest/gtest.h>
@@ -78,6 +79,24 @@
     EXPECT_NE(both.error().message.find("'stopTimeS'"), std::string::npos) << both.error().message;
 }
 
+// Guards against a restarted host that gets its whole part of the slack before the deployment's window is over, in which its earlier process
+// may have used that part.
+TEST(GatewaySettingsTest, aRestartedHostWaitsForTheWindowOfTheDeployment)
+{
+    auto longWindow = makeSettings();
+    longWindow["extraCallWindowS"] = 20.5;
+    const auto settings = gateway_settings::parse(longWindow.dump(), "f");
+    ASSERT_TRUE(settings) << settings.error().describe();
+    const time_point start(std::chrono::hours(1));
+    host_counter counter(start, settings->extraCalls.slack, settings->extraCallWindow);
+    counter.update(4, start);
+    counter.update(4, start + std::chrono::seconds(5));
+    EXPECT_EQ(counter.slackDivision(start + std::chrono::milliseconds(20400)).grantHosts, 29U); // 58 / restartTokens
+    EXPECT_EQ(counter.slackDivision(start + std::chrono::milliseconds(20500)).grantHosts, 4U);
+    longWindow["extraCallWindowS"] = "long";
+    EXPECT_FALSE(gateway_settings::parse(longWindow.dump(), "f"));
+}
+
 TEST(GatewaySettingsTest, rejectsInvalidFiles)
 {
     EXPECT_FALSE(gateway_settings::parse("", "f"));
--- a/libs/gateway/tests/test_shared_limits_at_scale.cpp
+++ b/libs/gateway/tests/test_shared_limits_at_scale.cpp
@@ -21,6 +21,7 @@
 {
 public:
     static constexpr double slack = 630;
+    static constexpr std::chrono::milliseconds window = 10s;
     static constexpr double coldCalls = 20;
     static constexpr std::uint32_t connections = 175;
     static constexpr std::uint32_t usefulConnections = 3;
@@ -32,14 +33,14 @@
         m_server.id = backend_id("server");
         m_server.zone = zone_id("another");
         for (std::size_t host = 0; host < hosts; ++host) {
-            m_counters[host].emplace(m_gossip.now(), slack);
+            m_counters[host].emplace(m_gossip.now(), slack, window);
         }
     }
 
     void start(std::size_t host)
     {
         m_gossip.start(host);
-        m_counters[host].emplace(m_gossip.now(), slack);
+        m_counters[host].emplace(m_gossip.now(), slack, window);
     }
 
     void kill(std::size_t host)
