Refuse a gathered search whose times do not fit its route

Cause: the gathering host brought the times of a message into a range of 0 to 60 s, a constant, instead of the route's. With a target latency above a minute it would have answered with what it had after 60 s, and a negative time became none at all.

Change: remaining and resumeTime must lie within the target latency that the message carries, and that within route::maxTime, which the route table checks as well. Other messages are refused, and the asking host calls the backend servers itself.

--- a/libs/config/include/config/route.h
+++ b/libs/config/include/config/route.h
@@ -25,6 +25,9 @@
 
 /// Maps requests with a host name and path prefix to services. Exactly one of `services` and `shards` is not empty.
 struct route {
+    /// Upper limit of the times of a route, about 11 days. The sum of a longer one and the current time could overflow.
+    static constexpr std::chrono::milliseconds maxTime{1'000'000'000};
+
     std::string name;
     std::string host; ///< Value of the Host header.
     std::string prefix; ///< Begins and ends with a slash.
--- a/libs/config/src/route_table.cpp
+++ b/libs/config/src/route_table.cpp
@@ -33,6 +33,9 @@
     if (route.timeout.count() <= 0) {
         return routeError(route, "the timeout is not positive");
     }
+    if (route.timeout > route::maxTime || route.targetLatency > route::maxTime || route.targetLatency.count() < 0) {
+        return routeError(route, "the timeout or the target latency is out of range");
+    }
     if (route.maxServers == 0) {
         return routeError(route, "the maximum number of backend servers is 0");
     }
--- a/libs/config/tests/test_route_table.cpp
+++ b/libs/config/tests/test_route_table.cpp
@@ -44,6 +44,9 @@
     auto noTimeout = makeRoute("r", "/a/");
     noTimeout.timeout = std::chrono::milliseconds(0);
     EXPECT_NE(route_table::create(1, {noTimeout}, {}, {}).error().message.find("timeout"), std::string::npos);
+    auto longTarget = makeRoute("r", "/a/");
+    longTarget.targetLatency = route::maxTime + std::chrono::milliseconds(1);
+    EXPECT_NE(route_table::create(1, {longTarget}, {}, {}).error().message.find("target latency"), std::string::npos);
     auto coverageAboveOne = makeRoute("r", "/a/");
     coverageAboveOne.services.clear();
     coverageAboveOne.shards = {service_id("x")};
--- a/libs/gateway/src/relayed_request.cpp
+++ b/libs/gateway/src/relayed_request.cpp
@@ -12,11 +12,7 @@
 namespace
 {
 
-/// Upper limit of the times in a message of another host, far above any target latency: their sum with the current time must not
-/// overflow, and the request is kept in memory until then.
-constexpr std::chrono::microseconds maxRelayTime = std::chrono::minutes(1);
-
-/// Checks the lists whose sizes the calls depend on: a value that is missing must not become a default.
+/// Checks what the calls depend on: a value that is missing must not become a default, and one that is out of range must not be replaced.
 expected<void> checkMessage(const relay_search &message)
 {
     const auto invalid = [](const char *reason) { return makeError(error_code::invalidArgument, "relay search", reason); };
@@ -38,6 +34,14 @@
             return invalid("a limit is not valid");
         }
     }
+    if (message.targetLatency.count() <= 0 || message.targetLatency > route::maxTime) {
+        return invalid("the target latency is out of range");
+    }
+    // Both times are parts of the target latency. The request is kept in memory until they are over.
+    if (message.remaining.count() <= 0 || message.remaining > message.targetLatency || message.resumeTime.count() < 0
+        || message.resumeTime > message.targetLatency) {
+        return invalid("the remaining time or the resume time does not fit the target latency");
+    }
     if (message.maxServers == 0) {
         return invalid("no backend server may be called");
     }
@@ -78,8 +82,8 @@
     received.requestId = message.request;
     received.matchedRoute = partRoute.get();
     received.receivedAt = monotonic_clock::now();
-    received.targetTime = received.receivedAt + std::clamp(message.remaining, std::chrono::microseconds(0), maxRelayTime);
-    received.deadline = received.targetTime + std::clamp(message.resumeTime, std::chrono::microseconds(0), maxRelayTime);
+    received.targetTime = received.receivedAt + message.remaining;
+    received.deadline = received.targetTime + message.resumeTime;
     return std::make_shared<relayed_request>(state, std::move(received), std::move(partRoute), message);
 }
 
--- a/libs/wire/include/wire/relay_messages.h
+++ b/libs/wire/include/wire/relay_messages.h
@@ -39,9 +39,10 @@
     /// For each shard, hashes of the ids of the backend servers that the sender knows. It may call the first max(1, maxServers - 1) of them
     /// itself. The receiver may call these too, and as many others as maxServers leaves.
     std::vector<std::vector<std::uint32_t>> knownServers;
-    std::chrono::microseconds targetLatency{0}; ///< Target latency of the route.
-    std::chrono::microseconds remaining{0}; ///< Time until the answer must be sent, even if it is partial.
-    /// Time after `remaining` during which outstanding calls go on, so that a relay_resume can fetch their answers.
+    std::chrono::microseconds targetLatency{0}; ///< Target latency of the route; positive.
+    std::chrono::microseconds remaining{0}; ///< Time until the answer must be sent, even if it is partial; at most targetLatency.
+    /// Time after `remaining` during which outstanding calls go on, so that a relay_resume can fetch their answers; at most
+    /// targetLatency.
     std::chrono::microseconds resumeTime{0};
     std::uint64_t token = 0; ///< Random number that a relay_resume refers to.
 };
--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -165,8 +165,11 @@
 
     async def serve(self, reader, writer):
         host, port = self.store_address.split(":")
-        store_reader, store_writer = await asyncio.open_connection(host, int(port))
-        await asyncio.gather(self.pass_on(reader, store_writer), self.pass_on(store_reader, writer))
+        try:
+            store_reader, store_writer = await asyncio.open_connection(host, int(port))
+            await asyncio.gather(self.pass_on(reader, store_writer), self.pass_on(store_reader, writer))
+        except (ConnectionError, asyncio.CancelledError):
+            writer.close()
 
     async def pass_on(self, reader, writer):
         try:
