--- a/libs/gateway/include/gateway/change_follower.h
+++ b/libs/gateway/include/gateway/change_follower.h
@@ -45,7 +45,7 @@
 };
 
 /// Follows the published state: reads the full list once, then waits for changes. Reads the list again when the source no
-/// longer has the changes that were missed. At most one read is outstanding. Not thread-safe.
+/// longer has the changes that were missed, or they are too many for one answer. At most one read is outstanding. Not thread-safe.
 class change_follower
 {
 public:
@@ -67,7 +67,8 @@
     [[nodiscard]] bool synchronized() const { return m_synchronized; }
     /// @return The revision up to which all changes were read.
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
-    /// @return The number of consecutive failed reads; reads that fail with historyLost are not counted.
+    /// @return The number of consecutive failed reads; reads that are followed by one of the full list at once are
+    /// not counted.
     [[nodiscard]] std::uint32_t failures() const { return m_failures; }
 
 private:
--- a/libs/gateway/include/gateway/change_source.h
+++ b/libs/gateway/include/gateway/change_source.h
@@ -25,7 +25,7 @@
     virtual void list(const std::string &pageToken, std::chrono::milliseconds timeout, callback done) = 0;
 
     /// Reads the changes after a revision; when there are none yet, waits up to `wait` for the next one. Fails with historyLost when the
-    /// source no longer has all changes after that revision.
+    /// source no longer has all changes after that revision, and with tooLarge when they do not fit into one answer.
     /// @param after Revision up to which all changes were already read.
     /// @param wait How long the source may hold the request open until there is a change.
     /// @param timeout Maximum time until the callback.
--- a/libs/gateway/src/change_follower.cpp
+++ b/libs/gateway/src/change_follower.cpp
@@ -43,7 +43,9 @@
         m_lastChangesAt = now;
     }
     if (!page) {
-        if (page.error().code == error_code::historyLost) {
+        // Changes that are too many for one answer would be too many in the next read as well; the list is read in pages.
+        const bool tooMany = !m_listing && page.error().code == error_code::tooLarge;
+        if (page.error().code == error_code::historyLost || tooMany) {
             m_listing = true;
             m_pageToken.clear();
             m_listedChanges.clear();
--- a/libs/gateway/tests/test_change_follower.cpp
+++ b/libs/gateway/tests/test_change_follower.cpp
@@ -58,6 +58,19 @@
     EXPECT_EQ(follower.nextRead().after, 50U);
 }
 
+// Guards against a follower that asks again and again for changes that do not fit into one answer, after a long absence.
+TEST(ChangeFollowerTest, listsAgainWhenTheChangesAreTooLargeForOneAnswer)
+{
+    change_follower follower({});
+    follower.readCompleted(makePage(10), start);
+    EXPECT_FALSE(follower.readCompleted(failedRead(error_code::tooLarge), start).disconnected);
+    EXPECT_TRUE(follower.nextRead().listPage);
+    EXPECT_TRUE(follower.readCompleted(failedRead(error_code::tooLarge), start).disconnected); // A page of the list that is too large.
+    EXPECT_TRUE(follower.nextRead().listPage);
+    EXPECT_TRUE(follower.readCompleted(makePage(50, "", {"a"}), start).isFullSnapshot);
+    EXPECT_EQ(follower.nextRead().after, 50U);
+}
+
 // Guards against a host that overloads a failing platform with reads or waits ever longer before it reconnects, and against missing or
 // repeated reports that contact with the platform was lost or regained.
 TEST(ChangeFollowerTest, backsOffAndReportsDisconnectAndReconnectOnce)
