Apply the configured limits to the connections of callers

Cause: the HTTP server had fixed limits, whatever the configuration said: bodies of 1 MiB (413), header fields of 16 KiB and 200 fields (400), 60 s for an idle connection, and 5 s, a default of the library, until a caller has taken a response. Beyond the last two, connections that the configuration allows were closed, in the last case in the middle of an answer.

Change: the server of callers reads heads up to 1 MiB and bodies up to 16 MiB, limits of memory that are logged when a configuration exceeds them, and the configured limits apply to what was read. Connections that are idle, or whose caller takes no byte of a response, are closed after the configured idle time. The server for other hosts takes messages that hold such a request.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -7,6 +7,7 @@
 #include <host_link.h>
 #include <publication_reader.h>
 #include <replica_prober.h>
+#include <request_caps.h>
 #include <status_handler.h>
 #include <transport/http_server.h>
 
@@ -32,6 +33,8 @@
 constexpr std::chrono::milliseconds stopPollInterval{50};
 /// Interval at which canServe() is evaluated; the load balancer checks readiness once a second.
 constexpr std::chrono::milliseconds canServeInterval{200};
+/// Limits of the connections of callers until the configuration with its limits is known. All requests are refused until then.
+constexpr std::chrono::milliseconds idleTimeBeforeRoutes{60'000};
 /// Requests that still have no answer get a failure this long before the process is killed.
 constexpr std::chrono::milliseconds stopMargin{500};
 /// Time after these answers until the event loop stops, in which they leave this host.
@@ -72,6 +75,15 @@
             serverSettings.address = address->address;
             serverSettings.port = address->port;
             serverSettings.maxConnections = maxConnections;
+            if (server == &m_callerServer) {
+                // The limits of the configuration apply, which may change while the server runs; see caller_front and closeConnections().
+                serverSettings.maxHeadBytes = maxReadHeadBytes;
+                serverSettings.maxBodyBytes = maxReadBodyBytes;
+                serverSettings.idleTimeout = std::nullopt;
+                serverSettings.writeTimeout = std::nullopt;
+            } else if (server == &m_hostServer) {
+                serverSettings.maxBodyBytes = 2 * maxReadHeadBytes + maxReadBodyBytes; // A part of a search holds the caller's request.
+            }
             auto created = http_server::createOn(m_state.context, serverSettings, *handler);
             if (!created) {
                 return tl::unexpected(created.error());
@@ -117,11 +129,7 @@
         m_state.canServeNow = m_state.canServe(monotonic_clock::now());
         m_callAudit.check();
         m_callerServer->setDraining(m_state.stopping || (m_state.table && !m_state.canServeNow));
-        if (m_state.table && !m_state.stopping && m_state.table->limits().idleTimeout.count() > 0) {
-            const auto &limits = m_state.table->limits();
-            m_callerServer->closeIdleConnections(limits.idleTimeout);
-            m_callerServer->closeUnfinishedRequests(std::max(limits.headerTimeout, limits.idleTimeout));
-        }
+        closeConnections();
         m_canServeTimer.expires_after(canServeInterval);
         m_canServeTimer.async_wait([this](const asio::error_code &code) {
             if (!code) {
@@ -130,6 +138,25 @@
         });
     }
 
+    /// Closes the connections of callers that are idle, or do not go on with a request or a response, for longer than the configuration
+    /// allows.
+    void closeConnections()
+    {
+        if (m_state.stopping) {
+            return;
+        }
+        http_request_limits limits;
+        limits.idleTimeout = idleTimeBeforeRoutes;
+        if (m_state.table) {
+            limits = m_state.table->limits();
+        }
+        if (limits.idleTimeout.count() > 0) {
+            m_callerServer->closeIdleConnections(limits.idleTimeout);
+            m_callerServer->closeUnfinishedRequests(std::max(limits.headerTimeout, limits.idleTimeout));
+            m_callerServer->closeStalledResponses(limits.idleTimeout);
+        }
+    }
+
     void pollStop()
     {
         const auto elapsed = monotonic_clock::now() - m_stopStartedAt;
--- a/libs/gateway/src/publication_reader.cpp
+++ b/libs/gateway/src/publication_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <gateway_state.h>
 #include <host_call.h>
+#include <request_caps.h>
 #include <transport/http_exchange.h>
 #include <wire/change_messages.h>
 #include <wire/codec.h>
@@ -406,6 +407,15 @@
                       "routesInForce",
                       {{"version", static_cast<std::int64_t>(m_state.table->version())},
                        {"routes", static_cast<std::int64_t>(m_state.table->routes().size())}});
+    const auto &limits = m_state.table->limits();
+    if (limits.maxHeaderBytes > maxReadHeadBytes || limits.maxBodyBytes > maxReadBodyBytes) {
+        // Event "limitsNotReached": requests that the configuration allows are refused, because this host reads no larger ones.
+        m_state.log.write("platform",
+                          "limitsNotReached",
+                          {{"version", static_cast<std::int64_t>(m_state.table->version())},
+                           {"maxHeadBytes", static_cast<std::int64_t>(maxReadHeadBytes)},
+                           {"maxBodyBytes", static_cast<std::int64_t>(maxReadBodyBytes)}});
+    }
 }
 
 void publication_reader::applyDueRemovals()
--- a/libs/transport/include/transport/http_server.h
+++ b/libs/transport/include/transport/http_server.h
@@ -66,6 +66,9 @@
     /// still incomplete. Callers that send very slowly, or stop in the middle of a request, would otherwise keep descriptors in use.
     void closeUnfinishedRequests(std::chrono::milliseconds after);
 
+    /// Closes the connections of all servers on the same io_context whose client has taken no byte of a response for at least `after`.
+    void closeStalledResponses(std::chrono::milliseconds after);
+
     /// Starts draining, stops accepting connections, waits until all requests are answered and all connections are closed, then
     /// ends the threads.
     /// @param timeout Time after which the remaining requests are aborted.
--- a/libs/transport/include/transport/http_server_settings.h
+++ b/libs/transport/include/transport/http_server_settings.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace orioledrum
@@ -18,7 +19,13 @@
     /// Limit for all servers on the same io_context together; further connections are closed at once. Capped at half of the
     /// process's descriptor limit.
     std::size_t maxConnections = 10'000;
-    std::chrono::milliseconds idleTimeout{60'000}; ///< A connection is closed when no complete request arrives within this time.
+    /// A request whose request line and header fields are larger is answered with status 400. The parser has one limit for the process, so
+    /// the greatest value of all servers holds for all of them.
+    std::size_t maxHeadBytes = std::size_t{16} * 1024;
+    /// A connection is closed when no complete request arrives within this time; nullopt: no limit.
+    std::optional<std::chrono::milliseconds> idleTimeout{60'000};
+    /// A connection is closed when its client has not taken a whole response within this time; nullopt: no limit.
+    std::optional<std::chrono::milliseconds> writeTimeout{60'000};
     std::chrono::milliseconds drainIdleTimeout{200}; ///< stop() keeps connections without a request open for at most this long.
 };
 
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -9,8 +9,11 @@
 
 #include <sys/resource.h>
 
+#include <http_parser.h>
+
 #include <atomic>
 #include <future>
+#include <mutex>
 #include <optional>
 #include <thread>
 
@@ -64,13 +67,23 @@
 namespace
 {
 
-constexpr std::size_t maxTargetBytes = std::size_t{16} * 1024;
-constexpr std::size_t maxHeaderNameBytes = 1024;
-constexpr std::size_t maxHeaderValueBytes = std::size_t{16} * 1024;
-constexpr std::size_t maxHeaderCount = 200;
-/// RESTinio always limits the time until a request is answered. It adds the limit to the current time, which must not overflow.
+/// Size of the shortest header field: a name of one byte, a colon and a line end.
+constexpr std::size_t minHeaderFieldBytes = 4;
+/// In place of no limit: RESTinio limits the time of each operation. It adds the limit to the current time, which must not overflow.
 constexpr std::chrono::hours unlimitedTime{24 * 365 * 100};
 
+/// Raises the limit of the HTTP parser on the size of heads, which is one for the process.
+void raiseMaxHeadBytes(std::size_t bytes)
+{
+    static std::mutex mutex;
+    static std::size_t greatest = 0;
+    const std::lock_guard lock(mutex);
+    if (bytes > greatest) {
+        greatest = bytes;
+        http_parser_set_max_header_size(static_cast<std::uint32_t>(std::min<std::size_t>(bytes, UINT32_MAX)));
+    }
+}
+
 /// Caps the connections at half of the process's descriptor limit. RESTinio permanently stops accepting when a connection
 /// cannot be accepted because no descriptor is free.
 std::size_t limitByDescriptors(std::size_t wanted)
@@ -376,6 +389,11 @@
         asio::use_service<socket_registry>(m_core->context).shutdownUnfinished(after);
     }
 
+    void closeStalledResponses(std::chrono::milliseconds after)
+    {
+        asio::use_service<socket_registry>(m_core->context).shutdownStalledWrites(after);
+    }
+
     bool stop(std::chrono::milliseconds timeout)
     {
         if (m_stopped || !m_core->ownedContext) {
@@ -402,17 +420,19 @@
 private:
     void configure(restinio::server_settings_t<server_traits> &serverSettings, const asio::ip::address &address)
     {
+        raiseMaxHeadBytes(m_settings.maxHeadBytes);
         serverSettings.address(address)
             .protocol(address.is_v6() ? asio::ip::tcp::v6() : asio::ip::tcp::v4())
             .port(m_settings.port)
             .ip_blocker(std::make_shared<connection_limiter>(m_core->context, limitByDescriptors(m_settings.maxConnections)))
-            .read_next_http_message_timelimit(m_settings.idleTimeout)
+            .read_next_http_message_timelimit(m_settings.idleTimeout.value_or(unlimitedTime))
+            .write_http_response_timelimit(m_settings.writeTimeout.value_or(unlimitedTime))
             .handle_request_timeout(unlimitedTime)
             .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
-                                          .max_url_size(maxTargetBytes)
-                                          .max_field_name_size(maxHeaderNameBytes)
-                                          .max_field_value_size(maxHeaderValueBytes)
-                                          .max_field_count(maxHeaderCount)
+                                          .max_url_size(m_settings.maxHeadBytes)
+                                          .max_field_name_size(m_settings.maxHeadBytes)
+                                          .max_field_value_size(m_settings.maxHeadBytes)
+                                          .max_field_count(m_settings.maxHeadBytes / minHeaderFieldBytes)
                                           .max_body_size(m_settings.maxBodyBytes))
             .socket_options_setter([](restinio::socket_options_t &socket) { socket.set_option(asio::ip::tcp::no_delay(true)); })
             .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) { m_port = acceptor.local_endpoint().port(); })
@@ -530,6 +550,11 @@
     m_impl->closeUnfinishedRequests(after);
 }
 
+void http_server::closeStalledResponses(std::chrono::milliseconds after)
+{
+    m_impl->closeStalledResponses(after);
+}
+
 bool http_server::stop(std::chrono::milliseconds timeout)
 {
     return m_impl->stop(timeout);
--- a/libs/transport/src/server_socket.cpp
+++ b/libs/transport/src/server_socket.cpp
@@ -38,6 +38,7 @@
     if (is_open()) {
         m_registry->removeIdle(native_handle());
         m_registry->removeUnfinished(native_handle());
+        m_registry->removeWriting(native_handle());
     }
     if (m_counted) {
         m_counted = false;
--- a/libs/transport/src/server_socket.h
+++ b/libs/transport/src/server_socket.h
@@ -15,7 +15,7 @@
 {
 
 /// TCP socket of an accepted HTTP connection. It sends a 400 response when RESTinio rejects the input (RESTinio itself only
-/// closes the connection), and it registers with the socket_registry while it waits for a request.
+/// closes the connection), and it registers with the socket_registry while it waits for a request or for its client to take a response.
 /// RESTinio uses it as the stream socket of its traits, so the functions have the names that Asio uses.
 class server_socket : public asio::ip::tcp::socket
 {
@@ -78,10 +78,20 @@
     }
 
     template<typename Buffers, typename Handler>
-    auto async_write_some(const Buffers &buffers, Handler &&handler) // NOLINT(readability-identifier-naming)
+    void async_write_some(const Buffers &buffers, Handler &&handler) // NOLINT(readability-identifier-naming)
     {
         m_inputSinceResponse = false;
-        return base::async_write_some(buffers, std::forward<Handler>(handler));
+        m_registry->addWriting(native_handle());
+        auto executor = asio::get_associated_executor(handler, get_executor());
+        base::async_write_some(
+            buffers,
+            asio::bind_executor(executor,
+                                [this, next = std::forward<Handler>(handler)](const asio::error_code &code, std::size_t size) mutable {
+                                    if (is_open()) {
+                                        m_registry->removeWriting(native_handle());
+                                    }
+                                    next(code, size);
+                                }));
     }
 
     /// RESTinio calls this before close(). While it parses input (m_parsing), RESTinio closes the socket only when the input is
--- a/libs/transport/src/socket_registry.cpp
+++ b/libs/transport/src/socket_registry.cpp
@@ -63,6 +63,29 @@
     m_unfinished.erase(descriptor);
 }
 
+void socket_registry::addWriting(int descriptor)
+{
+    const std::lock_guard lock(m_mutex);
+    m_writing[descriptor] = std::chrono::steady_clock::now();
+}
+
+void socket_registry::removeWriting(int descriptor)
+{
+    const std::lock_guard lock(m_mutex);
+    m_writing.erase(descriptor);
+}
+
+void socket_registry::shutdownStalledWrites(std::chrono::milliseconds after)
+{
+    const auto latestStart = std::chrono::steady_clock::now() - after;
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[descriptor, since] : m_writing) {
+        if (since <= latestStart) {
+            ::shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+}
+
 void socket_registry::shutdownUnfinished(std::chrono::milliseconds after)
 {
     const auto latestStart = std::chrono::steady_clock::now() - after;
--- a/libs/transport/src/socket_registry.h
+++ b/libs/transport/src/socket_registry.h
@@ -38,6 +38,14 @@
     /// Must be called when the wait has ended, before the descriptor is closed.
     void removeUnfinished(int descriptor);
 
+    /// Records that a socket waits until its client takes more bytes of a response.
+    void addWriting(int descriptor);
+    /// Must be called when the wait has ended, before the descriptor is closed.
+    void removeWriting(int descriptor);
+
+    /// Shuts down the sockets whose client has taken no byte for at least the given time.
+    void shutdownStalledWrites(std::chrono::milliseconds after);
+
     /// Shuts down reading on the sockets that have been idle for at least the given time. Data that has already arrived is
     /// still read.
     void shutdownIdle(std::chrono::milliseconds idleFor);
@@ -58,6 +66,7 @@
     mutable std::mutex m_mutex;
     std::unordered_map<int, std::chrono::steady_clock::time_point> m_idle; ///< Start of the idle time by descriptor.
     std::unordered_map<int, std::chrono::steady_clock::time_point> m_unfinished; ///< Arrival of the first bytes by descriptor.
+    std::unordered_map<int, std::chrono::steady_clock::time_point> m_writing; ///< Start of the pending write by descriptor.
     std::size_t m_connectionCount = 0;
 };
 
--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -207,6 +207,7 @@
         self.platform, self.name, self.service, self.zone, self.slots = platform, name, service, zone, slots
         self.mode = "serve"
         self.work_s = 0.004
+        self.extra_bytes = 0  # Appended to the bodies of answers of services that are no shards.
         self.running = 0
         self.ran = []  # (time, request id, method, target, body)
         self.arrivals = []  # (time, request id)
@@ -305,7 +306,7 @@
             return False
         answer = {"Request-Id": request_id, "Server-Stamp": self.signature(request_id), "Server-Load": f"{self.running},0,{self.slots}",
                   **leaving}
-        payload = b"".join(self.records(target)) if self.service.startswith("shard") else b"bytes of " + request_id.encode()
+        payload = b"".join(self.records(target)) if self.service.startswith("shard") else b"bytes of " + request_id.encode() + bytes(self.extra_bytes)
         if mode == "fail":
             writer.write(make_response(500, answer, b"failed"))
         elif mode == "truncate":
@@ -422,9 +423,9 @@
     def add_backend(self, name, service, zone):
         self.run(self._add_backend(name, service, zone))
 
-    def publish_routes_on_loop(self, single="single", extra=(), timeout_ms=1500, warm_up_s=1.0, cold_per_s=0.0):
+    def publish_routes_on_loop(self, single="single", extra=(), timeout_ms=1500, warm_up_s=1.0, cold_per_s=0.0, **limits):
         """Publishes the next version of the routes, with one more route for each name in `extra`. Runs in the thread of the loop.
-        `cold_per_s` limits the requests to a cold backend server; 0: not limited.
+        `cold_per_s` limits the requests to a cold backend server; 0: not limited. `limits` replace fields of the limits for callers.
         """
         self.config_version += 3
         base = {"host": "h.example", "timeout_ms": timeout_ms, "target_latency_ms": 120, "priority": 1, "max_attempts": 2}
@@ -435,7 +436,7 @@
         routes += [{**base, "name": name, "prefix": f"/{name}/", "kind": "idempotent", "service": single} for name in extra]
         services = [{"name": name, "health_path": "/health", "max_conns": 60, "protocol": "h1", "tls": False, "warmup_s": warm_up_s,
                      "cold_per_s": cold_per_s} for name in [*self.shards, "single", "other"]]
-        limits = {"max_header_bytes": 16384, "max_body_bytes": 10000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+        limits = {"max_header_bytes": 16384, "max_body_bytes": 10000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, **limits}
         self.store.put("op/config", {"version": self.config_version, "routes": routes, "services": services, "limits": limits})
 
     def publish_routes(self, **options):
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -86,6 +86,33 @@
             self.assertEqual(answer.status, 400)
         self.assertEqual([backend.ran for backend in self.platform.backends.values() if backend.ran], [])
 
+    def test_requests_may_be_as_large_as_the_configuration_allows(self):
+        """Guards against fixed limits of the HTTP server for bodies (1 MiB) and header fields (16 KiB, 200 fields) in place of those of the
+        configuration, which may change while the gateway runs and callers keep their connections.
+        """
+        self.platform.start_gateway("g1", "z1")
+        connection = []
+
+        def order(number, body=b"", header=None):
+            answer = self.platform.get("g1", "/order/x", method="POST", body=body, request_id=f"order{number}", header=header, connection=connection)
+            if answer.header.get("connection") == "close":
+                connection.clear()
+            return answer.status
+
+        self.assertEqual(order(1, b"x" * 10_000), 200)
+        self.platform.publish_routes(extra=["large"], max_body_bytes=3_000_000, max_header_bytes=60_000)
+        self.platform.wait_until("the new limits", lambda: self.platform.get("g1", "/large/x").status == 200, 3)
+        self.assertEqual(order(2, b"x" * 2_900_000), 200)
+        self.assertEqual(order(3, header={"X-Long": "x" * 50_000}), 200)
+        self.assertEqual(order(4, header={f"X-{number}": "x" for number in range(1000)}), 200)
+        self.assertEqual(order(5, header={"X-Long": "x" * 61_000}), 431)
+        self.assertEqual(order(6, b"x" * 3_000_001), 413)
+        bodies = {run[1]: run[4] for backend in self.platform.backends.values() for run in backend.ran}
+        self.assertEqual(bodies["order2"], b"x" * 2_900_000)
+        self.platform.publish_routes(max_body_bytes=500)
+        self.platform.wait_until("the lower limits", lambda: self.platform.get("g1", "/large/x").status == 404, 3)
+        self.assertEqual(order(7, b"x" * 501), 413)
+
     def test_orders_run_at_most_once(self):
         """Guards against orders that run twice, and orders that are refused although they ran, while backend servers fail."""
         self.platform.start_gateway("g1", "z1")
