Tell gathering hosts which backend servers are cold

Cause: each host knows from entries and status checks of its own whether a backend server is cold. A gathering host that is cut off from the store does not read that backend servers have become cold, and then calls them without their limit, although the host that asks it knows.

Change: relay_search carries how long the backend servers that it names are still cold by what the asking host has seen itself. What another host has told is not passed on, because the time would grow with each trip between two hosts.

--- a/libs/gateway/src/gathered_request.cpp
+++ b/libs/gateway/src/gathered_request.cpp
@@ -70,6 +70,12 @@
     message.maxRecords = route.maxRecords;
     message.maxServers = route.maxServers;
     message.knownServers = run().knownServers(partIndex);
+    for (const auto &coldTimes : run().knownColdTimes(partIndex, now)) {
+        auto &times = message.knownColdTimes.emplace_back();
+        for (const auto &time : coldTimes) {
+            times.push_back(static_cast<std::uint32_t>(std::min(time, route::maxTime).count()));
+        }
+    }
     message.targetLatency = route.targetLatency;
     message.remaining = std::chrono::duration_cast<std::chrono::microseconds>(run().relayTarget() - now);
     message.resumeTime = resumeTime();
--- a/libs/gateway/src/relayed_request.cpp
+++ b/libs/gateway/src/relayed_request.cpp
@@ -25,6 +25,14 @@
     if (message.knownServers.size() != message.shards.size()) {
         return invalid("the backend servers that the sender knows are not given for each shard");
     }
+    const bool coldTimesFit = std::equal(message.knownServers.begin(),
+                                         message.knownServers.end(),
+                                         message.knownColdTimes.begin(),
+                                         message.knownColdTimes.end(),
+                                         [](const auto &servers, const auto &times) { return servers.size() == times.size(); });
+    if (!coldTimesFit) {
+        return invalid("the time for which it is cold is not given for each backend server");
+    }
     if (message.shardLimits.size() != message.shards.size()) {
         return invalid("the limits are not given for each shard");
     }
@@ -101,6 +109,12 @@
     gatherInput.minCoverage = 0; // Only the requesting host knows how many shards of the whole search may be missing.
     gatherInput.preferredZone = state.settings.zone;
     gatherInput.knownServers = message.knownServers;
+    for (const auto &times : message.knownColdTimes) {
+        auto &coldTimes = gatherInput.knownColdTimes.emplace_back();
+        for (const auto time : times) {
+            coldTimes.push_back(std::min(std::chrono::milliseconds(time), route::maxTime));
+        }
+    }
     createRun(std::move(gatherInput));
 }
 
--- a/libs/search/include/search/gather_run.h
+++ b/libs/search/include/search/gather_run.h
@@ -30,6 +30,9 @@
 /// hash keeps the message small.
 using server_hashes = std::vector<std::uint32_t>;
 
+/// How long the backend servers of server_hashes are still cold, in the same order; 0 for those that are not.
+using server_cold_times = std::vector<std::chrono::milliseconds>;
+
 /// A search over all shards of a route.
 struct gather_input {
     std::vector<service_id> shards;
@@ -48,6 +51,8 @@
     /// Set together with preferredZone: gather_run::knownServers() of the asking host. The first ones of a shard are reserved: both hosts
     /// may call them, and this host as many others as maxServers leaves.
     std::vector<server_hashes> knownServers;
+    /// Set together with knownServers, in the same order: gather_run::knownColdTimes() of the asking host.
+    std::vector<server_cold_times> knownColdTimes;
     /// The run finishes at the target with what it has, and resume() may continue it until the deadline. Set only when this host
     /// gathers for another host.
     bool resumable = false;
@@ -193,6 +198,9 @@
     /// maxServers + 2. The first reservedServers() are the only ones that this host calls once the gathering host may have sent calls.
     [[nodiscard]] std::vector<server_hashes> knownServers(std::size_t part) const;
 
+    /// @return For each shard of the part: how long the backend servers of knownServers() are still cold, see replica::seenColdTime().
+    [[nodiscard]] std::vector<server_cold_times> knownColdTimes(std::size_t part, time_point now) const;
+
     /// @return Time by which the other hosts have to send their results.
     [[nodiscard]] time_point relayTarget() const { return m_input.target - relayLead; }
 
@@ -236,6 +244,8 @@
     void reserveServers(std::size_t shard, const zone_id &zone);
     // Limits a shard by gather_input::knownServers.
     void limitToServersLeft(std::size_t shard);
+    // Treats the backend servers of a shard as cold for at least as long as the asking host does.
+    void takeColdTimes(std::size_t shard, time_point now);
     // @return The backend servers that may be called for a shard; nullopt when all may.
     [[nodiscard]] static std::optional<std::vector<replica_registry::replica_ptr>> allowedServers(const shard_state &shard);
     // Number of backend servers of a shard that the asking host reserves for itself.
--- a/libs/search/include/search/replica.h
+++ b/libs/search/include/search/replica.h
@@ -6,6 +6,7 @@
 #include <search/call_suspension.h>
 #include <search/server_incarnation.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -125,9 +126,18 @@
     /// Treats the backend server as cold for at least this long from now.
     void setCold(std::chrono::milliseconds remaining, time_point now);
 
+    /// The same, as another host has told.
+    void setToldCold(std::chrono::milliseconds remaining, time_point now);
+
     [[nodiscard]] const replica_entry &entry() const { return m_entry; }
     [[nodiscard]] std::size_t outstandingCalls() const { return m_outstanding.size(); }
-    [[nodiscard]] bool cold(time_point now) const { return now < m_coldUntil; }
+    [[nodiscard]] bool cold(time_point now) const { return now < std::max(m_coldUntil, m_toldColdUntil); }
+    /// @return Time for which it is still cold by what this host has seen itself, rounded up; 0 when it is not. What another host has told
+    /// is left out: passed on between hosts, it would grow with each trip.
+    [[nodiscard]] std::chrono::milliseconds seenColdTime(time_point now) const
+    {
+        return std::chrono::ceil<std::chrono::milliseconds>(std::max(m_coldUntil - now, time_point::duration(0)));
+    }
     [[nodiscard]] cold_rate_limit &coldRate() { return m_coldRate; }
 
     /// @return True when calls may be sent: no backoff is running, the backend server is not known to be unreachable, its calls are not
@@ -192,6 +202,7 @@
     bool m_loadKnown = false;
     time_point m_drainingSince;
     time_point m_coldUntil;
+    time_point m_toldColdUntil; // By what other hosts have told.
     time_point m_backoffUntil;
     std::chrono::milliseconds m_nextBackoff = initialBackoff;
     bool m_unreachable = false; // A connection could not be opened, and no response has arrived since.
--- a/libs/search/src/gather_run.cpp
+++ b/libs/search/src/gather_run.cpp
@@ -130,6 +130,33 @@
     return servers;
 }
 
+std::vector<server_cold_times> gather_run::knownColdTimes(std::size_t part, time_point now) const
+{
+    std::vector<server_cold_times> times;
+    for (const auto shard : m_input.relays[part].shards) {
+        auto &coldTimes = times.emplace_back();
+        for (const auto &server : m_shards[shard].known) {
+            coldTimes.push_back(server->seenColdTime(now));
+        }
+    }
+    return times;
+}
+
+void gather_run::takeColdTimes(std::size_t shard, time_point now)
+{
+    if (shard >= m_input.knownServers.size() || shard >= m_input.knownColdTimes.size()) {
+        return;
+    }
+    const auto &hashes = m_input.knownServers[shard];
+    const auto &coldTimes = m_input.knownColdTimes[shard];
+    for (const auto &server : m_shards[shard].known) {
+        const auto position = static_cast<std::size_t>(std::find(hashes.begin(), hashes.end(), hashOf(*server)) - hashes.begin());
+        if (position < coldTimes.size()) {
+            server->setToldCold(coldTimes[position], now);
+        }
+    }
+}
+
 std::uint32_t gather_run::reservedServers() const
 {
     // Leaves one backend server of each shard to the choice of the gathering host, which knows their state: it calls them for all hosts.
@@ -138,6 +165,9 @@
 
 void gather_run::start(time_point now)
 {
+    for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
+        takeColdTimes(shard, now);
+    }
     if (!admit(now)) {
         return;
     }
--- a/libs/search/src/replica.cpp
+++ b/libs/search/src/replica.cpp
@@ -44,6 +44,7 @@
     m_entry = std::move(entry);
     m_coldUntil = std::max(restarted ? now : m_coldUntil, now + m_entry.coldRemaining);
     if (restarted) {
+        m_toldColdUntil = now;
         m_logSlowness = 0;
         m_failureShare = 0;
         m_loadKnown = false;
@@ -117,6 +118,11 @@
     m_coldUntil = std::max(m_coldUntil, now + remaining);
 }
 
+void replica::setToldCold(std::chrono::milliseconds remaining, time_point now)
+{
+    m_toldColdUntil = std::max(m_toldColdUntil, now + remaining);
+}
+
 void replica::probeEnded(bool answered, time_point now)
 {
     m_probing = false;
--- a/libs/search/tests/test_gather_run.cpp
+++ b/libs/search/tests/test_gather_run.cpp
@@ -451,6 +451,34 @@
     EXPECT_EQ(gathering.calls("s1-a") + gathering.calls("s1-b"), 1);
 }
 
+// Guards against a gathering host that calls cold backend servers without their limit, because it has lost contact with the source of
+// entries and only the asking host has seen that they are cold; and against a cold time that grows when hosts tell it to each other.
+TEST(GatherRunTest, keepsTheLimitOfBackendServersThatTheAskingHostKnowsToBeCold)
+{
+    scripted_backends asking(1, 1);
+    scripted_backends gathering(1, 1);
+    route_service limits;
+    limits.id = service_id("s0");
+    limits.maxColdRequestsPerSecond = 2;
+    for (auto *backends : {&asking, &gathering}) {
+        backends->registry().setRouteTable(*route_table::create(1, {}, {limits}, {}));
+    }
+    asking.registry().replicas(limits.id).front()->setCold(milliseconds(3000), asking.now());
+    auto input = asking.makeInput(milliseconds(100), milliseconds(600));
+    input.relays = {relay_part{{0}, zone_id("zb")}};
+    for (int search = 0; search < 20; ++search) {
+        gather_run run(input, asking.registry(), asking.profile());
+        auto part = gathering.makeInput(milliseconds(30), milliseconds(30), 0);
+        part.preferredZone = zone_id("zb");
+        part.knownServers = run.knownServers(0);
+        part.knownColdTimes = run.knownColdTimes(0, asking.now());
+        gathering.runSearch(part);
+    }
+    EXPECT_LE(gathering.totalCalls(), 4); // (2 * 1.5 + 5) / 2
+    EXPECT_TRUE(gathering.registry().replicas(limits.id).front()->cold(gathering.now()));
+    EXPECT_EQ(gathering.registry().replicas(limits.id).front()->seenColdTime(gathering.now()), milliseconds(0));
+}
+
 // Load pattern: a zone has gone dark, 15% of the other backend servers are ten times slower, and each shard has three. The gathering host
 // knows their state, because it calls them for all hosts; the asking host does not. Guards against a shard that is lost although one of
 // its backend servers is well: the asking host named two of the three by hash, and 5 to 10% of the shards were lost.
--- a/libs/wire/include/wire/relay_messages.h
+++ b/libs/wire/include/wire/relay_messages.h
@@ -39,6 +39,9 @@
     /// For each shard, hashes of the ids of the backend servers that the sender knows. It may call the first max(1, maxServers - 1) of them
     /// itself. The receiver may call these too, and as many others as maxServers leaves.
     std::vector<std::vector<std::uint32_t>> knownServers;
+    /// For each of knownServers, in the same order, the time in milliseconds for which it is still cold by what the sender has seen itself.
+    /// The receiver may not have read the entry that says so.
+    std::vector<std::vector<std::uint32_t>> knownColdTimes;
     std::chrono::microseconds targetLatency{0}; ///< Target latency of the route; positive.
     std::chrono::microseconds remaining{0}; ///< Time until the answer must be sent, even if it is partial; at most targetLatency.
     /// Time after `remaining` during which outstanding calls go on, so that a relay_resume can fetch their answers; at most
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -71,6 +71,7 @@
           value.maxRecords,
           value.maxServers,
           value.knownServers,
+          value.knownColdTimes,
           value.targetLatency,
           value.remaining,
           value.resumeTime,
--- a/libs/wire/tests/test_codec.cpp
+++ b/libs/wire/tests/test_codec.cpp
@@ -67,6 +67,7 @@
     message.shardLimits = {{26, 4.5}, {}};
     message.configVersion = 7;
     message.knownServers = {{1, 2}, {3}};
+    message.knownColdTimes = {{0, 1500}, {0}};
     const auto decoded = decode<relay_search>(encode(message));
     ASSERT_TRUE(decoded.has_value());
     EXPECT_EQ(decoded->method, message.method);
@@ -81,6 +82,7 @@
     EXPECT_EQ(decoded->shardLimits[0].maxColdRequestsPerSecond, 4.5);
     EXPECT_FALSE(decoded->shardLimits[1].maxConnections || decoded->shardLimits[1].maxColdRequestsPerSecond);
     EXPECT_EQ(decoded->knownServers, message.knownServers);
+    EXPECT_EQ(decoded->knownColdTimes, message.knownColdTimes);
 }
 
 // Guards against a default in place of a field that a host with another software version does not send or that this host does not know.
--- a/tests/process/test_relay_limits.py
+++ b/tests/process/test_relay_limits.py
@@ -43,7 +43,7 @@
     fields = {"request": request_id, "route_name": "search", "route_host": "h.example", "route_prefix": "/search/", "method": "POST",
               "target": "/search/x", "header_names": ["Request-Id"], "header_values": [request_id], "body": b"the query",
               "shards": ["shard0"], "shard_limits": [[60, None]], "config_version": 3, "max_records": 10, "max_servers": 2,
-              "known_servers": [[]], "target_latency_us": 400_000, "remaining_us": 300_000, "resume_time_us": 100_000, "token": 7}
+              "known_servers": [[]], "known_cold_times": [[]], "target_latency_us": 400_000, "remaining_us": 300_000, "resume_time_us": 100_000, "token": 7}
     fields.update(changes)
     return pack(list(fields.values()))
 
@@ -61,7 +61,7 @@
         self.assertEqual(send("valid"), 200)
         runs = [run for backend in self.platform.backends.values() for run in backend.ran]
         self.assertEqual([run[1:] for run in runs], [("valid", "POST", "/search/x", b"the query")])
-        for changes in ({"shards": []}, {"header_values": []}, {"header_names": ["A", "B"]}, {"known_servers": []}, {"shard_limits": []},
+        for changes in ({"shards": []}, {"header_values": []}, {"header_names": ["A", "B"]}, {"known_servers": []}, {"known_cold_times": []}, {"known_cold_times": [[5]]}, {"shard_limits": []},
                         {"shard_limits": [[0, None]]}, {"shard_limits": [[60, -1.0]]}, {"shard_limits": [[60, math.nan]]}, {"max_servers": 0},
                         {"remaining_us": 0}, {"remaining_us": -1}, {"remaining_us": 400_001}, {"resume_time_us": -1},
                         {"resume_time_us": 400_001}, {"target_latency_us": 0}, {"target_latency_us": 2 ** 62, "remaining_us": 2 ** 61}):
