Let the sides of a healed partition find each other

Cause: a host that is down was not contacted, and seeds only by a host that hears from nobody. After a partition of more than 10 s with several hosts on each side nothing joined the sides again, and 120 s later each divided the limits of backend servers by its own hosts.

Change: in each period one host of a side, on average, contacts a lost host: one that is down, or a seed that it does not know.

The whole fleet sends about one more message in a period while hosts are lost (LostHostsAreContactedAboutOnceInAPeriodByTheWholeFleet).

--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -21,7 +22,9 @@
     zone_id zone;
     std::string address; ///< This host's "ip:port" for traffic between entry hosts.
     incarnation_id incarnation;
-    std::vector<std::string> seeds; ///< Addresses of entry hosts to contact while no message from another host has arrived recently.
+    /// Addresses of entry hosts to contact while no message from another host has arrived recently, and now and then while they are
+    /// unknown.
+    std::vector<std::string> seeds;
     std::chrono::milliseconds period{1000}; ///< Time between heartbeats.
     std::chrono::milliseconds suspectAfter{5000}; ///< Hosts without a new heartbeat for this time are suspect.
     std::chrono::milliseconds downAfter{10000}; ///< Hosts without a new heartbeat for this time are down.
@@ -102,6 +105,9 @@
     void rebuildViewIfChanged(membership_actions &actions);
     /// @return Addresses of the hosts to contact in this period.
     [[nodiscard]] std::vector<std::string> choosePeers(time_point now);
+    /// Chooses a host that is down, or a seed that is not known, so that the sides of a healed partition find each other again, however
+    /// long it lasted. The probability is one in the number of known hosts: all hosts of a side together choose about one in each period.
+    [[nodiscard]] std::optional<std::string> chooseLostAddress();
     void countHostsByZone();
     [[nodiscard]] bool growing(time_point now) const { return now < m_growthUntil; }
     /// Starts or extends the growth phase when a fifth more hosts are known than when it was last extended.
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -1,6 +1,8 @@
 #include <membership/membership.h>
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <tuple>
 
 namespace orioledrum
@@ -295,10 +297,30 @@
                 addresses.push_back(seed);
             }
         }
+    } else if (const auto lost = chooseLostAddress()) {
+        addresses.push_back(*lost);
     }
     return addresses;
 }
 
+std::optional<std::string> membership::chooseLostAddress()
+{
+    std::set<std::string> known{m_settings.address};
+    std::set<std::string> lost;
+    for (const auto &[id, host] : m_hosts) {
+        // Listed hosts are contacted in any case.
+        const bool isLost = !host.listed && host.state == host_state::down;
+        (isLost ? lost : known).insert(host.entry.address);
+    }
+    // When the hosts on the other side of a partition have been removed, only seeds may lead there.
+    lost.insert(m_settings.seeds.begin(), m_settings.seeds.end());
+    std::erase_if(lost, [&](const std::string &address) { return address.empty() || known.contains(address); });
+    if (lost.empty() || m_random.below(m_hosts.size() + 1) != 0) {
+        return std::nullopt;
+    }
+    return *std::next(lost.begin(), static_cast<std::ptrdiff_t>(m_random.below(lost.size())));
+}
+
 membership_actions membership::tick(time_point now)
 {
     membership_actions actions;
--- a/libs/membership/tests/fakes/fake_gossip.cpp
+++ b/libs/membership/tests/fakes/fake_gossip.cpp
@@ -86,7 +86,7 @@
         const auto to = static_cast<std::size_t>(std::stoul(send->address));
         const std::uint64_t runNumber = m_hosts[host].runNumber;
         deliver([this, host, to, runNumber, message = send->message] {
-            if (!m_hosts[to].membership) {
+            if (!m_hosts[to].membership || (m_partitioned && host % 2 != to % 2)) {
                 return;
             }
             membership_actions actionsOfPeer;
--- a/libs/membership/tests/fakes/fake_gossip.h
+++ b/libs/membership/tests/fakes/fake_gossip.h
@@ -26,6 +26,8 @@
     void start(std::size_t host);
     /// Kills the process of a host.
     void kill(std::size_t host) { m_hosts[host].membership.reset(); }
+    /// Divides the network: messages between hosts with odd and even numbers are lost.
+    void setPartitioned(bool partitioned) { m_partitioned = partitioned; }
     /// Publishes a host list to every running host immediately.
     void publish(const host_list &list);
     /// Runs the simulation for the given simulated time.
@@ -72,6 +74,7 @@
     time_point m_now{std::chrono::seconds(1000)};
     std::uint64_t m_order = 0;
     std::size_t m_digestsSent = 0;
+    bool m_partitioned = false;
     std::vector<process> m_hosts;
     std::priority_queue<scheduled> m_events;
 };
