Call draining backend servers only as long as the deployment allows

Cause: a draining backend server got calls for 800 ms after its host had read that it drains, a constant. In a deployment with a short drain time these calls would arrive too late.

Change: the setting drainMs, from the platform's drain_ms. The grace period is a third of it, at most 800 ms; a host whose settings do not give it calls no draining backend server.

--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -40,6 +40,9 @@
     std::chrono::milliseconds maxActivationDelay{3000}; ///< Maximum time from the publication of a configuration to its use.
     /// Maximum time to notice that the platform no longer answers; limits how long a read of its store may take.
     std::chrono::milliseconds contactLossTimeout{4000};
+    /// Time from the report that a backend server drains until no request may reach it. 0 when the settings do not give it: a draining
+    /// backend server is then not called at all.
+    std::chrono::milliseconds drainTime{0};
     std::chrono::milliseconds stopTime{6000}; ///< From the stop signal until the process is killed.
     /// Entries that expired during a platform outage are published again within this time after the outage.
     std::chrono::milliseconds expiredEntryReturnTime{2000};
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -167,6 +167,9 @@
     reader.readNumber("coldSlack", 0, settings.coldSlack);
     reader.readMilliseconds("configurationInForceMs", settings.maxActivationDelay);
     reader.readMilliseconds("contactLossMs", settings.contactLossTimeout);
+    if (reader.has("drainMs")) {
+        reader.readMilliseconds("drainMs", settings.drainTime);
+    }
     reader.readMillisecondsOrSeconds("stopTimeMs", "stopTimeS", settings.stopTime);
     reader.readMilliseconds("lapsedReturnMs", settings.expiredEntryReturnTime);
     reader.readMilliseconds("callerDelayMs", settings.callerDelay);
--- a/libs/gateway/src/gateway_state.cpp
+++ b/libs/gateway/src/gateway_state.cpp
@@ -11,6 +11,20 @@
 /// Until there are enough samples, the unqueued latency of a call is assumed to be the target latency divided by this.
 constexpr int initialLatencyDivisor = 8;
 
+/// Part of the drain time in which a draining backend server is called. The rest covers the time until this host has read that it drains.
+constexpr int drainTimePerGracePeriod = 3;
+
+replica_registry_settings registrySettings(const gateway_settings &settings)
+{
+    replica_registry_settings result;
+    result.localZone = settings.zone;
+    result.extraCalls = settings.extraCalls;
+    result.coldFactor = settings.coldFactor;
+    result.coldSlack = settings.coldSlack;
+    result.drainGracePeriod = settings.drainTime / drainTimePerGracePeriod;
+    return result;
+}
+
 } // namespace
 
 gateway_state::gateway_state(asio::io_context &ioContext,
@@ -21,7 +35,7 @@
     , settings(std::move(gatewaySettings))
     , codec(messageCodec)
     , log(settings.host.str())
-    , registry({settings.zone, settings.extraCalls, settings.coldFactor, settings.coldSlack}, random_source::fromSystem())
+    , registry(registrySettings(settings), random_source::fromSystem())
     , backendCaller(client, messageCodec, registry, metrics, log)
     , relays(client, registry, settings.hosts.text())
 {
--- a/libs/gateway/tests/test_gateway_settings.cpp
+++ b/libs/gateway/tests/test_gateway_settings.cpp
@@ -79,8 +79,17 @@
     EXPECT_NE(both.error().message.find("'stopTimeS'"), std::string::npos) << both.error().message;
 }
 
-// Guards against a restarted host that gets its whole part of the slack before the deployment's window is over, in which its earlier process
-// may have used that part.
+// Guards against calls to draining backend servers in a deployment whose settings do not say how long these are allowed.
+TEST(GatewaySettingsTest, drainTimeIsZeroUnlessItIsGiven)
+{
+    auto withDrainTime = makeSettings();
+    EXPECT_EQ(gateway_settings::parse(withDrainTime.dump(), "f")->drainTime, std::chrono::milliseconds(0));
+    withDrainTime["drainMs"] = 900;
+    EXPECT_EQ(gateway_settings::parse(withDrainTime.dump(), "f")->drainTime, std::chrono::milliseconds(900));
+}
+
+// Guards against a restarted host that gets its whole part of the slack before the deployment's window is over, in which its earlier
+// process may have used that part.
 TEST(GatewaySettingsTest, aRestartedHostWaitsForTheWindowOfTheDeployment)
 {
     auto longWindow = makeSettings();
--- a/libs/search/include/search/replica.h
+++ b/libs/search/include/search/replica.h
@@ -77,10 +77,11 @@
     static constexpr std::chrono::milliseconds statisticsHalfLife{1500};
     /// Age above which a reported load is ignored.
     static constexpr std::chrono::milliseconds maxLoadAge{250};
-    /// Time during which a draining backend server still gets calls that no other backend server can take.
+    /// Longest time during which a draining backend server still gets calls that no other backend server can take.
     static constexpr std::chrono::milliseconds drainGracePeriod{800};
 
-    replica(replica_entry entry, time_point now);
+    /// @param gracePeriod Time during which it may be called while it drains, at most drainGracePeriod.
+    replica(replica_entry entry, time_point now, std::chrono::milliseconds gracePeriod = drainGracePeriod);
 
     /// Applies an entry. After a restart (a new start time or address) the cold time is that of the entry, and the statistics, the reported
     /// load and the backoff are reset. Only an entry of a later incarnation ends a suspension, see server_incarnation::isAfter().
@@ -141,7 +142,7 @@
     [[nodiscard]] cold_rate_limit &coldRate() { return m_coldRate; }
 
     /// @return True when calls may be sent: no backoff is running, the backend server is not known to be unreachable, its calls are not
-    /// suspended, and it has not been draining for drainGracePeriod.
+    /// suspended, and it has not been draining for the grace period.
     [[nodiscard]] bool usable(time_point now) const;
 
     /// @return True when the backend server does not respond: it is unreachable or stalled.
@@ -200,6 +201,7 @@
     std::uint32_t m_outstandingAtReport = 0; // Outstanding calls when the load was reported.
     time_point m_loadReportedAt;
     bool m_loadKnown = false;
+    std::chrono::milliseconds m_gracePeriod;
     time_point m_drainingSince;
     time_point m_coldUntil;
     time_point m_toldColdUntil; // By what other hosts have told.
--- a/libs/search/include/search/replica_registry.h
+++ b/libs/search/include/search/replica_registry.h
@@ -36,6 +36,8 @@
     /// The addition as a share of the latency without queueing, for long calls: the estimates of two idle backend servers differ by more
     /// than 5 ms then, and answers from another zone take bandwidth between zones.
     double otherZoneShare = 0.3;
+    /// Time during which a draining backend server may be called, at most replica::drainGracePeriod.
+    std::chrono::milliseconds drainGracePeriod = replica::drainGracePeriod;
 };
 
 /// All backend servers that this host may call, by service. Not thread-safe.
--- a/libs/search/src/replica.cpp
+++ b/libs/search/src/replica.cpp
@@ -21,9 +21,10 @@
 
 } // namespace
 
-replica::replica(replica_entry entry, time_point now)
+replica::replica(replica_entry entry, time_point now, std::chrono::milliseconds gracePeriod)
     : m_entry(std::move(entry))
     , m_statisticsAt(now)
+    , m_gracePeriod(std::min(gracePeriod, drainGracePeriod))
     , m_drainingSince(now)
     , m_coldUntil(now + m_entry.coldRemaining)
     , m_backoffUntil(now)
@@ -156,7 +157,7 @@
     if (now < m_backoffUntil || m_unreachable || m_suspension.active(now)) {
         return false;
     }
-    return !m_entry.draining || now - m_drainingSince < drainGracePeriod;
+    return !m_entry.draining || now - m_drainingSince < m_gracePeriod;
 }
 
 std::chrono::microseconds replica::overdueAge(std::chrono::microseconds expected)
--- a/libs/search/src/replica_registry.cpp
+++ b/libs/search/src/replica_registry.cpp
@@ -28,7 +28,7 @@
         eraseReplica(backend_id(found->first), now);
     }
     const auto id = entry.id;
-    auto added = std::make_shared<replica>(std::move(entry), now);
+    auto added = std::make_shared<replica>(std::move(entry), now, m_settings.drainGracePeriod);
     if (const auto removed = m_suspended.find(id); removed != m_suspended.end()) {
         if (!added->entry().incarnation().isAfter(removed->second.suspension.incarnation())) {
             added->restoreSuspension(removed->second.suspension);
--- a/libs/search/tests/test_replica_registry.cpp
+++ b/libs/search/tests/test_replica_registry.cpp
@@ -32,16 +32,16 @@
     replica_registry_fixture()
         : m_registry({zone_id("near"), {0.2, 20}, 1.5, 5}, random_source(3))
     {
-        setLimits({}, 0);
+        setLimits(m_registry, {}, 0);
         m_registry.put(makeEntry("a", "near"), m_now);
         m_registry.put(makeEntry("b", "far"), m_now);
     }
 
     /// Sets a route table that names the service.
-    void setLimits(route_service limits, std::uint64_t version)
+    static void setLimits(replica_registry &registry, route_service limits, std::uint64_t version)
     {
         limits.id = service;
-        m_registry.setRouteTable(*route_table::create(version, {}, {std::move(limits)}, {}));
+        registry.setRouteTable(*route_table::create(version, {}, {std::move(limits)}, {}));
     }
 
     /// @return The calls that this host, one of 2, may send at once to the backend server "a".
@@ -183,6 +183,24 @@
     EXPECT_EQ(choose(), "");
 }
 
+// Guards against calls to a draining backend server in a deployment that does not allow them for as long as others do.
+TEST_F(ReplicaRegistryTest, aDrainingBackendServerGetsNoCallsWithoutAGracePeriod)
+{
+    replica_registry_settings settings;
+    settings.localZone = zone_id("near");
+    settings.drainGracePeriod = milliseconds(0);
+    replica_registry registry(settings, random_source(3));
+    setLimits(registry, {}, 0);
+    replica_registry::selection_criteria criteria;
+    criteria.service = &service;
+    registry.put(makeEntry("a", "near"), m_now);
+    EXPECT_NE(registry.choose(criteria, m_now), nullptr);
+    auto drainingEntry = makeEntry("a", "near");
+    drainingEntry.draining = true;
+    registry.put(drainingEntry, m_now);
+    EXPECT_EQ(registry.choose(criteria, m_now), nullptr);
+}
+
 // Guards against the loss of backend servers whose entries expired while the source of entries was unreachable.
 TEST_F(ReplicaRegistryTest, defersRemovalsAfterAnOutage)
 {
@@ -370,7 +388,7 @@
     EXPECT_EQ(countColdCalls(), 5); // (4 * 1.5 + 5) / 2
     m_registry.learnLimits(service, {std::nullopt, 10.0}, 1);
     EXPECT_EQ(countColdCalls(), 5); // The limits of the newer version hold.
-    setLimits({}, 3);
+    setLimits(m_registry, {}, 3);
     EXPECT_EQ(countColdCalls(), 100); // The own table is newer, and it sets no limit.
 }
 
@@ -380,12 +398,12 @@
     route_service limits;
     limits.maxConnections = 20;
     limits.maxColdRequestsPerSecond = 10;
-    setLimits(limits, 4);
+    setLimits(m_registry, limits, 4);
     m_registry.learnLimits(service, {30, 4.0}, 5);
     EXPECT_EQ(m_registry.limits(service), (service_limits{20, 4.0}));
     m_registry.learnLimits(service, {2, 1.0}, 3); // Older than the own table.
     EXPECT_EQ(m_registry.limits(service), (service_limits{20, 4.0}));
-    setLimits(limits, 5);
+    setLimits(m_registry, limits, 5);
     EXPECT_EQ(m_registry.limits(service), (service_limits{20, 10.0}));
 }
 
--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -452,7 +452,7 @@
         seeds = [f"127.0.0.1:{gateway['ports']['hosts']}" for gateway in self.gateways.values()][:3] or [f"127.0.0.1:{ports['hosts']}"]
         settings = {"host": name, "zone": zone, "seeds": seeds, "platform": self.store_address(name), "maxDescriptors": 1024,
                     "extraCallShare": EXTRA_CALL_SHARE, "extraCallSlack": EXTRA_CALL_SLACK, "coldFactor": 1.5, "coldSlack": 5, "configurationInForceMs": 3000,
-                    "contactLossMs": 4000, "stopTimeMs": 6000, "lapsedReturnMs": 1000, "callerDelayMs": 3}
+                    "contactLossMs": 4000, "drainMs": 3000, "stopTimeMs": 6000, "lapsedReturnMs": 1000, "callerDelayMs": 3}
         settings.update({key: f"127.0.0.1:{port}" for key, port in ports.items()})
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
