Refuse requests with a header field that cannot be sent on

Cause: the HTTP parser takes names that are no tokens, such as "A Name", which the HTTP client refuses to send. Each call failed before it was sent, and the backend servers that were tried counted as unreachable, for all callers, until a status check.

Change: such a request, or a message of another host with such a field or method, gets 400; the line front badField says so. http_client and the gateway use one check.

--- a/libs/gateway/src/caller_front.cpp
+++ b/libs/gateway/src/caller_front.cpp
@@ -84,6 +84,12 @@
                "noId");
         return;
     }
+    if (!std::all_of(request.headers.begin(), request.headers.end(), isValidRequestField)) {
+        // The HTTP parser takes more than may be sent on. The calls would fail, and the backend servers would count as unreachable.
+        const error reason{error_code::malformed, "a header field is not valid", "read request", request.remoteAddress};
+        refuse(m_state.codec.encodeFailure(400, reason), "badField");
+        return;
+    }
     caller_request::incoming_request incoming;
     incoming.requestId = std::move(fields.requestId);
     incoming.table = m_state.table;
--- a/libs/gateway/src/relayed_request.cpp
+++ b/libs/gateway/src/relayed_request.cpp
@@ -22,6 +22,14 @@
     if (message.headerNames.size() != message.headerValues.size()) {
         return invalid("the header has names without values or values without names");
     }
+    for (std::size_t i = 0; i < message.headerNames.size(); ++i) {
+        if (!isValidRequestField({message.headerNames[i], message.headerValues[i]})) {
+            return invalid("a header field is not valid");
+        }
+    }
+    if (!isToken(message.method)) {
+        return invalid("the method is not valid");
+    }
     if (message.knownServers.size() != message.shards.size()) {
         return invalid("the backend servers that the sender knows are not given for each shard");
     }
--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -118,15 +118,6 @@
     return std::string(url.substr(0, url.find_first_of("/?#")));
 }
 
-/// @return True for a token of RFC 9110, the syntax of methods and field names.
-bool isToken(std::string_view text)
-{
-    return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
-            || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
-    });
-}
-
 /// @return Why the call is invalid, or empty when it is valid.
 std::string_view validateCall(const http_call &call)
 {
@@ -136,10 +127,8 @@
     if (!isToken(call.method)) {
         return "the method is not valid";
     }
-    for (const auto &header : call.headers) {
-        if (!isToken(header.name) || header.value.find_first_of(std::string_view("\r\n\0", 3)) != std::string::npos) {
-            return "a header field is not valid";
-        }
+    if (!std::all_of(call.headers.begin(), call.headers.end(), isValidRequestField)) {
+        return "a header field is not valid";
     }
     return {};
 }
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -113,6 +113,17 @@
         self.platform.wait_until("the lower limits", lambda: self.platform.get("g1", "/large/x").status == 404, 3)
         self.assertEqual(order(7, b"x" * 501), 413)
 
+    def test_a_malformed_field_harms_no_other_request(self):
+        """Guards against backend servers that count as unreachable for all callers, because the request of one of them has a header field
+        that the HTTP parser takes and the HTTP client refuses to send.
+        """
+        self.platform.start_gateway("g1", "z1")
+        for name in ("A Name", "Name ", "N(ame)"):
+            self.assertEqual(self.platform.get("g1", "/fetch/x", header={name: "x"}).status, 400, name)
+            self.assertEqual(self.platform.get("g1", "/fetch/x").status, 200, name)
+            self.assertEqual(self.search(header={name: "x"}).status, 400, name)
+            self.assertEqual(self.search().status, 200, name)
+
     def test_orders_run_at_most_once(self):
         """Guards against orders that run twice, and orders that are refused although they ran, while backend servers fail."""
         self.platform.start_gateway("g1", "z1")
--- a/tests/process/test_relay_limits.py
+++ b/tests/process/test_relay_limits.py
@@ -61,7 +61,8 @@
         self.assertEqual(send("valid"), 200)
         runs = [run for backend in self.platform.backends.values() for run in backend.ran]
         self.assertEqual([run[1:] for run in runs], [("valid", "POST", "/search/x", b"the query")])
-        for changes in ({"shards": []}, {"header_values": []}, {"header_names": ["A", "B"]}, {"known_servers": []}, {"known_cold_times": []}, {"known_cold_times": [[5]]}, {"shard_limits": []},
+        for changes in ({"shards": []}, {"header_values": []}, {"header_names": ["A", "B"]}, {"header_names": ["A B"]},
+                        {"header_values": ["A\nB"]}, {"method": ""}, {"known_servers": []}, {"known_cold_times": []}, {"known_cold_times": [[5]]}, {"shard_limits": []},
                         {"shard_limits": [[0, None]]}, {"shard_limits": [[60, -1.0]]}, {"shard_limits": [[60, math.nan]]}, {"max_servers": 0},
                         {"remaining_us": 0}, {"remaining_us": -1}, {"remaining_us": 400_001}, {"resume_time_us": -1},
                         {"resume_time_us": 400_001}, {"target_latency_us": 0}, {"target_latency_us": 2 ** 62, "remaining_us": 2 ** 61}):
