Play partitions from the store and bodies of searches in the soak

And the faults of a seed were not fixed: each request at a backend server with the fault `resets` drew from the source of the seed, so that all later faults differed from run to run.

Change: half of the searches are sent with POST and a body, and the method, target and body of each run are compared with what was sent. The fault store_cut partitions one gateway from the store. Each fault draws from a source of its own.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,7 +17,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
-from platform_standin import Platform  # noqa: E402
+from platform_standin import Platform, StoreLink  # noqa: E402
 
 ZONES = ("z1", "z2")
 MODES = ("serve", "serve", "shed", "reset", "close", "fail", "drop_answer", "truncate", "truncate_head", "wrong_id", "extra_answer",
@@ -75,8 +75,8 @@
 
 
 class Soak:
-    def __init__(self, platform, seed):
-        self.platform, self.random = platform, random.Random(seed)
+    def __init__(self, platform, store_links, seed):
+        self.platform, self.store_links, self.random = platform, store_links, random.Random(seed)
         self.problems, self.counts = [], {}  # Counts of answers by (kind of request, status).
         self.stop = False
         self.loop_stalls = []
@@ -105,7 +105,7 @@
             kind = rng.choice(("search", "search", "fetch", "order"))
             request_id = f"c{number}-{sequence}"
             target, method, body = f"/{kind}/{request_id}", "GET", b""
-            if kind == "order":
+            if kind == "order" or (kind == "search" and rng.random() < 0.5):
                 method, body = "POST", b"pellets " + request_id.encode()
             deadline_ms = rng.choice((400, 1200))
             began = time.monotonic()
@@ -113,12 +113,17 @@
                                               connection=connection, give_up_s=0.02 if rng.random() < 0.03 else None)
             if answer.status == 0 or answer.header.get("connection") == "close":
                 connection = []
-            self.check(kind, target, request_id, deadline_ms, answer, began)
+            self.check(kind, (method, target, body), request_id, deadline_ms, answer, began)
             await asyncio.sleep(rng.random() * 0.03)
 
-    def check(self, kind, target, request_id, deadline_ms, answer, began):
+    def check(self, kind, sent, request_id, deadline_ms, answer, began):
+        """Checks an answer and the runs of its request so far. `sent` is the method, the target and the body."""
         self.counts[(kind, answer.status)] = self.counts.get((kind, answer.status), 0) + 1
-        runs = self.platform.run_count(request_id)
+        target = sent[1]
+        ran = [run[2:] for backend in self.platform.backends.values() for run in backend.ran if run[1] == request_id]
+        runs = len(ran)
+        if any(run != sent for run in ran):
+            self.problems.append(f"{request_id} ran with another method, target or body: {ran}")
         if kind == "order" and runs > 1:
             self.problems.append(f"{request_id} ran {runs} times")
         if kind == "order" and answer.status in (408, 421, 429, 503) and runs:
@@ -136,15 +141,15 @@
         if too_late and answer.status and not self.overlaps_loop_stall(began, began + answer.seconds):
             self.problems.append(f"{request_id} took {answer.seconds:.2f} s with a deadline of {deadline_ms} ms")
 
-    async def inject_fault(self):
-        """Injects one random fault. Ends it after a random time if it lasts; a killed or stopped gateway is started again."""
-        platform, rng = self.platform, self.random
+    async def inject_fault(self, rng):
+        """Injects one random fault, with draws from `rng`. Ends it after a random time if it lasts; a killed or stopped gateway is started again."""
+        platform = self.platform
         backend = platform.backends[rng.choice(sorted(platform.backends))]
         name = rng.choice(sorted(platform.gateways))
         process = platform.gateways[name]["process"]
         signalled = name in self.signalled_gateways
         fault = rng.choice(("mode", "mode", "slow", "proxy", "proxy", "reset", "store_down", "compaction", "drain", "zone", "pause",
-                            "kill", "term", "hup", "routes", "deregister", "resets", "leaving", "quiet"))
+                            "kill", "term", "hup", "routes", "deregister", "resets", "leaving", "quiet", "store_cut"))
         duration_s = rng.uniform(0.3, 2.0)
         self.fault_log.append(f"{time.time():.3f} {fault} {backend.name} {name} {duration_s:.2f}")
         if fault in ("pause", "kill", "term") and signalled:
@@ -188,6 +193,11 @@
             platform.store.wake_watchers()
             await asyncio.sleep(duration_s)
             platform.store.down = False
+        elif fault == "store_cut":  # One gateway is partitioned from the store.
+            link = self.store_links[name]
+            link.cut = True
+            await asyncio.sleep(2 * duration_s)
+            link.cut = False
         elif fault == "compaction":
             platform.store.compact_history()
         elif fault == "drain":
@@ -237,7 +247,8 @@
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(0.1, 0.6))
-            fault = asyncio.ensure_future(self.inject_limited_fault(active_faults))
+            # Each fault has its own source, so that draws at a time that differs between runs do not change the later faults of the seed.
+            fault = asyncio.ensure_future(self.inject_limited_fault(active_faults, random.Random(self.random.randrange(1 << 30))))
             fault_tasks.append(fault)
         await asyncio.gather(*fault_tasks)
         await asyncio.sleep(RECOVERY_SECONDS)
@@ -261,14 +272,14 @@
             if gateway["process"].poll() is not None:
                 self.problems.append(f"{name} exited unexpectedly with {gateway['process'].returncode}")
 
-    async def inject_limited_fault(self, active_faults):
+    async def inject_limited_fault(self, active_faults, rng):
         """Injects a fault unless three are active already."""
         if len(active_faults) >= 3:
             return
         token = object()
         active_faults.add(token)
         try:
-            await self.inject_fault()
+            await self.inject_fault(rng)
         finally:
             active_faults.discard(token)
 
@@ -281,9 +292,13 @@
     options = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix="orioledrum-soak-", ignore_cleanup_errors=True) as folder:
         with Platform(folder, zones=ZONES) as platform:
-            for name, zone in (("g1", "z1"), ("g2", "z2"), ("g3", "z3")):
+            gateways = (("g1", "z1"), ("g2", "z2"), ("g3", "z3"))
+            store_links = {name: StoreLink(platform.address) for name, _ in gateways}
+            addresses = {name: platform.run(link.start()) for name, link in store_links.items()}
+            platform.store_address = addresses.__getitem__
+            for name, zone in gateways:
                 platform.start_gateway(name, zone)
-            soak = Soak(platform, options.seed)
+            soak = Soak(platform, store_links, options.seed)
             platform.run(soak.run(options.seconds), options.seconds + 60)
         if soak.problems:
             log_folder = pathlib.Path(options.keep) / f"soak-{options.seed}"
