--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import signal
+import socket
 import subprocess
 import time
 import unittest
@@ -113,6 +114,23 @@
         self.platform.wait_until("the lower limits", lambda: self.platform.get("g1", "/large/x").status == 404, 3)
         self.assertEqual(order(7, b"x" * 501), 413)
 
+    def test_unfinished_bodies_leave_memory_for_other_requests(self):
+        """Guards against a process that exceeds the memory of the smallest host, because callers send bodies far above the configured limit,
+        which are read before the limit is checked.
+        """
+        self.platform.start_gateway("g1", "z1")
+        callers = []
+        for number in range(20):
+            caller = socket.create_connection(("127.0.0.1", self.platform.gateways["g1"]["ports"]["callers"]), timeout=10)
+            self.addCleanup(caller.close)
+            caller.sendall(f"POST /order/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: body{number}\r\nContent-Length: 16000000\r\n\r\n".encode())
+            caller.sendall(bytes(15_500_000))
+            callers.append(caller)
+        self.assertEqual(self.search().status, 200)
+        status = pathlib.Path(f"/proc/{self.platform.gateways['g1']['process'].pid}/status").read_text()
+        resident_kb = int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1])
+        self.assertLess(resident_kb, 260 * 1024)  # The memory of the smallest host.
+
     def test_a_malformed_field_harms_no_other_request(self):
         """Guards against backend servers that count as unreachable for all callers, because the request of one of them has a header field
         that the HTTP parser takes and the HTTP client refuses to send.
