--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -157,6 +157,7 @@
     def __init__(self, store_address):
         self.store_address = store_address
         self.cut = False
+        self.calls = 0  # Requests of the gateway, lost ones included.
 
     async def start(self):
         """Returns the address at which the gateway reads the store."""
@@ -167,13 +168,14 @@
         host, port = self.store_address.split(":")
         try:
             store_reader, store_writer = await asyncio.open_connection(host, int(port))
-            await asyncio.gather(self.pass_on(reader, store_writer), self.pass_on(store_reader, writer))
+            await asyncio.gather(self.pass_on(reader, store_writer, True), self.pass_on(store_reader, writer, False))
         except (ConnectionError, asyncio.CancelledError):
             writer.close()
 
-    async def pass_on(self, reader, writer):
+    async def pass_on(self, reader, writer, to_store):
         try:
             while data := await reader.read(65536):
+                self.calls += data.count(b"GET /kv-") if to_store else 0
                 if not self.cut:
                     writer.write(data)
         except (ConnectionError, asyncio.CancelledError):
