Log from where a new route table came and how old the state was before

routesInForce told the version alone, so a late version could not be traced to the list, the host's own watch or a reader of its zone, nor to a long wait before. It now has the fields from and sinceMs. No decision is changed.

--- a/libs/gateway/src/publication_reader.cpp
+++ b/libs/gateway/src/publication_reader.cpp
@@ -151,6 +151,7 @@
 void publication_reader::startRead(const source_read &next)
 {
     m_readingPlatform = true;
+    m_readFrom = next.listPage ? "list" : "watch";
     if (next.listPage && next.pageToken.empty()) {
         m_listPages.clear();
     }
@@ -168,6 +169,7 @@
 void publication_reader::askReader(const std::string &reader)
 {
     m_readingPlatform = false;
+    m_readFrom = reader;
     answerPulls(monotonic_clock::now()); // Refuses them: a host that reads from another one must not pass changes on.
     auto call = makeHostCall(reader, changesPath, encode(change_pull{m_follower.revision(), m_pullWait}), m_pullWait + readerAnswerTimeout);
     m_client.send(std::move(call), [this, reader](http_client::result result) { readerAnswered(reader, std::move(result)); });
@@ -218,6 +220,7 @@
         std::move(decoded->changes.begin(), decoded->changes.end(), std::back_inserter(page.changes));
     }
     apply(m_follower.readCompleted(std::move(page), now), now);
+    m_lastReadAt = now;
     return {};
 }
 
@@ -329,6 +332,9 @@
             "platform", "contactLost", {{"error", readError}, {"revision", static_cast<std::int64_t>(m_follower.revision())}});
     }
     apply(std::move(update), now);
+    if (readError.empty()) {
+        m_lastReadAt = now;
+    }
     answerPulls(now);
     scheduleRead();
 }
@@ -402,10 +408,13 @@
     m_state.table = std::move(table);
     m_state.registry.setRouteTable(m_state.table);
     m_state.metrics.setConfigVersion(m_state.table->version());
-    // Event "routesInForce": a new route table is active.
+    // Event "routesInForce": a new route table is active. Its time of publication is not known here; it is at most sinceMs ago.
+    const auto sinceLastRead = std::chrono::duration_cast<std::chrono::milliseconds>(monotonic_clock::now() - m_lastReadAt);
     m_state.log.write("platform",
                       "routesInForce",
                       {{"version", static_cast<std::int64_t>(m_state.table->version())},
+                       {"from", m_readFrom},
+                       {"sinceMs", m_lastReadAt == time_point() ? -1 : static_cast<std::int64_t>(sinceLastRead.count())},
                        {"routes", static_cast<std::int64_t>(m_state.table->routes().size())}});
     const auto &limits = m_state.table->limits();
     if (limits.maxHeaderBytes > maxReadHeadBytes || limits.maxBodyBytes > maxReadBodyBytes) {
--- a/libs/gateway/src/publication_reader.h
+++ b/libs/gateway/src/publication_reader.h
@@ -78,6 +78,8 @@
     reader_selection m_selection;
     change_journal m_journal; ///< Changes read from the platform while this host reads it itself.
     bool m_readingPlatform = false; ///< The latest read was one of the platform.
+    std::string m_readFrom; ///< "list", "watch" or the address of the reader that is being read.
+    time_point m_lastReadAt; ///< When the latest successful read ended.
     std::vector<std::string> m_listPages; ///< Pages of the list that is being read from the platform.
     std::vector<waiting_pull> m_waitingPulls;
     time_point m_removalsDeferredUntil; ///< Of this host or of the reader that it asks.
