Take the shortest of all bounds for reading changes

At 118 hosts zones have to be out of use after 5 s while configuration and contact have 6 s, and the reads followed the latter: a wait of 4.25 s with 0.7 s for the answer, so a silent connection alone took 4.95 s. The bound on excluded zones is now a setting (zoneOutOfUseMs, optional), and it, the drain time and the two earlier ones decide together.

theShortestBoundDecidesWhenChangesAreRead fails without the change, as the settings have no such bound.

--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -43,6 +43,9 @@
     /// Time from the report that a backend server drains until no request may reach it. 0 when the settings do not give it: a draining
     /// backend server is then not called at all.
     std::chrono::milliseconds drainTime{0};
+    /// Maximum time from the exclusion of an availability zone until its backend servers get no calls. 0 when the settings do not give it:
+    /// the other bounds then decide alone.
+    std::chrono::milliseconds maxExclusionDelay{0};
     std::chrono::milliseconds stopTime{6000}; ///< From the stop signal until the process is killed.
     /// Entries that expired during a platform outage are published again within this time after the outage.
     std::chrono::milliseconds expiredEntryReturnTime{2000};
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -141,7 +141,13 @@
 
 std::chrono::milliseconds gateway_settings::shortestChangeBound() const
 {
-    return std::min(maxActivationDelay, contactLossTimeout);
+    auto shortest = std::min(maxActivationDelay, contactLossTimeout);
+    for (const auto bound : {drainTime, maxExclusionDelay}) {
+        if (bound.count() > 0) {
+            shortest = std::min(shortest, bound);
+        }
+    }
+    return shortest;
 }
 
 expected<gateway_settings> gateway_settings::parse(std::string_view text, const std::string &file)
@@ -176,6 +182,9 @@
     if (reader.has("drainMs")) {
         reader.readMilliseconds("drainMs", settings.drainTime);
     }
+    if (reader.has("zoneOutOfUseMs")) {
+        reader.readMilliseconds("zoneOutOfUseMs", settings.maxExclusionDelay);
+    }
     reader.readMillisecondsOrSeconds("stopTimeMs", "stopTimeS", settings.stopTime);
     reader.readMilliseconds("lapsedReturnMs", settings.expiredEntryReturnTime);
     reader.readMilliseconds("callerDelayMs", settings.callerDelay);
--- a/libs/gateway/tests/test_gateway_settings.cpp
+++ b/libs/gateway/tests/test_gateway_settings.cpp
@@ -46,6 +46,28 @@
     EXPECT_DOUBLE_EQ(settings->extraCalls.slack, 58);
 }
 
+// Guards against a zone that is used after its bound where all other bounds are longer: changes of all kinds are read together, so the
+// shortest bound decides how often.
+TEST(GatewaySettingsTest, theShortestBoundDecidesWhenChangesAreRead)
+{
+    const auto shortest = [](const std::map<std::string, int> &bounds) {
+        auto settings = makeSettings();
+        for (const auto &[key, value] : bounds) {
+            settings[key] = value;
+        }
+        return gateway_settings::parse(settings.dump(), "f")->shortestChangeBound().count();
+    };
+    EXPECT_EQ(shortest({}), 3000); // Without a time for draining backend servers and excluded zones.
+    const std::map<std::string, int> all{
+        {"configurationInForceMs", 6000}, {"contactLossMs", 6000}, {"drainMs", 6000}, {"zoneOutOfUseMs", 5000}};
+    EXPECT_EQ(shortest(all), 5000);
+    for (const auto &[key, value] : all) {
+        auto bounds = all;
+        bounds[key] = 4000;
+        EXPECT_EQ(shortest(bounds), 4000) << key;
+    }
+}
+
 // Guards against starting with a missing or invalid field: the error must name the field.
 TEST(GatewaySettingsTest, namesEachMissingOrInvalidField)
 {
