Call draining backend servers for less when their entry may be old

A host called a draining backend server that no other could replace for 0.8 s after it had read the entry, however late that was; both times together could exceed the drain time. The grace period now ends with the drain time, counted from the moment up to which the host knew all changes before.

aDrainingBackendServerIsCalledForLessWhenItsEntryIsOld fails without it.

--- a/libs/gateway/src/publication_reader.cpp
+++ b/libs/gateway/src/publication_reader.cpp
@@ -20,6 +20,9 @@
 namespace
 {
 
+/// The last request to a draining backend server has to arrive before the end of the drain time.
+constexpr std::chrono::milliseconds drainMargin{200};
+
 change_sync_settings syncSettings(const gateway_settings &settings)
 {
     change_sync_settings result;
@@ -225,6 +228,9 @@
     if (changes.deferRemovalsUntil) {
         m_state.registry.deferRemovals(*changes.deferRemovalsUntil);
     }
+    // An entry may say that its backend server drains for as long as this host has known less than all changes.
+    const auto drainEnd = changes.knownBefore.value_or(now - m_state.settings.drainTime) + m_state.settings.drainTime - drainMargin;
+    const auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(std::max(drainEnd - now, time_point::duration(0)));
     std::vector<replica_entry> entries;
     entry_change_log entryLog(m_state.log, update);
     auto excludedZones = update.isFullSnapshot ? std::set<zone_id>() : m_excludedZones;
@@ -236,7 +242,7 @@
                 entries.push_back(std::move(published->entry));
             } else {
                 entryLog.published(published->entry);
-                m_state.registry.put(std::move(published->entry), now);
+                m_state.registry.put(std::move(published->entry), now, grace);
             }
         } else if (const auto *removal = std::get_if<replica_removed>(&change)) {
             entryLog.removed(removal->id);
@@ -259,7 +265,7 @@
         entryLog.finish(m_sync.revision());
     }
     if (update.isFullSnapshot) {
-        m_state.registry.replaceAll(std::move(entries), now);
+        m_state.registry.replaceAll(std::move(entries), now, grace);
         m_state.log.write("platform",
                           "listRead",
                           {{"revision", static_cast<std::int64_t>(m_sync.revision())},
--- a/libs/search/include/search/replica.h
+++ b/libs/search/include/search/replica.h
@@ -85,7 +85,8 @@
 
     /// Applies an entry. After a restart (a new start time or address) the cold time is that of the entry, and the statistics, the reported
     /// load and the backoff are reset. Only an entry of a later incarnation ends a suspension, see server_incarnation::isAfter().
-    void update(replica_entry entry, time_point now);
+    /// @param gracePeriod As for the constructor; used when the entry says for the first time that it drains.
+    void update(replica_entry entry, time_point now, std::chrono::milliseconds gracePeriod = drainGracePeriod);
 
     /// Records that a call was sent.
     /// @param attempt send_call::attempt.
--- a/libs/search/include/search/replica_registry.h
+++ b/libs/search/include/search/replica_registry.h
@@ -72,11 +72,14 @@
     replica_registry(replica_registry_settings settings, random_source random);
 
     /// Adds a backend server or updates its entry.
-    void put(replica_entry entry, time_point now);
+    /// @param maxGrace Limits replica_registry_settings::drainGracePeriod when the entry says for the first time that it drains: less is
+    /// left when the entry is already old.
+    void put(replica_entry entry, time_point now, std::chrono::milliseconds maxGrace = replica::drainGracePeriod);
     /// Removes a backend server whose entry is gone, now or after the time given to deferRemovals().
     void remove(const backend_id &id, time_point now);
     /// Replaces all entries. Backend servers that are not in the list are removed in the same way as by remove().
-    void replaceAll(std::vector<replica_entry> entries, time_point now);
+    /// @param maxGrace See put().
+    void replaceAll(std::vector<replica_entry> entries, time_point now, std::chrono::milliseconds maxGrace = replica::drainGracePeriod);
     /// Defers all removals that are requested before `until` to that time. A deferred removal is discarded when put() is called for
     /// the backend server.
     void deferRemovals(time_point until);
--- a/libs/search/src/replica.cpp
+++ b/libs/search/src/replica.cpp
@@ -32,7 +32,7 @@
 {
 }
 
-void replica::update(replica_entry entry, time_point now)
+void replica::update(replica_entry entry, time_point now, std::chrono::milliseconds gracePeriod)
 {
     const bool restarted = entry.startedAt != m_entry.startedAt || entry.address != m_entry.address;
     if (m_suspension.empty() || entry.incarnation().isAfter(m_suspension.incarnation())) {
@@ -41,6 +41,7 @@
     }
     if (entry.draining && !m_entry.draining) {
         m_drainingSince = now;
+        m_gracePeriod = std::min(gracePeriod, drainGracePeriod);
     }
     m_entry = std::move(entry);
     m_coldUntil = std::max(restarted ? now : m_coldUntil, now + m_entry.coldRemaining);
--- a/libs/search/src/replica_registry.cpp
+++ b/libs/search/src/replica_registry.cpp
@@ -16,19 +16,20 @@
 {
 }
 
-void replica_registry::put(replica_entry entry, time_point now)
+void replica_registry::put(replica_entry entry, time_point now, std::chrono::milliseconds maxGrace)
 {
     m_deferredRemovals.erase(entry.id);
+    const auto gracePeriod = std::min(m_settings.drainGracePeriod, maxGrace);
     const auto found = m_byId.find(entry.id);
     if (found != m_byId.end()) {
         if (found->second->entry().service == entry.service) {
-            found->second->update(std::move(entry), now);
+            found->second->update(std::move(entry), now, gracePeriod);
             return;
         }
         eraseReplica(backend_id(found->first), now);
     }
     const auto id = entry.id;
-    auto added = std::make_shared<replica>(std::move(entry), now, m_settings.drainGracePeriod);
+    auto added = std::make_shared<replica>(std::move(entry), now, gracePeriod);
     if (const auto removed = m_suspended.find(id); removed != m_suspended.end()) {
         if (!added->entry().incarnation().isAfter(removed->second.suspension.incarnation())) {
             added->restoreSuspension(removed->second.suspension);
@@ -51,12 +52,12 @@
     eraseReplica(backend_id(id), now);
 }
 
-void replica_registry::replaceAll(std::vector<replica_entry> entries, time_point now)
+void replica_registry::replaceAll(std::vector<replica_entry> entries, time_point now, std::chrono::milliseconds maxGrace)
 {
     std::unordered_set<backend_id> listed;
     for (auto &entry : entries) {
         listed.insert(entry.id);
-        put(std::move(entry), now);
+        put(std::move(entry), now, maxGrace);
     }
     std::vector<backend_id> unlisted;
     for (const auto &[id, server] : m_byId) {
--- a/libs/search/tests/test_replica_registry.cpp
+++ b/libs/search/tests/test_replica_registry.cpp
@@ -183,6 +183,23 @@
     EXPECT_EQ(choose(), "");
 }
 
+// Guards against times that add up beyond the bound: a host that reads late that a backend server drains called it for the whole grace
+// period on top.
+TEST_F(ReplicaRegistryTest, aDrainingBackendServerIsCalledForLessWhenItsEntryIsOld)
+{
+    m_registry.setExcludedZones({zone_id("far")}, m_now);
+    auto drainingEntry = makeEntry("a", "near");
+    drainingEntry.draining = true;
+    m_registry.put(drainingEntry, m_now, milliseconds(100));
+    EXPECT_EQ(choose(), "a");
+    m_now += milliseconds(100);
+    EXPECT_EQ(choose(), "");
+    m_registry.put(makeEntry("a", "near"), m_now);
+    EXPECT_EQ(choose(), "a");
+    m_registry.replaceAll({drainingEntry}, m_now, milliseconds(0));
+    EXPECT_EQ(choose(), "");
+}
+
 // Guards against calls to a draining backend server in a deployment that does not allow them for as long as others do.
 TEST_F(ReplicaRegistryTest, aDrainingBackendServerGetsNoCallsWithoutAGracePeriod)
 {
