Do not write calls that a change has overtaken

A call is chosen by the state of that moment and written when its connection is open, up to 0.3 s later. The check before each write, which looked at suspensions alone, now asks the registry.

--- a/libs/gateway/src/backend_caller.cpp
+++ b/libs/gateway/src/backend_caller.cpp
@@ -60,9 +60,9 @@
     message.defaultContentType = false;
     message.timeout = timeLeft + answerTransitTime;
     message.freshConnection = request->atMostOnce;
-    message.beforeSend = [&account = m_registry.budget(call.server->entry().service).account(), server = call.server] {
-        // The call may have waited for its connection while another answer asked for no more calls.
-        if (server->suspension().active(monotonic_clock::now())) {
+    message.beforeSend = [this, &account = m_registry.budget(call.server->entry().service).account(), server = call.server] {
+        // While the call waited for its connection, another answer may have asked for no more calls, or a change may have been read.
+        if (!m_registry.mayStillBeCalled(*server, monotonic_clock::now())) {
             return false;
         }
         account.recordWrite();
@@ -138,7 +138,7 @@
     } else if (!result.error().mayHaveBeenSent) {
         m_registry.budget(call.server->entry().service).account().recordNotWritten();
         const bool cancelled = result.error().failure.code == error_code::cancelled;
-        const bool stopped = cancelled && call.server->suspension().active(now);
+        const bool stopped = cancelled && !m_registry.mayStillBeCalled(*call.server, now);
         outcome.end = stopped ? attempt_end::shed : cancelled ? attempt_end::abandoned : attempt_end::unreachable;
     } else if (result.error().failure.code == error_code::cancelled) {
         outcome.end = attempt_end::abandoned;
--- a/libs/search/include/search/replica.h
+++ b/libs/search/include/search/replica.h
@@ -122,6 +122,9 @@
 
     [[nodiscard]] const call_suspension &suspension() const { return m_suspension; }
 
+    /// @return True when no request may be written to it: it is suspended, or has been draining for the grace period.
+    [[nodiscard]] bool refusesCalls(time_point now) const;
+
     /// @return True after a quiet time while the first call since then has no answer yet.
     [[nodiscard]] bool waitsForFirstAnswer() const { return m_reopening && !m_outstanding.empty(); }
 
--- a/libs/search/include/search/replica_registry.h
+++ b/libs/search/include/search/replica_registry.h
@@ -75,6 +75,9 @@
     /// @param maxGrace Limits replica_registry_settings::drainGracePeriod when the entry says for the first time that it drains: less is
     /// left when the entry is already old.
     void put(replica_entry entry, time_point now, std::chrono::milliseconds maxGrace = replica::drainGracePeriod);
+    /// @return False when a call that was chosen earlier must not be written any more: the backend server refuses calls, its entry is gone
+    /// or its zone is excluded by now.
+    [[nodiscard]] bool mayStillBeCalled(const replica &server, time_point now) const;
     /// Removes a backend server whose entry is gone, now or after the time given to deferRemovals().
     void remove(const backend_id &id, time_point now);
     /// Replaces all entries. Backend servers that are not in the list are removed in the same way as by remove().
--- a/libs/search/src/replica.cpp
+++ b/libs/search/src/replica.cpp
@@ -155,10 +155,12 @@
 
 bool replica::usable(time_point now) const
 {
-    if (now < m_backoffUntil || m_unreachable || m_suspension.active(now)) {
-        return false;
-    }
-    return !m_entry.draining || now - m_drainingSince < m_gracePeriod;
+    return now >= m_backoffUntil && !m_unreachable && !refusesCalls(now);
+}
+
+bool replica::refusesCalls(time_point now) const
+{
+    return m_suspension.active(now) || (m_entry.draining && now - m_drainingSince >= m_gracePeriod);
 }
 
 std::chrono::microseconds replica::overdueAge(std::chrono::microseconds expected)
--- a/libs/search/src/replica_registry.cpp
+++ b/libs/search/src/replica_registry.cpp
@@ -40,6 +40,13 @@
     m_byId[id] = std::move(added);
 }
 
+bool replica_registry::mayStillBeCalled(const replica &server, time_point now) const
+{
+    const auto found = m_byId.find(server.entry().id);
+    return found != m_byId.end() && found->second.get() == &server && !server.refusesCalls(now)
+        && !m_excludedZones.contains(server.entry().zone);
+}
+
 void replica_registry::remove(const backend_id &id, time_point now)
 {
     if (!m_byId.contains(id)) {
--- a/libs/search/tests/test_replica_registry.cpp
+++ b/libs/search/tests/test_replica_registry.cpp
@@ -200,6 +200,27 @@
     EXPECT_EQ(choose(), "");
 }
 
+// Guards against a call that was chosen before a change was read and is written after it, because it has waited up to 300 ms for its
+// connection: that time would be added to the time in which changes are read.
+TEST_F(ReplicaRegistryTest, callsThatWaitForAConnectionAreNotWrittenAfterAChange)
+{
+    const auto server = find("a");
+    EXPECT_TRUE(m_registry.mayStillBeCalled(*server, m_now));
+    m_registry.setExcludedZones({zone_id("near")}, m_now);
+    EXPECT_FALSE(m_registry.mayStillBeCalled(*server, m_now));
+    m_registry.setExcludedZones({}, m_now);
+    EXPECT_TRUE(m_registry.mayStillBeCalled(*server, m_now));
+    auto drainingEntry = makeEntry("a", "near");
+    drainingEntry.draining = true;
+    m_registry.put(drainingEntry, m_now);
+    EXPECT_TRUE(m_registry.mayStillBeCalled(*server, m_now));
+    EXPECT_FALSE(m_registry.mayStillBeCalled(*server, m_now + replica::drainGracePeriod));
+    m_registry.put(makeEntry("a", "near"), m_now);
+    EXPECT_TRUE(m_registry.mayStillBeCalled(*server, m_now));
+    m_registry.remove(backend_id("a"), m_now);
+    EXPECT_FALSE(m_registry.mayStillBeCalled(*server, m_now));
+}
+
 // Guards against calls to a draining backend server in a deployment that does not allow them for as long as others do.
 TEST_F(ReplicaRegistryTest, aDrainingBackendServerGetsNoCallsWithoutAGracePeriod)
 {
