--- a/libs/gateway/tests/test_change_follower.cpp
+++ b/libs/gateway/tests/test_change_follower.cpp
@@ -162,3 +162,35 @@
     EXPECT_TRUE(follower.listReceived(std::move(makePage(12, "", {"a"}).changes), 12).isFullSnapshot);
     EXPECT_EQ(follower.nextRead().after, 12U);
 }
+
+// Guards against a configuration or an excluded zone that takes effect only with the last of dozens of pages, when a running host reads
+// the list again. Zones that are no longer excluded and backend servers need the whole list.
+TEST(ChangeFollowerTest, appliesExcludedZonesOfAListThatIsReadAgainWithTheirPage)
+{
+    const auto pageWithZones = [] {
+        auto page = makePage(20, "next", {"a"});
+        page.changes.emplace_back(zone_changed{zone_id("z1"), true});
+        page.changes.emplace_back(routes_published{});
+        return page;
+    };
+    change_follower follower({});
+    EXPECT_TRUE(follower.readCompleted(pageWithZones(), start).changes.empty()); // A host that starts uses nothing before the end.
+    follower.readCompleted(makePage(20), start);
+    follower.readCompleted(failedRead(error_code::historyLost), start);
+    const auto update = follower.readCompleted(pageWithZones(), start);
+    EXPECT_FALSE(update.isFullSnapshot);
+    EXPECT_EQ(update.changes.size(), 2U);
+    EXPECT_EQ(follower.readCompleted(makePage(20), start).changes.size(), 3U);
+}
+
+// Guards against a list that is never complete: many hosts that read large pages at once would each time out again and again.
+TEST(ChangeFollowerTest, allowsMoreTimeForAPageThatHasTimedOut)
+{
+    change_follower follower({});
+    const auto first = follower.nextRead().timeout;
+    follower.readCompleted(failedRead(error_code::deadlineExceeded), start);
+    EXPECT_EQ(follower.nextRead().timeout, 2 * first);
+    follower.readCompleted(makePage(5), start);
+    const auto watch = follower.nextRead();
+    EXPECT_EQ(watch.timeout - watch.wait, first);
+}
--- a/libs/gateway/tests/test_change_sync.cpp
+++ b/libs/gateway/tests/test_change_sync.cpp
@@ -3,6 +3,13 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
 using namespace orioledrum;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -216,3 +223,90 @@
         }
     }
 }
+
+namespace
+{
+
+/// A host alone in its zone, so that it reads the platform itself, with a full list read.
+class ChangeSyncReaderTest : public testing::Test
+{
+protected:
+    ChangeSyncReaderTest()
+    {
+        const auto list = started(m_sync.start(m_now));
+        m_watch = started(m_sync.readCompleted(list.id, fake_change_source::makeListPage(5, 0, 1), m_now));
+    }
+
+    /// @return The read that the actions start; id 0 if they start none.
+    static start_platform_read started(const change_sync_actions &actions)
+    {
+        for (const auto &action : actions) {
+            if (const auto *read = std::get_if<start_platform_read>(&action)) {
+                return *read;
+            }
+        }
+        return {};
+    }
+
+    fake_change_source m_source;
+    change_sync m_sync{settingsFor(deployments.front()), m_source, "10.0.0.1:1"};
+    time_point m_now{seconds(3600)};
+    start_platform_read m_watch;
+};
+
+} // namespace
+
+// Guards against a state that counts as newer than it is: an answer with changes may have been on the way for long, so changes that were
+// published after it are not known.
+TEST_F(ChangeSyncReaderTest, aLateAnswerWithChangesConfirmsTheStartOfItsRead)
+{
+    const auto startedAt = m_now;
+    m_now += m_watch.read.timeout;
+    m_sync.readCompleted(m_watch.id, fake_change_source::makePage(5, 6), m_now);
+    EXPECT_EQ(m_sync.revision(), 6U);
+    EXPECT_EQ(m_sync.confirmedAt(), startedAt);
+}
+
+// Guards against the opposite: a wait without changes is answered at its end, so that the state of a reader is not taken as twice as old.
+TEST_F(ChangeSyncReaderTest, aWaitWithoutChangesConfirmsItsEnd)
+{
+    const auto startedAt = m_now;
+    m_sync.readCompleted(m_watch.id, fake_change_source::makePage(5, 5), m_now + m_watch.read.wait + milliseconds(80));
+    EXPECT_EQ(m_sync.confirmedAt(), startedAt + m_watch.read.wait);
+}
+
+// Guards against reads that multiply: each answer to a forgotten wait would start another one beside the current one.
+TEST_F(ChangeSyncReaderTest, aWaitThatACheckHasOvertakenIsForgotten)
+{
+    m_now = m_sync.nextTick();
+    const auto check = started(m_sync.tick(m_now));
+    ASSERT_NE(check.id, 0U);
+    EXPECT_TRUE(check.freshConnection);
+    EXPECT_EQ(check.read.wait.count(), 0);
+    m_sync.readCompleted(check.id, fake_change_source::makePage(5, 8), m_now);
+    m_now = m_sync.nextTick(); // After the delay in which further changes may come.
+    const auto next = started(m_sync.tick(m_now));
+    ASSERT_NE(next.id, 0U);
+    EXPECT_EQ(next.read.after, 8U);
+    EXPECT_TRUE(m_sync.readCompleted(m_watch.id, fake_change_source::makePage(5, 7), m_now).empty());
+    EXPECT_EQ(m_sync.revision(), 8U);
+}
+
+// Guards against a reader that passes on an old state as if it were in contact: its wait has been lost, but has not failed yet.
+TEST_F(ChangeSyncReaderTest, aReaderWithAnOldStateRefusesPulls)
+{
+    const auto answer = [this](time_point now) -> std::optional<answer_pull> {
+        for (const auto &action : m_sync.pullReceived(1, {5, milliseconds(0)}, now)) {
+            if (const auto *pull = std::get_if<answer_pull>(&action)) {
+                return *pull;
+            }
+        }
+        return std::nullopt;
+    };
+    const auto young = answer(m_now + milliseconds(500));
+    ASSERT_TRUE(young && young->result);
+    EXPECT_EQ(young->result->confirmed, milliseconds(-500));
+    const auto old = answer(m_now + change_deadlines::within(seconds(3)).ownReadAge);
+    ASSERT_TRUE(old);
+    EXPECT_FALSE(old->result);
+}
