--- a/libs/gateway/tests/test_change_sync.cpp
+++ b/libs/gateway/tests/test_change_sync.cpp
@@ -167,7 +167,7 @@
     EXPECT_GT(played, 20000U);
 }
 
-// Guards against the same at moments and with bounds that nobody has thought of.
+// Guards against the same when faults and publication fall on other moments than those above.
 RC_GTEST_PROP(ChangeSyncTest, changesAreInUseWithinAnyBound, ())
 {
     const auto deployment = *rc::gen::elementOf(deployments);
