Limit the times that a reader's answer gives

A host took the time for which removals are deferred from a reader as it came: after 5 s without contact, 24 h were taken as 24 h, so that backend servers that had gone stayed in use. The age of a reader's state was added without a range check. Both are limited now, the deferral to the host's own setting.

timesOfAReaderAreLimited fails without the change.

--- a/libs/gateway/src/change_sync.cpp
+++ b/libs/gateway/src/change_sync.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::seconds maxPullWait{30};
 /// Delay after the first failed check; doubles with each up to the interval of unanswered ones.
 constexpr std::chrono::milliseconds initialCheckDelay{50};
+/// A reader's state that is older is as good as none; the sum with a time stays in range.
+constexpr std::chrono::hours maxStateAge{1};
 /// Outstanding reads of the platform because of the age of the state. More would only load a platform that answers slowly.
 constexpr std::size_t maxChecks = 3;
 /// Removals are in use this much before their bound, which ends when the last request arrives at the backend server.
@@ -286,13 +288,14 @@
         std::move(decoded->changes.begin(), decoded->changes.end(), std::back_inserter(page.changes));
     }
     if (batch.deferRemovals.count() > 0) {
-        m_removalsDeferredUntil = removalsDeferredUntil(now + batch.deferRemovals, now);
+        const auto deferral = std::min<std::chrono::microseconds>(batch.deferRemovals, m_settings.removalDeferral);
+        m_removalsDeferredUntil = removalsDeferredUntil(now + deferral, now);
     }
     if (update.isFullSnapshot) {
         apply(std::move(update), pull.reader, now, actions);
     }
     apply(m_follower.readCompleted(std::move(page), now), pull.reader, now, actions);
-    confirm(pull.sentAt + batch.confirmed, now);
+    confirm(pull.sentAt + std::clamp<std::chrono::microseconds>(batch.confirmed, -maxStateAge, maxPullWait), now);
     m_lastContactAt = now;
     return {};
 }
--- a/libs/gateway/tests/test_change_sync.cpp
+++ b/libs/gateway/tests/test_change_sync.cpp
@@ -310,3 +310,37 @@
     ASSERT_TRUE(old);
     EXPECT_FALSE(old->result);
 }
+
+// Guards against times of another host that are out of range: a removal that is deferred for ever, or a state that is never confirmed
+// again.
+TEST(ChangeSyncTest, timesOfAReaderAreLimited)
+{
+    const std::vector<std::string> addresses{"10.0.0.0:1", "10.0.0.1:1", "10.0.0.2:1"};
+    for (const auto &self : addresses) {
+        reader_selection selection(self);
+        selection.setZoneHosts(addresses);
+        if (selection.isReader()) {
+            continue;
+        }
+        const auto settings = settingsFor(deployments.front());
+        const fake_change_source source;
+        for (const auto extreme : {std::chrono::microseconds(std::chrono::hours(24)), std::chrono::microseconds(std::chrono::hours(-24))}) {
+            change_sync sync(settings, source, self);
+            sync.setZoneHosts(addresses);
+            time_point now{seconds(3600)};
+            const auto list = std::get<start_platform_read>(sync.start(now).front());
+            const auto asked = sync.readCompleted(list.id, fake_change_source::makeListPage(5, 0, 1), now);
+            now += seconds(5); // Out of contact, so that removals may be deferred.
+            change_batch batch;
+            batch.revision = 6;
+            batch.confirmed = extreme;
+            batch.deferRemovals = extreme;
+            batch.pages = {"5 6"};
+            const auto actions = sync.readerAnswered(std::get<send_pull>(asked.back()).id, std::move(batch), now);
+            const auto &applied = std::get<apply_changes>(actions.front());
+            EXPECT_LE(*applied.deferRemovalsUntil, now + settings.removalDeferral);
+            EXPECT_LE(*sync.confirmedAt(), now);
+            EXPECT_GE(*sync.confirmedAt(), now - seconds(5));
+        }
+    }
+}
