Read the settings of caps, revocation, memory and processor share

The deployments give these values; nothing read them. All are optional, and empty when a deployment does not give them. Nothing uses them yet.

--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -3,9 +3,11 @@
 #include <base/error.h>
 #include <base/ids.h>
 #include <limits/extra_call_budget.h>
+#include <limits/usage_cap_limits.h>
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,6 +52,14 @@
     /// Entries that expired during a platform outage are published again within this time after the outage.
     std::chrono::milliseconds expiredEntryReturnTime{2000};
     std::chrono::milliseconds callerDelay{3}; ///< One-way network delay between callers and this host.
+    std::optional<std::uint64_t> memoryBytes; ///< Memory that this process may use.
+    std::optional<double> processorShare; ///< Share of each processor that this process may use, above 0 and at most 1.
+    std::optional<double> processors; ///< Number of processors.
+    std::optional<usage_cap_limits> usageCaps; ///< Bound on the caps of organisations over all hosts.
+    /// Requests in progress whose key was withdrawn end within revocationTime.
+    bool strictRevocation = false;
+    std::optional<std::chrono::milliseconds> revocationTime; ///< From the publication of the withdrawal.
+    bool learnedLimits = true; ///< Learn from the answers of each backend server how many calls it takes well.
 
     /// @return The shortest of the bounds on changes of the published state; changes of all kinds are read together.
     [[nodiscard]] std::chrono::milliseconds shortestChangeBound() const;
--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -75,6 +75,17 @@
 
     [[nodiscard]] bool has(const char *key) const { return m_object.contains(key); }
 
+    void readBool(const char *key, bool &target)
+    {
+        if (const auto *value = findRequired(key)) {
+            if (!value->is_boolean()) {
+                fail(key, "must be true or false");
+                return;
+            }
+            target = value->get<bool>();
+        }
+    }
+
     void readAddress(const char *key, listen_address &target)
     {
         std::string value;
@@ -137,6 +148,38 @@
     std::string m_firstProblem;
 };
 
+/// Reads the settings that a deployment may leave out.
+void readOptionalSettings(field_reader &reader, gateway_settings &settings)
+{
+    constexpr double bytesPerMegabyte = 1024 * 1024;
+    if (reader.has("memoryMb")) {
+        double megabytes = 0;
+        reader.readNumber("memoryMb", 1, megabytes);
+        settings.memoryBytes = static_cast<std::uint64_t>(megabytes * bytesPerMegabyte);
+    }
+    if (reader.has("processorShare")) {
+        reader.readNumber("processorShare", 0.001, settings.processorShare.emplace());
+    }
+    if (reader.has("processors")) {
+        reader.readNumber("processors", 0.001, settings.processors.emplace());
+    }
+    if (reader.has("usageCapWindowS")) {
+        auto &caps = settings.usageCaps.emplace();
+        reader.readSeconds("usageCapWindowS", caps.window);
+        reader.readNumber("usageCapOvershoot", 0, caps.overshoot);
+        reader.readNumber("usageCapSlack", 0, caps.slack);
+    }
+    if (reader.has("strictRevocation")) {
+        reader.readBool("strictRevocation", settings.strictRevocation);
+    }
+    if (reader.has("revocationMs")) {
+        reader.readMilliseconds("revocationMs", settings.revocationTime.emplace());
+    }
+    if (reader.has("learnedLimits")) {
+        reader.readBool("learnedLimits", settings.learnedLimits);
+    }
+}
+
 } // namespace
 
 std::chrono::milliseconds gateway_settings::shortestChangeBound() const
@@ -188,6 +231,7 @@
     reader.readMillisecondsOrSeconds("stopTimeMs", "stopTimeS", settings.stopTime);
     reader.readMilliseconds("lapsedReturnMs", settings.expiredEntryReturnTime);
     reader.readMilliseconds("callerDelayMs", settings.callerDelay);
+    readOptionalSettings(reader, settings);
     if (!reader.firstProblem().empty()) {
         return makeError(error_code::invalidArgument, "read settings", reader.firstProblem(), file);
     }
--- a/libs/gateway/tests/test_gateway_settings.cpp
+++ b/libs/gateway/tests/test_gateway_settings.cpp
@@ -128,6 +128,45 @@
     EXPECT_FALSE(gateway_settings::parse(longWindow.dump(), "f"));
 }
 
+// Guards against a default that stands in for a value that the deployment does not give, and against a value that is ignored.
+TEST(GatewaySettingsTest, optionalSettingsAreEmptyUnlessTheyAreGiven)
+{
+    const auto without = gateway_settings::parse(makeSettings().dump(), "f");
+    ASSERT_TRUE(without) << without.error().describe();
+    EXPECT_FALSE(without->memoryBytes || without->processorShare || without->processors || without->usageCaps || without->revocationTime);
+    EXPECT_FALSE(without->strictRevocation);
+    EXPECT_TRUE(without->learnedLimits);
+    auto given = makeSettings();
+    given.update({{"memoryMb", 112},
+                  {"processorShare", 0.084},
+                  {"processors", 1},
+                  {"usageCapWindowS", 5},
+                  {"usageCapOvershoot", 0.25},
+                  {"usageCapSlack", 20},
+                  {"strictRevocation", true},
+                  {"revocationMs", 5000},
+                  {"learnedLimits", false}});
+    const auto settings = gateway_settings::parse(given.dump(), "f");
+    ASSERT_TRUE(settings) << settings.error().describe();
+    EXPECT_EQ(settings->memoryBytes, 112U * 1024 * 1024);
+    EXPECT_DOUBLE_EQ(settings->processorShare.value_or(0), 0.084);
+    EXPECT_DOUBLE_EQ(settings->processors.value_or(0), 1);
+    ASSERT_TRUE(settings->usageCaps);
+    EXPECT_EQ(settings->usageCaps->window, std::chrono::seconds(5));
+    EXPECT_DOUBLE_EQ(settings->usageCaps->overshoot, 0.25);
+    EXPECT_DOUBLE_EQ(settings->usageCaps->slack, 20);
+    EXPECT_TRUE(settings->strictRevocation);
+    EXPECT_EQ(settings->revocationTime, std::chrono::milliseconds(5000));
+    EXPECT_FALSE(settings->learnedLimits);
+    for (const char *key : {"memoryMb", "processorShare", "usageCapOvershoot", "usageCapSlack", "strictRevocation", "learnedLimits"}) {
+        auto invalid = given;
+        invalid[key] = "x";
+        EXPECT_FALSE(gateway_settings::parse(invalid.dump(), "f")) << key;
+    }
+    given.erase("usageCapSlack");
+    EXPECT_FALSE(gateway_settings::parse(given.dump(), "f")) << "a bound with one value missing";
+}
+
 TEST(GatewaySettingsTest, rejectsInvalidFiles)
 {
     EXPECT_FALSE(gateway_settings::parse("", "f"));
