Identify organisations by their keys

A configuration with organisations was served as if it had none: keys went on to backend servers, the name of the organisation was taken from the caller, and unknown keys were served.

Without a known key a request gets 401, unless its route is public. Calls carry the name of the organisation in place of the key. With strict revocation, requests in progress whose key is withdrawn end with 401.

--- a/libs/config/include/config/route.h
+++ b/libs/config/include/config/route.h
@@ -40,6 +40,7 @@
     std::vector<service_id> shards; ///< The request fans out to all of these, and their answers are merged.
     std::uint32_t maxRecords = 0; ///< Maximum number of records in a merged answer.
     double minCoverage = 1; ///< Minimum share of the shards, 0 to 1, that a successful merged answer covers.
+    bool isPublic = false; ///< Requests need no key of an organisation.
 
     /// @return `host` followed by `prefix`, which identifies the route in all versions of the route table.
     [[nodiscard]] std::string key() const { return host + prefix; }
--- a/libs/config/src/route_table.cpp
+++ b/libs/config/src/route_table.cpp
@@ -1,6 +1,7 @@
 #include <config/route_table.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace orioledrum
@@ -47,8 +48,11 @@
 
 } // namespace
 
-expected<std::shared_ptr<const route_table>>
-route_table::create(std::uint64_t version, std::vector<route> routes, std::vector<route_service> services, http_request_limits limits)
+expected<std::shared_ptr<const route_table>> route_table::create(std::uint64_t version,
+                                                                 std::vector<route> routes,
+                                                                 std::vector<route_service> services,
+                                                                 http_request_limits limits,
+                                                                 std::optional<std::vector<organisation>> organisations)
 {
     auto table = std::shared_ptr<route_table>(new route_table());
     table->m_version = version;
@@ -68,9 +72,55 @@
         table->m_longestWarmUpTime = std::max(table->m_longestWarmUpTime, service.warmUpTime);
         table->m_services.emplace(std::move(id), std::move(service));
     }
+    if (organisations) {
+        if (auto checkResult = table->setOrganisations(std::move(*organisations)); !checkResult) {
+            return tl::unexpected(checkResult.error());
+        }
+    }
     return table;
 }
 
+expected<void> route_table::setOrganisations(std::vector<organisation> organisations)
+{
+    m_requiresKeys = true;
+    m_organisations = std::move(organisations);
+    for (std::size_t index = 0; index < m_organisations.size(); ++index) {
+        const auto &each = m_organisations[index];
+        const auto invalid = [&](const char *message) {
+            return makeError(error_code::invalidArgument, "check routes", "organisation '" + each.name + "': " + message);
+        };
+        // The name is sent in a header field.
+        if (each.name.empty() || std::any_of(each.name.begin(), each.name.end(), [](unsigned char c) { return c <= ' ' || c >= 0x7f; })) {
+            return invalid("the name is empty or contains a space or a character outside ASCII");
+        }
+        if (!std::isfinite(each.requestsPerSecond) || !std::isfinite(each.burst) || each.requestsPerSecond < 0 || each.burst < 0) {
+            return invalid("the rate or the burst is negative or not a number");
+        }
+        if (!m_organisationByName.emplace(each.name, index).second) {
+            return invalid("another organisation has the same name");
+        }
+        for (const auto &key : each.keys) {
+            const auto [found, added] = m_organisationByKey.emplace(key, index);
+            if (!added && found->second != index) {
+                return invalid("another organisation has the same key");
+            }
+        }
+    }
+    return {};
+}
+
+const organisation *route_table::organisationOf(std::string_view key) const
+{
+    const auto found = m_organisationByKey.find(key_digest::of(key));
+    return found == m_organisationByKey.end() ? nullptr : &m_organisations[found->second];
+}
+
+const organisation *route_table::findOrganisation(std::string_view name) const
+{
+    const auto found = m_organisationByName.find(name);
+    return found == m_organisationByName.end() ? nullptr : &m_organisations[found->second];
+}
+
 const route *route_table::find(std::string_view host, std::string_view path) const
 {
     const auto prefixes = m_byHost.find(host);
--- a/libs/gateway/include/gateway/message_codec.h
+++ b/libs/gateway/include/gateway/message_codec.h
@@ -10,17 +10,41 @@
 #include <transport/http_response.h>
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 
 namespace orioledrum
 {
 
+struct organisation;
+
+/// What a request carries to prove to which organisation it belongs.
+enum class credential_kind : std::uint8_t {
+    none,
+    key,
+    malformed, ///< Empty, of an unknown scheme, or given more than once.
+};
+
+struct caller_credential {
+    credential_kind kind = credential_kind::none;
+    std::string key; ///< Must not be logged or sent on.
+};
+
+/// For whom a request is sent on to backend servers.
+struct caller_identity {
+    /// The caller was checked: header fields with its key or the name of an organisation are not passed on.
+    bool verified = false;
+    const organisation *member =
+        nullptr; ///< Named to backend servers when the caller was checked; null on a public route without a valid key.
+};
+
 /// Metadata of a caller's request.
 struct caller_fields {
     std::string requestId; ///< Identifies one attempt of the caller; empty when missing.
     /// How long the caller still waits for the answer; std::nullopt when missing or invalid.
     std::optional<std::chrono::milliseconds> timeLeft;
+    caller_credential credential;
 };
 
 /// Outcome and metadata of a backend server's answer.
@@ -49,8 +73,9 @@
     /// Decodes the metadata of a caller's request.
     [[nodiscard]] virtual caller_fields decodeCaller(const http_request &request) const = 0;
 
+    /// @param identity Replaces what the caller says of its organisation if the caller was checked.
     /// @return The headers that are sent with every call for this request, except those of callHeaders().
-    [[nodiscard]] virtual http_headers forwardedHeaders(const http_request &request) const = 0;
+    [[nodiscard]] virtual http_headers forwardedHeaders(const http_request &request, const caller_identity &identity) const = 0;
 
     /// @param server The only backend server that may run the call.
     /// @param timeLeft Time until the deadline of the call.
--- /dev/null
+++ b/libs/gateway/src/caller_authentication.cpp
@@ -0,0 +1,36 @@
+#include <caller_authentication.h>
+
+#include <config/route_table.h>
+
+namespace orioledrum
+{
+
+authentication authenticate(const route_table &table, const route &route, const caller_credential &credential)
+{
+    authentication result;
+    if (!table.requiresKeys()) {
+        result.accepted = true;
+        return result;
+    }
+    result.identity.verified = true;
+    if (credential.kind == credential_kind::key) {
+        result.identity.member = table.organisationOf(credential.key);
+    }
+    result.accepted = route.isPublic || result.identity.member != nullptr;
+    if (!result.accepted) {
+        switch (credential.kind) {
+        case credential_kind::none:
+            result.reason = "the request carries no key";
+            break;
+        case credential_kind::malformed:
+            result.reason = "the key of the request is not readable";
+            break;
+        case credential_kind::key:
+            result.reason = "no organisation holds the key of the request";
+            break;
+        }
+    }
+    return result;
+}
+
+} // namespace orioledrum
--- /dev/null
+++ b/libs/gateway/src/caller_authentication.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <gateway/message_codec.h>
+
+#include <string_view>
+
+namespace orioledrum
+{
+
+class route_table;
+struct route;
+
+/// Whether a request may be served, by the key that it carries.
+struct authentication {
+    bool accepted = false;
+    caller_identity identity; ///< For message_codec::forwardedHeaders(). Refers to the route table.
+    std::string_view reason; ///< Why the request is refused, for the error message.
+};
+
+/// Decides by the organisations of a route table on a request that matches one of its routes. Without organisations, every request is
+/// accepted and its header fields are passed on unchanged.
+[[nodiscard]] authentication authenticate(const route_table &table, const route &route, const caller_credential &credential);
+
+} // namespace orioledrum
--- a/libs/gateway/src/caller_front.cpp
+++ b/libs/gateway/src/caller_front.cpp
@@ -1,5 +1,6 @@
 #include <caller_front.h>
 
+#include <caller_authentication.h>
 #include <caller_request.h>
 #include <gateway_state.h>
 
@@ -90,7 +91,19 @@
         refuse(m_state.codec.encodeFailure(400, reason), "badField");
         return;
     }
+    const auto authenticated = authenticate(*m_state.table, *route, fields.credential);
+    if (!authenticated.accepted) {
+        const error reason{error_code::unauthorized, std::string(authenticated.reason), "authenticate", request.remoteAddress};
+        refuse(m_state.codec.encodeFailure(401, reason), "unauthenticated");
+        return;
+    }
     caller_request::incoming_request incoming;
+    incoming.identity = authenticated.identity;
+    incoming.priority = route->priority;
+    if (const auto *member = authenticated.identity.member) {
+        incoming.key = key_digest::of(fields.credential.key);
+        incoming.priority = member->priority.value_or(route->priority);
+    }
     incoming.requestId = std::move(fields.requestId);
     incoming.table = m_state.table;
     incoming.matchedRoute = route;
--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -19,7 +19,7 @@
     newTemplate->requestId = m_incoming.requestId;
     newTemplate->method = m_incoming.request.method;
     newTemplate->target = m_incoming.request.target;
-    newTemplate->headers = state.codec.forwardedHeaders(m_incoming.request);
+    newTemplate->headers = state.codec.forwardedHeaders(m_incoming.request, m_incoming.identity);
     newTemplate->body = std::move(m_incoming.request.body);
     newTemplate->atMostOnce = m_incoming.matchedRoute->retrySafety == retry_safety::atMostOnce;
     newTemplate->profile = state.profile(*m_incoming.matchedRoute);
@@ -125,6 +125,19 @@
 }
 
 void caller_request::giveUp()
+{
+    endWithFailure(504, {error_code::draining, "this host stops before the request has an answer; it may have run", "stop", {}}, "stopped");
+}
+
+void caller_request::endIfKeyWithdrawn(const route_table &current)
+{
+    if (!m_incoming.key || !current.requiresKeys() || current.holdsKey(*m_incoming.key)) {
+        return;
+    }
+    endWithFailure(401, {error_code::unauthorized, "the key was withdrawn; the request may have run", "authenticate", {}}, "keyWithdrawn");
+}
+
+void caller_request::endWithFailure(int status, const error &reason, std::string_view outcome)
 {
     if (m_ended) {
         return;
@@ -132,11 +145,10 @@
     const auto self = shared_from_this(); // The request may end with its last call.
     end();
     cancelCalls();
-    const error reason{error_code::draining, "this host stops before the request has an answer; it may have run", "stop", {}};
     const auto now = monotonic_clock::now();
-    const auto latency = respond(m_state.codec.encodeFailure(504, reason), "stopped", now);
+    const auto latency = respond(m_state.codec.encodeFailure(status, reason), outcome, now);
     m_state.log.writeRequest(
-        "request", "stopped", now, {{"id", m_incoming.requestId}, {"route", m_incoming.matchedRoute->name}, {"ms", latency}});
+        "request", std::string(outcome), now, {{"id", m_incoming.requestId}, {"route", m_incoming.matchedRoute->name}, {"ms", latency}});
 }
 
 void caller_request::callerDisconnected()
--- a/libs/gateway/src/caller_request.h
+++ b/libs/gateway/src/caller_request.h
@@ -4,6 +4,7 @@
 
 #include <base/monotonic_clock.h>
 #include <config/route_table.h>
+#include <gateway/message_codec.h>
 #include <transport/http_exchange.h>
 #include <transport/http_request.h>
 
@@ -36,6 +37,9 @@
         time_point receivedAt;
         time_point targetTime; ///< When the answer should leave this host to reach the caller within the target latency.
         time_point deadline; ///< Latest time at which the final answer may leave this host.
+        caller_identity identity; ///< Refers to `table`.
+        std::optional<key_digest> key; ///< Digest of the key that the caller has proved, if any.
+        std::uint32_t priority = 0; ///< Of the organisation, otherwise of the route; 0 is the highest.
     };
 
     virtual ~caller_request() = default;
@@ -45,6 +49,9 @@
     /// Starts to serve the request.
     void start();
 
+    /// Ends the request like giveUp(), with 401, if the table requires keys and no longer holds the key of the caller.
+    void endIfKeyWithdrawn(const route_table &current);
+
     /// Answers with a failure that promises nothing, and cancels the open calls. Does nothing once ended(). Called when this host stops
     /// before the request has an answer.
     void giveUp();
@@ -93,6 +100,7 @@
     // Marks the request as ended and stops its timer.
     void end();
     void cancelCalls();
+    void endWithFailure(int status, const error &reason, std::string_view outcome);
     void armTimer(time_point now);
     void watchCaller();
     void callerDisconnected();
--- a/libs/gateway/src/publication_reader.cpp
+++ b/libs/gateway/src/publication_reader.cpp
@@ -1,5 +1,6 @@
 #include <publication_reader.h>
 
+#include <caller_request.h>
 #include <gateway_state.h>
 #include <host_call.h>
 #include <request_caps.h>
@@ -294,6 +295,14 @@
     m_state.table = std::move(table);
     m_state.registry.setRouteTable(m_state.table);
     m_state.metrics.setConfigVersion(m_state.table->version());
+    if (m_state.settings.strictRevocation) {
+        // A request leaves the map when it ends.
+        for (const auto &[key, open] : std::vector(m_state.openRequests.begin(), m_state.openRequests.end())) {
+            if (const auto request = open.lock()) {
+                request->endIfKeyWithdrawn(*m_state.table);
+            }
+        }
+    }
     // Event "routesInForce": a new route table is active. Its time of publication is not known here; it is at most ageMs ago.
     const auto age = now - changes.knownBefore.value_or(now);
     m_state.log.write("platform",
