Add the state machines of usage caps

Caps hold over all hosts together. An owner by rendezvous rank hands out tokens; it waits until no earlier owner can act, and scales by the share of hosts that are not lost. Zones and hosts have fixed parts of the bound's excess for requests that do not reach the owner. Nothing was measured.

--- /dev/null
+++ b/libs/limits/src/usage_fleet.cpp
@@ -0,0 +1,141 @@
+#include <limits/usage_fleet.h>
+
+#include <base/rendezvous.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace orioledrum
+{
+
+usage_fleet::usage_fleet(entry_host_id self, zone_id zone)
+    : m_self(std::move(self))
+    , m_zone(std::move(zone))
+{
+}
+
+void usage_fleet::update(std::vector<usage_host> hosts, bool settled, usage_fleet_times times, time_point now)
+{
+    m_times = times;
+    if (!settled) {
+        m_settledAt.reset();
+    } else if (!m_settledAt) {
+        m_settledAt = now;
+    }
+    std::map<entry_host_id, known_host> updated;
+    std::set<zone_id> zones;
+    for (auto &host : hosts) {
+        zones.insert(host.zone);
+        const auto known = m_hosts.find(host.id);
+        auto &entry = updated[host.id];
+        if (known == m_hosts.end()) {
+            entry = {std::move(host), now, now};
+            continue;
+        }
+        entry = known->second;
+        if (entry.host.state != host.state) {
+            entry.changedAt = now;
+            // A host that leaves is not behind a partition, so one that returns from a planned restart stays established.
+            entry.liveSince = entry.host.state == usage_host_state::lost ? now : entry.liveSince;
+        }
+        entry.host = std::move(host);
+    }
+    m_hosts = std::move(updated);
+    m_zoneCount = std::max<std::size_t>(1, zones.size());
+    m_places.clear();
+}
+
+void usage_fleet::restart(time_point now)
+{
+    if (m_settledAt) {
+        m_settledAt = now;
+    }
+    for (auto &[id, known] : m_hosts) {
+        known.liveSince = now;
+        known.changedAt = now;
+    }
+    m_places.clear();
+}
+
+const usage_place &usage_fleet::placeOf(const std::string &organisation) const
+{
+    const auto [found, added] = m_places.try_emplace(organisation);
+    if (added) {
+        found->second = findPlace(organisation);
+    }
+    return found->second;
+}
+
+usage_place usage_fleet::findPlace(const std::string &organisation) const
+{
+    struct ranked_host {
+        std::uint64_t weight = 0;
+        const known_host *known = nullptr;
+    };
+    std::vector<ranked_host> ranking;
+    ranking.reserve(m_hosts.size());
+    for (const auto &[id, known] : m_hosts) {
+        ranking.push_back({rendezvousWeight(organisation, id.str()), &known});
+    }
+    std::sort(ranking.begin(), ranking.end(), [](const ranked_host &left, const ranked_host &right) {
+        return left.weight != right.weight ? left.weight > right.weight : left.known->host.id < right.known->host.id;
+    });
+    usage_place place;
+    place.share.hosts = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(ranking.size()));
+    place.certainFrom = settledAt();
+    if (m_settledAt) {
+        place.certainFrom += m_times.notice; // Until then, another host may act because it does not know this one.
+    }
+    bool waitsForLostHost = false;
+    for (std::size_t rank = 0; rank < ranking.size(); ++rank) {
+        const auto &known = *ranking[rank].known;
+        const auto &host = known.host;
+        if (host.id == m_self) {
+            place.share.rank = static_cast<std::uint32_t>(rank);
+        }
+        if (place.owner) {
+            if (place.ownerIsSelf && !place.earlierOwner && !waitsForLostHost && host.state == usage_host_state::live) {
+                place.earlierOwner = host; // It was the owner before this host was known.
+            }
+        } else if (host.state == usage_host_state::live) {
+            place.owner = host;
+            place.ownerIsSelf = host.id == m_self;
+        } else {
+            if (m_settledAt) {
+                place.certainFrom = std::max(place.certainFrom, known.changedAt + m_times.notice);
+            }
+            waitsForLostHost = waitsForLostHost || host.state == usage_host_state::lost;
+            if (host.state == usage_host_state::leaving && !waitsForLostHost) {
+                place.earlierOwner = host;
+            }
+        }
+        if (!place.zoneOwner && host.zone == m_zone && host.state == usage_host_state::live) {
+            place.zoneOwner = host;
+            place.zoneOwnerIsSelf = host.id == m_self;
+        }
+    }
+    if (!place.ownerIsSelf || waitsForLostHost) {
+        place.earlierOwner.reset();
+    }
+    return place;
+}
+
+double usage_fleet::establishedShare(time_point now) const
+{
+    const auto established = std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto &entry) {
+        const auto &known = entry.second;
+        return entry.first == m_self || (known.host.state != usage_host_state::lost && now - known.liveSince >= m_times.establish);
+    });
+    return static_cast<double>(std::max<std::ptrdiff_t>(1, established)) / static_cast<double>(std::max<std::size_t>(1, m_hosts.size()));
+}
+
+double usage_fleet::liveShare() const
+{
+    const auto live = std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto &entry) {
+        return entry.first == m_self || entry.second.host.state != usage_host_state::lost;
+    });
+    return static_cast<double>(std::max<std::ptrdiff_t>(1, live)) / static_cast<double>(std::max<std::size_t>(1, m_hosts.size()));
+}
+
+} // namespace orioledrum
