Ask for a token before a request of an organisation with a cap

Caps of the configuration were not kept. A request of an organisation with a cap now waits for a token: from the owner, which may be this host, or from the reserves. Over the cap it gets 429, without an answer of the owner and without reserve 503, both with Retry-After. Without organisations, caps or the settings of the bound nothing is sent.

Measured: gatewayd and the tests of gateway and platform build; nothing was run.

--- a/libs/gateway/include/gateway/message_codec.h
+++ b/libs/gateway/include/gateway/message_codec.h
@@ -100,6 +100,11 @@
     /// @return An answer that guarantees that the request has not run and never will.
     [[nodiscard]] virtual http_response encodeNotRun(const error &reason, std::chrono::milliseconds retryAfter) const = 0;
 
+    /// @param reason Which cap was reached.
+    /// @param retryAfter Time after which the organisation may send a request again.
+    /// @return An answer that guarantees that the request has not run and never will, because its organisation sends too many.
+    [[nodiscard]] virtual http_response encodeOverCap(const error &reason, std::chrono::milliseconds retryAfter) const = 0;
+
     /// @param status HTTP status, 4xx or 5xx.
     /// @param reason What failed.
     /// @return An answer that leaves open whether the request has run.
--- a/libs/gateway/src/caller_front.cpp
+++ b/libs/gateway/src/caller_front.cpp
@@ -3,6 +3,7 @@
 #include <caller_authentication.h>
 #include <caller_request.h>
 #include <gateway_state.h>
+#include <usage_caps.h>
 
 #include <algorithm>
 #include <utility>
@@ -25,6 +26,10 @@
 /// Number of one-way delays from the start of a caller's request on a new connection to the receipt of its answer: two for the
 /// connection, one for the request, one for the answer.
 constexpr int oneWayTripCount = 4;
+/// A request waits for the answer of one host at most for its time until the target divided by this; it may ask two hosts.
+constexpr int patienceDivisor = 4;
+/// The wait is at least this long, because a call cannot time out at once.
+constexpr std::chrono::microseconds minPatience{1000};
 
 /// @return Size of method, target and headers; 4 bytes per header are for the colon, the space and the line end.
 std::size_t headerBytes(const http_request &request)
@@ -38,8 +43,15 @@
 
 } // namespace
 
-caller_front::caller_front(gateway_state &state)
+/// A request that waits for a token of its organisation.
+struct caller_front::waiting_request {
+    caller_request::incoming_request incoming;
+    bool decided = false; ///< Or the caller has disconnected.
+};
+
+caller_front::caller_front(gateway_state &state, usage_caps &usage)
     : m_state(state)
+    , m_usage(usage)
 {
 }
 
@@ -115,7 +127,66 @@
     incoming.request = std::move(request);
     incoming.exchange = std::move(exchange);
     ++m_state.requestsByRoute[route->key()];
+    if (incoming.identity.member != nullptr && m_usage.limits(*incoming.identity.member)) {
+        acquireToken(std::move(incoming), now);
+        return;
+    }
     makeCallerRequest(m_state, std::move(incoming))->start();
 }
 
+void caller_front::acquireToken(caller_request::incoming_request incoming, time_point now)
+{
+    const auto timeLeft = std::chrono::duration_cast<std::chrono::microseconds>(std::min(incoming.targetTime, incoming.deadline) - now);
+    const auto patience = std::max(minPatience, timeLeft / patienceDivisor);
+    const auto &member = *incoming.identity.member;
+    auto waiting = std::make_shared<waiting_request>();
+    waiting->incoming = std::move(incoming);
+    const auto handle =
+        m_usage.acquire(member, patience, [this, waiting](const usage_decision &decision) { tokenDecided(*waiting, decision); });
+    if (waiting->decided) {
+        return;
+    }
+    waiting->incoming.exchange->onCallerDisconnected([this, handle, weak = std::weak_ptr(waiting)] {
+        const auto gone = weak.lock();
+        if (!gone || std::exchange(gone->decided, true)) {
+            return;
+        }
+        m_usage.cancel(handle);
+        const auto waited = std::chrono::duration_cast<std::chrono::microseconds>(monotonic_clock::now() - gone->incoming.receivedAt);
+        m_state.metrics.requestEnded(gone->incoming.matchedRoute->name, "callerGone", waited);
+    });
+}
+
+void caller_front::tokenDecided(waiting_request &waiting, const usage_decision &decision)
+{
+    if (std::exchange(waiting.decided, true)) {
+        return;
+    }
+    auto &incoming = waiting.incoming;
+    if (decision.result == usage_grant::kind::granted) {
+        makeCallerRequest(m_state, std::move(incoming))->start();
+        return;
+    }
+    const bool overCap = decision.result == usage_grant::kind::refused;
+    const auto &organisation = incoming.identity.member->name;
+    const error reason{error_code::overloaded,
+                       overCap ? "the organisation has reached its usage cap" : "the host that keeps the usage cap does not answer",
+                       "check usage cap",
+                       organisation};
+    const auto retryAfter = std::chrono::ceil<std::chrono::milliseconds>(decision.retryAfter);
+    auto response = overCap ? m_state.codec.encodeOverCap(reason, retryAfter) : m_state.codec.encodeNotRun(reason, retryAfter);
+    const auto now = monotonic_clock::now();
+    const auto *outcome = overCap ? "overCap" : "capUnknown";
+    m_state.metrics.requestEnded(
+        incoming.matchedRoute->name, outcome, std::chrono::duration_cast<std::chrono::microseconds>(now - incoming.receivedAt));
+    m_state.log.writeRequest("front",
+                             outcome,
+                             now,
+                             {{"id", incoming.requestId},
+                              {"organisation", organisation},
+                              {"retryAfterMs", std::int64_t{retryAfter.count()}},
+                              {"config", static_cast<std::int64_t>(incoming.table->version())}});
+    incoming.exchange->respond(std::move(response));
+}
+
 } // namespace orioledrum
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -10,6 +10,7 @@
 #include <request_caps.h>
 #include <status_handler.h>
 #include <transport/http_server.h>
+#include <usage_caps.h>
 
 #include <asio/io_context.hpp>
 
@@ -52,10 +53,11 @@
          http_client &client)
         : m_state(context, settings, codec, client)
         , m_callAudit(m_state.registry, m_state.log)
-        , m_front(m_state)
+        , m_usage(m_state, client)
+        , m_front(m_state, m_usage)
         , m_status(m_state)
         , m_reader(m_state, source, client)
-        , m_link(m_state, client, m_reader, settings.seeds)
+        , m_link(m_state, client, m_reader, m_usage, settings.seeds)
         , m_prober(m_state, client)
         , m_canServeTimer(context)
         , m_stopTimer(context)
@@ -194,6 +196,7 @@
 
     gateway_state m_state;
     call_audit m_callAudit;
+    usage_caps m_usage;
     caller_front m_front;
     status_handler m_status;
     publication_reader m_reader;
--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -6,6 +6,7 @@
 #include <relayed_request.h>
 #include <search/host_ranking.h>
 #include <transport/http_exchange.h>
+#include <usage_caps.h>
 #include <wire/codec.h>
 
 #include <utility>
@@ -34,10 +35,15 @@
 
 } // namespace
 
-host_link::host_link(gateway_state &state, http_client &client, publication_reader &reader, std::vector<std::string> seeds)
+host_link::host_link(gateway_state &state,
+                     http_client &client,
+                     publication_reader &reader,
+                     usage_caps &usage,
+                     std::vector<std::string> seeds)
     : m_state(state)
     , m_client(client)
     , m_reader(reader)
+    , m_usage(usage)
     , m_membership(makeSettings(state.settings, std::move(seeds)), random_source::fromSystem(), monotonic_clock::now())
     , m_timer(state.context)
     , m_counter(monotonic_clock::now(), state.settings.extraCalls.slack, state.settings.extraCallWindow)
@@ -92,7 +98,9 @@
                 "hosts", "sharingHosts", {{"hosts", std::int64_t{sharing.hostCount}}, {"settled", std::int64_t{sharing.settled}}});
         }
         m_sharing = sharing;
+        m_usage.setHosts(*view, sharing.settled, now);
     }
+    m_usage.checkForPause(now);
     updateRelays();
 }
 
@@ -199,6 +207,14 @@
         m_reader.handlePull(request, std::move(exchange));
         return;
     }
+    if (request.path == usage_caps::requestPath) {
+        m_usage.handleRequest(request, *exchange);
+        return;
+    }
+    if (request.path == usage_caps::takeoverPath) {
+        m_usage.handleTakeover(request, *exchange);
+        return;
+    }
     if (request.path == relayResumePath) {
         handleRelayResume(request, exchange);
         return;
--- a/libs/gateway/src/host_link.h
+++ b/libs/gateway/src/host_link.h
@@ -17,6 +17,7 @@
 struct gateway_state;
 class publication_reader;
 class relayed_request;
+class usage_caps;
 
 /// Exchanges heartbeats (digests of the host list) with the other entry hosts. Derives from them how many hosts share the limits of
 /// backend servers and which hosts can gather parts of searches. Also receives the parts of searches that other hosts delegate to this
@@ -26,7 +27,7 @@
 class host_link final : public http_handler
 {
 public:
-    host_link(gateway_state &state, http_client &client, publication_reader &reader, std::vector<std::string> seeds);
+    host_link(gateway_state &state, http_client &client, publication_reader &reader, usage_caps &usage, std::vector<std::string> seeds);
 
     /// Starts the heartbeats.
     void start();
@@ -62,6 +63,7 @@
     gateway_state &m_state;
     http_client &m_client;
     publication_reader &m_reader;
+    usage_caps &m_usage;
     membership m_membership;
     std::shared_ptr<const membership_view> m_relayView; // View that was last passed to the relay client.
     std::unordered_map<std::uint64_t, std::shared_ptr<relayed_request>> m_relayedSearches; // By relay_search::token.
--- /dev/null
+++ b/libs/gateway/src/usage_caps.cpp
@@ -0,0 +1,238 @@
+#include <usage_caps.h>
+
+#include <gateway_state.h>
+#include <host_call.h>
+#include <transport/http_client.h>
+#include <transport/http_exchange.h>
+#include <transport/http_request.h>
+#include <wire/codec.h>
+#include <wire/usage_messages.h>
+
+#include <config/organisation.h>
+#include <membership/membership.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace orioledrum
+{
+
+namespace
+{
+
+/// Periods of membership by which the views of two hosts on one change may differ.
+constexpr int noticePeriods = 4;
+
+usage_host_state toUsageState(host_state state)
+{
+    switch (state) {
+    case host_state::live:
+        return usage_host_state::live;
+    case host_state::leaving:
+        return usage_host_state::leaving;
+    case host_state::suspect:
+    case host_state::down:
+        return usage_host_state::lost;
+    }
+    return usage_host_state::lost;
+}
+
+/// @return The times of membership in a fleet of this size; see membership_settings::scalingThreshold.
+usage_fleet_times timesOf(const membership_view &view)
+{
+    const membership_settings settings;
+    std::unordered_map<zone_id, std::size_t> hostsOfZone;
+    std::size_t largestZone = 0;
+    for (const auto &member : view.members) {
+        largestZone = std::max(largestZone, ++hostsOfZone[member.zone]);
+    }
+    const auto scale = std::max<std::size_t>(1, (largestZone + settings.scalingThreshold - 1) / settings.scalingThreshold);
+    usage_fleet_times times;
+    times.notice = settings.period * noticePeriods;
+    times.establish = settings.suspectAfter * static_cast<std::int64_t>(scale) + times.notice;
+    return times;
+}
+
+} // namespace
+
+usage_caps::usage_caps(gateway_state &state, http_client &client)
+    : m_state(state)
+    , m_client(client)
+    , m_fleet(state.settings.host, state.settings.zone)
+    , m_owner(m_fleet)
+    , m_requests(m_fleet, m_owner)
+    , m_lastActiveAt(monotonic_clock::now())
+{
+}
+
+void usage_caps::setHosts(const membership_view &view, bool settled, time_point now)
+{
+    checkForPause(now);
+    std::vector<usage_host> hosts;
+    for (const auto &member : view.members) {
+        hosts.push_back({member.host, member.address, member.zone, toUsageState(member.state)});
+    }
+    m_knownHosts = hosts.size();
+    m_fleet.update(std::move(hosts), settled, timesOf(view), now);
+    m_owner.fleetChanged();
+}
+
+void usage_caps::checkForPause(time_point now)
+{
+    const bool paused = now - m_lastActiveAt >= m_fleet.times().notice;
+    m_lastActiveAt = now;
+    if (paused) {
+        m_state.log.write("usage", "restartedAfterPause", {});
+        m_fleet.restart(now);
+        m_owner.restart();
+        m_requests.restart();
+    }
+}
+
+bool usage_caps::limits(const organisation &organisation) const
+{
+    return organisation.capped() && m_state.settings.usageCaps.has_value();
+}
+
+usage_cap usage_caps::capOf(const organisation &organisation) const
+{
+    return {organisation.name, organisation.requestsPerSecond, organisation.burst, m_state.settings.usageCaps.value_or(usage_cap_limits())};
+}
+
+std::optional<usage_cap> usage_caps::findCap(const std::string &organisation) const
+{
+    const auto *found = m_state.table ? m_state.table->findOrganisation(organisation) : nullptr;
+    return found != nullptr && limits(*found) ? std::optional(capOf(*found)) : std::nullopt;
+}
+
+std::uint64_t usage_caps::acquire(const organisation &organisation, std::chrono::microseconds patience, callback done)
+{
+    const auto handle = ++m_lastHandle;
+    m_waiting.emplace(handle, std::move(done));
+    m_requests.acquire(handle, capOf(organisation), patience, monotonic_clock::now());
+    run();
+    return handle;
+}
+
+void usage_caps::cancel(std::uint64_t handle)
+{
+    if (m_waiting.erase(handle) > 0) {
+        m_requests.cancel(handle);
+    }
+}
+
+void usage_caps::run()
+{
+    for (const auto &question : m_requests.takeQuestions()) {
+        send(question);
+    }
+    for (const auto &claim : m_owner.takeClaims()) {
+        send(claim);
+    }
+    for (const auto &decision : m_requests.takeDecisions()) {
+        if (auto waiting = m_waiting.extract(decision.request); !waiting.empty()) {
+            waiting.mapped()(decision);
+        }
+    }
+}
+
+void usage_caps::send(const usage_question &question)
+{
+    usage_request message;
+    message.source = static_cast<std::uint8_t>(question.source);
+    message.knownHosts = static_cast<std::uint32_t>(m_knownHosts);
+    for (const auto &item : question.items) {
+        message.organisations.push_back(item.organisation);
+        message.tokens.push_back(item.tokens);
+    }
+    const auto timeout = std::chrono::ceil<std::chrono::milliseconds>(question.timeout);
+    auto call = makeHostCall(question.address, requestPath, encode(message), timeout);
+    m_client.send(std::move(call), [this, id = question.id, size = question.items.size()](http_client::result result) {
+        const auto now = monotonic_clock::now();
+        const auto answer = result && result->status == 200
+            ? decode<usage_answer>(result->body)
+            : expected<usage_answer>(makeError(error_code::unreachable, "ask for tokens", "no answer"));
+        const bool complete =
+            answer && answer->results.size() == size && answer->tokens.size() == size && answer->retryAfter.size() == size;
+        if (!complete) {
+            m_requests.failed(id, now);
+            run();
+            return;
+        }
+        std::vector<usage_grant> grants;
+        for (std::size_t i = 0; i < size; ++i) {
+            const bool known = answer->results[i] <= static_cast<std::uint8_t>(usage_grant::kind::unavailable);
+            const auto kind = known ? static_cast<usage_grant::kind>(answer->results[i]) : usage_grant::kind::unavailable;
+            grants.push_back({kind, answer->tokens[i], std::max(std::chrono::microseconds(0), answer->retryAfter[i])});
+        }
+        m_requests.answered(id, grants, now);
+        run();
+    });
+}
+
+void usage_caps::send(const usage_claim &claim)
+{
+    const usage_takeover message{claim.organisation, static_cast<std::uint32_t>(m_knownHosts)};
+    auto call = makeHostCall(claim.address, takeoverPath, encode(message), m_fleet.times().notice);
+    m_client.send(std::move(call), [this, organisation = claim.organisation](http_client::result result) {
+        const auto now = monotonic_clock::now();
+        std::optional<usage_handover> handover;
+        if (result && result->status == 200) {
+            if (const auto answer = decode<usage_takeover_answer>(result->body)) {
+                m_fleet.hearOfHosts(answer->knownHosts, now);
+                handover = usage_handover{answer->stopped, answer->level, answer->share};
+            }
+        }
+        if (const auto cap = findCap(organisation)) {
+            m_owner.claimAnswered(*cap, handover, now);
+        }
+    });
+}
+
+void usage_caps::handleRequest(const http_request &request, http_exchange &exchange)
+{
+    const auto message = decode<usage_request>(request.body);
+    if (!message || message->organisations.size() != message->tokens.size()) {
+        exchange.respond(errorResponse(400, {error_code::malformed, "the message is not valid", "ask for tokens", request.remoteAddress}));
+        return;
+    }
+    const auto now = monotonic_clock::now();
+    m_fleet.hearOfHosts(message->knownHosts, now);
+    usage_answer answer;
+    for (std::size_t i = 0; i < message->organisations.size(); ++i) {
+        usage_grant grant;
+        const auto cap = findCap(message->organisations[i]);
+        if (cap && message->source == static_cast<std::uint8_t>(usage_source::owner)) {
+            grant = m_owner.request(*cap, message->tokens[i], now);
+        } else if (cap && message->source == static_cast<std::uint8_t>(usage_source::zone)) {
+            grant = m_owner.requestZoneReserve(*cap, now);
+        }
+        answer.results.push_back(static_cast<std::uint8_t>(grant.result));
+        answer.tokens.push_back(grant.tokens);
+        answer.retryAfter.push_back(grant.retryAfter);
+    }
+    exchange.respond({200, "application/msgpack", {}, encode(answer)});
+    run();
+}
+
+void usage_caps::handleTakeover(const http_request &request, http_exchange &exchange)
+{
+    const auto message = decode<usage_takeover>(request.body);
+    if (!message) {
+        exchange.respond(errorResponse(400, message.error()));
+        return;
+    }
+    const auto now = monotonic_clock::now();
+    m_fleet.hearOfHosts(message->knownHosts, now);
+    usage_takeover_answer answer;
+    answer.knownHosts = static_cast<std::uint32_t>(m_knownHosts);
+    if (const auto cap = findCap(message->organisation)) {
+        const auto handover = m_owner.claimReceived(*cap, now);
+        answer.stopped = handover.stopped;
+        answer.level = handover.level;
+        answer.share = handover.share;
+    }
+    exchange.respond({200, "application/msgpack", {}, encode(answer)});
+}
+
+} // namespace orioledrum
--- a/libs/limits/include/limits/usage_fleet.h
+++ b/libs/limits/include/limits/usage_fleet.h
@@ -4,6 +4,7 @@
 #include <base/monotonic_clock.h>
 #include <limits/limit_share.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -56,12 +57,18 @@
 class usage_fleet
 {
 public:
+    /// Time for which a number of hosts that was heard counts: as long as membership counts lost hosts.
+    static constexpr std::chrono::minutes heardHostsLife{2};
+
     usage_fleet(entry_host_id self, zone_id zone);
 
     /// Sets the known hosts, this one included. Hosts that were lost stay in the list as long as membership counts them.
     /// @param settled False while this host may not know the fleet.
     void update(std::vector<usage_host> hosts, bool settled, usage_fleet_times times, time_point now);
 
+    /// Takes over how many hosts another host knows. A host that starts on one side of a partition hears of the other side only so.
+    void hearOfHosts(std::size_t knownHosts, time_point now);
+
     /// Forgets since when hosts are known, after a pause of the process: others may have taken its organisations over.
     void restart(time_point now);
 
@@ -87,6 +94,8 @@
         time_point changedAt; ///< Time of the latest change of its state.
     };
 
+    /// @return The number of hosts among which a cap is divided.
+    [[nodiscard]] std::size_t hostCount() const { return std::max({std::size_t{1}, m_hosts.size(), m_heardHosts}); }
     [[nodiscard]] usage_place findPlace(const std::string &organisation) const;
 
     entry_host_id m_self;
@@ -95,6 +104,8 @@
     std::map<entry_host_id, known_host> m_hosts;
     std::optional<time_point> m_settledAt;
     std::size_t m_zoneCount = 1;
+    std::size_t m_heardHosts = 0; ///< Greatest number that another host knew.
+    time_point m_heardAt;
     mutable std::unordered_map<std::string, usage_place> m_places;
 };
 
--- a/libs/limits/src/usage_fleet.cpp
+++ b/libs/limits/src/usage_fleet.cpp
@@ -43,9 +43,21 @@
     }
     m_hosts = std::move(updated);
     m_zoneCount = std::max<std::size_t>(1, zones.size());
+    if (now - m_heardAt >= heardHostsLife) {
+        m_heardHosts = 0;
+    }
     m_places.clear();
 }
 
+void usage_fleet::hearOfHosts(std::size_t knownHosts, time_point now)
+{
+    if (knownHosts >= m_heardHosts || now - m_heardAt >= heardHostsLife) {
+        m_heardHosts = knownHosts;
+        m_heardAt = now;
+        m_places.clear();
+    }
+}
+
 void usage_fleet::restart(time_point now)
 {
     if (m_settledAt) {
@@ -82,7 +94,7 @@
         return left.weight != right.weight ? left.weight > right.weight : left.known->host.id < right.known->host.id;
     });
     usage_place place;
-    place.share.hosts = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(ranking.size()));
+    place.share.hosts = static_cast<std::uint32_t>(hostCount());
     place.certainFrom = settledAt();
     if (m_settledAt) {
         place.certainFrom += m_times.notice; // Until then, another host may act because it does not know this one.
@@ -127,7 +139,7 @@
         const auto &known = entry.second;
         return entry.first == m_self || (known.host.state != usage_host_state::lost && now - known.liveSince >= m_times.establish);
     });
-    return static_cast<double>(std::max<std::ptrdiff_t>(1, established)) / static_cast<double>(std::max<std::size_t>(1, m_hosts.size()));
+    return static_cast<double>(std::max<std::ptrdiff_t>(1, established)) / static_cast<double>(hostCount());
 }
 
 double usage_fleet::liveShare() const
@@ -135,7 +147,7 @@
     const auto live = std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto &entry) {
         return entry.first == m_self || entry.second.host.state != usage_host_state::lost;
     });
-    return static_cast<double>(std::max<std::ptrdiff_t>(1, live)) / static_cast<double>(std::max<std::size_t>(1, m_hosts.size()));
+    return static_cast<double>(std::max<std::ptrdiff_t>(1, live)) / static_cast<double>(hostCount());
 }
 
 } // namespace orioledrum
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -5,6 +5,7 @@
 #include <wire/order_messages.h>
 #include <wire/relay_messages.h>
 #include <wire/search_messages.h>
+#include <wire/usage_messages.h>
 
 #include <msgpack.hpp>
 
@@ -93,6 +94,26 @@
     visit(value.revision, value.confirmed, value.deferRemovals, value.pages, value.listPages);
 }
 template<typename Visitor>
+void visitFields(usage_request &value, Visitor &&visit)
+{
+    visit(value.source, value.knownHosts, value.organisations, value.tokens);
+}
+template<typename Visitor>
+void visitFields(usage_answer &value, Visitor &&visit)
+{
+    visit(value.results, value.tokens, value.retryAfter);
+}
+template<typename Visitor>
+void visitFields(usage_takeover &value, Visitor &&visit)
+{
+    visit(value.organisation, value.knownHosts);
+}
+template<typename Visitor>
+void visitFields(usage_takeover_answer &value, Visitor &&visit)
+{
+    visit(value.stopped, value.level, value.share, value.knownHosts);
+}
+template<typename Visitor>
 void visitFields(relay_shard &value, Visitor &&visit)
 {
     visit(value.end, value.signature, value.loadPercent);
@@ -388,6 +409,10 @@
 ORIOLEDRUM_INSTANTIATE_CODEC(relay_resume)
 ORIOLEDRUM_INSTANTIATE_CODEC(change_pull)
 ORIOLEDRUM_INSTANTIATE_CODEC(change_batch)
+ORIOLEDRUM_INSTANTIATE_CODEC(usage_request)
+ORIOLEDRUM_INSTANTIATE_CODEC(usage_answer)
+ORIOLEDRUM_INSTANTIATE_CODEC(usage_takeover)
+ORIOLEDRUM_INSTANTIATE_CODEC(usage_takeover_answer)
 ORIOLEDRUM_INSTANTIATE_CODEC(config_pull)
 ORIOLEDRUM_INSTANTIATE_CODEC(config_files_message)
 ORIOLEDRUM_INSTANTIATE_CODEC(host_list)
