Divide searches by the processor capacity of hosts

Urgent searches on hosts of 0.084 of a processor were gathered by one host alone, because less than 25 ms were left until their target, and parts had 15 or 16 shards whatever their hosts could do. A search of 90 shards takes such a host 140 ms.

Hosts now tell each other their capacity and use with the digests of membership; a host of an earlier version gets digests alone. Where the usual parts would take a fifth of the time until the target, the number of parts follows from the processor time of both sides, and the strongest hosts gather. Where capacities are not known or suffice, nothing changes.

--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -9,6 +9,7 @@
 #include <usage_caps.h>
 #include <wire/codec.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace orioledrum
@@ -21,6 +22,15 @@
 /// Timeout for the exchange of one heartbeat (a digest and its answer); the network delay between hosts is a few milliseconds.
 constexpr std::chrono::milliseconds digestTimeout{700};
 constexpr const char *digestPath = "/hosts/digest";
+constexpr const char *capacityDigestPath = "/hosts/capacity-digest";
+
+std::optional<std::uint32_t> millicores(const gateway_settings &settings)
+{
+    if (!settings.processorShare || !settings.processors) {
+        return std::nullopt;
+    }
+    return std::max(1U, static_cast<std::uint32_t>(*settings.processorShare * *settings.processors * 1000));
+}
 
 membership_settings makeSettings(const gateway_settings &settings, std::vector<std::string> seeds)
 {
@@ -45,6 +55,7 @@
     , m_reader(reader)
     , m_usage(usage)
     , m_membership(makeSettings(state.settings, std::move(seeds)), random_source::fromSystem(), monotonic_clock::now())
+    , m_capacities(state.settings.host, millicores(state.settings))
     , m_timer(state.context)
     , m_counter(monotonic_clock::now(), state.settings.extraCalls.slack, state.settings.extraCallWindow)
 {
@@ -68,6 +79,7 @@
 
 void host_link::tick()
 {
+    m_capacities.tick(monotonic_clock::now());
     apply(m_membership.tick(monotonic_clock::now()));
     updateSharingHosts();
     dropExpiredSearches(monotonic_clock::now());
@@ -152,7 +164,8 @@
 void host_link::updateRelays()
 {
     const auto view = m_membership.view();
-    if (view == m_relayView) {
+    const bool capacitiesChanged = m_capacities.takeChanged();
+    if (view == m_relayView && !capacitiesChanged) {
         return;
     }
     m_relayView = view;
@@ -160,7 +173,7 @@
     std::vector<std::string> zoneHosts;
     for (const auto &member : view->members) {
         if (member.state == host_state::live && !member.address.empty()) {
-            relays.push_back({member.address, member.zone});
+            relays.push_back({member.address, member.zone, m_capacities.of(member.host)});
             if (member.zone == m_state.settings.zone) {
                 zoneHosts.push_back(member.address);
             }
@@ -182,6 +195,33 @@
 }
 
 void host_link::send(const send_digest &action)
+{
+    if (!m_capacities.understands(action.address, monotonic_clock::now())) {
+        sendAlone(action);
+        return;
+    }
+    auto call = makeHostCall(action.address, capacityDigestPath, encode(m_capacities.addTo(action.message)), digestTimeout);
+    m_client.send(std::move(call), [this, action](http_client::result result) {
+        const auto now = monotonic_clock::now();
+        if (result && result->status == 400) {
+            m_capacities.refused(action.address, now); // A host of an earlier version does not know the path.
+            sendAlone(action);
+            return;
+        }
+        if (!result || result->status != 200) {
+            return; // Membership detects an unreachable host by its missing heartbeats.
+        }
+        const auto answer = decode<capacity_digest>(result->body);
+        if (!answer) {
+            m_state.log.write("hosts", "unreadableDigest", {{"error", answer.error().describe()}});
+            return;
+        }
+        m_capacities.merge(*answer);
+        apply(m_membership.receiveAnswer(answer->base, now));
+    });
+}
+
+void host_link::sendAlone(const send_digest &action)
 {
     auto call = makeHostCall(action.address, digestPath, encode(action.message), digestTimeout);
     m_client.send(std::move(call), [this](http_client::result result) {
@@ -219,15 +259,33 @@
         handleRelayResume(request, exchange);
         return;
     }
+    handleDigest(request, *exchange);
+}
+
+void host_link::handleDigest(const http_request &request, http_exchange &exchange)
+{
+    const auto now = monotonic_clock::now();
+    membership_actions actions;
+    if (request.path == capacityDigestPath) {
+        const auto message = decode<capacity_digest>(request.body);
+        if (!message) {
+            exchange.respond(errorResponse(400, message.error()));
+            return;
+        }
+        m_capacities.merge(*message);
+        auto answer = m_membership.receiveDigest(message->base, now, actions);
+        exchange.respond({200, "application/msgpack", {}, encode(m_capacities.addTo(std::move(answer)))});
+        apply(actions);
+        return;
+    }
     const auto message = request.path == digestPath ? decode<digest>(request.body)
                                                     : expected<digest>(makeError(error_code::malformed, "read digest", "unknown path"));
     if (!message) {
-        exchange->respond(errorResponse(400, message.error()));
+        exchange.respond(errorResponse(400, message.error()));
         return;
     }
-    membership_actions actions;
-    const auto answer = m_membership.receiveDigest(*message, monotonic_clock::now(), actions);
-    exchange->respond({200, "application/msgpack", {}, encode(answer)});
+    const auto answer = m_membership.receiveDigest(*message, now, actions);
+    exchange.respond({200, "application/msgpack", {}, encode(answer)});
     apply(actions);
 }
 
--- a/libs/gateway/src/host_link.h
+++ b/libs/gateway/src/host_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <host_capacities.h>
 #include <host_counter.h>
 #include <membership/membership.h>
 #include <transport/http_client.h>
@@ -55,6 +56,9 @@
     void tick();
     void apply(const membership_actions &actions);
     void send(const send_digest &action);
+    /// Sends a digest without capacities, to a host of an earlier version.
+    void sendAlone(const send_digest &action);
+    void handleDigest(const http_request &request, http_exchange &exchange);
     /// Passes the hosts that share limits to the registry when they have changed, and calls updateRelays().
     void updateSharingHosts();
     /// Passes the live hosts to the relay client and the publication reader when the membership view has changed.
@@ -65,6 +69,7 @@
     publication_reader &m_reader;
     usage_caps &m_usage;
     membership m_membership;
+    host_capacities m_capacities;
     std::shared_ptr<const membership_view> m_relayView; // View that was last passed to the relay client.
     std::unordered_map<std::uint64_t, std::shared_ptr<relayed_request>> m_relayedSearches; // By relay_search::token.
     asio::steady_timer m_timer;
--- a/libs/gateway/src/relay_client.cpp
+++ b/libs/gateway/src/relay_client.cpp
@@ -48,7 +48,7 @@
 relay_client::assigned_parts relay_client::assignParts(const std::vector<service_id> &shards, time_point targetTime, time_point now)
 {
     assigned_parts parts;
-    if (targetTime - now < minTimeLeft) {
+    if (targetTime <= now) {
         return parts;
     }
     std::vector<std::size_t> localZoneShards;
@@ -56,9 +56,9 @@
     for (std::size_t position = 0; position < shards.size(); ++position) {
         (m_registry.reachableIn(shards[position], m_registry.localZone(), now) ? localZoneShards : otherZoneShards).push_back(position);
     }
-    assignOtherZones(parts, shards, std::move(otherZoneShards), now);
-    if (localZoneShards.size() > maxShardsPerPart) {
-        assignShards(parts, shards, localZoneShards, {m_registry.localZone()}, now);
+    assignOtherZones(parts, shards, std::move(otherZoneShards), targetTime, now);
+    if (localZoneShards.size() > part_sizing::usualShardsPerPart) {
+        assignShards(parts, shards, localZoneShards, {m_registry.localZone()}, targetTime, now);
     }
     return parts;
 }
@@ -66,22 +66,23 @@
 void relay_client::assignOtherZones(assigned_parts &parts,
                                     const std::vector<service_id> &shards,
                                     std::vector<std::size_t> positions,
+                                    time_point targetTime,
                                     time_point now)
 {
     while (positions.size() >= minShards) {
         const auto covering = zonesCovering(shards, positions, now);
         if (!covering.empty()) {
-            assignShards(parts, shards, positions, covering, now);
+            assignShards(parts, shards, positions, covering, targetTime, now);
             return;
         }
         const auto zone = zoneCoveringMost(shards, positions, now);
-        if (positions.size() <= maxShardsPerPart || !zone) {
+        if (positions.size() <= part_sizing::usualShardsPerPart || !zone) {
             return;
         }
         const auto covered = std::stable_partition(positions.begin(), positions.end(), [&](std::size_t position) {
             return !m_registry.reachableIn(shards[position], *zone, now);
         });
-        assignShards(parts, shards, {covered, positions.end()}, {*zone}, now);
+        assignShards(parts, shards, {covered, positions.end()}, {*zone}, targetTime, now);
         positions.erase(covered, positions.end());
     }
 }
@@ -126,15 +127,21 @@
                                 const std::vector<service_id> &shards,
                                 const std::vector<std::size_t> &positions,
                                 const std::vector<zone_id> &zones,
+                                time_point targetTime,
                                 time_point now)
 {
     if (positions.size() < minShards) {
         return;
     }
-    const auto partCount = (positions.size() + maxShardsPerPart - 1) / maxShardsPerPart;
+    const auto timeLeft = std::chrono::duration_cast<std::chrono::microseconds>(targetTime - now);
+    const auto sizing = part_sizing::of(positions.size(), timeLeft, minTimeLeft, m_selector.freeCapacity(zones));
+    if (!sizing.delegates) {
+        return;
+    }
+    const auto partCount = (positions.size() + sizing.shardsPerPart - 1) / sizing.shardsPerPart;
     // All hosts divide the shards of a route into the same groups. A part is named after the group of its middle shard, so that it
     // keeps its name when some shards of a group are not in the part.
-    const auto groupCount = (shards.size() + maxShardsPerPart - 1) / maxShardsPerPart;
+    const auto groupCount = (shards.size() + part_sizing::usualShardsPerPart - 1) / part_sizing::usualShardsPerPart;
     std::vector<std::string> groupNames;
     for (std::size_t group = 0; group < groupCount; ++group) {
         groupNames.push_back(shards[group * shards.size() / groupCount].str());
@@ -147,7 +154,7 @@
         const auto first = positions.size() * i / partCount;
         const auto last = positions.size() * (i + 1) / partCount;
         const auto group = positions[(first + last) / 2] * groupCount / shards.size();
-        const auto host = m_selector.choose(zones, groupNames, group, now, usedAddresses);
+        const auto host = m_selector.choose(zones, groupNames, group, now, usedAddresses, sizing.strongHostsOnly);
         if (!host) {
             continue; // This host calls the backend servers of these shards itself.
         }
--- a/libs/gateway/src/relay_client.h
+++ b/libs/gateway/src/relay_client.h
@@ -21,7 +21,8 @@
 public:
     /// Minimum number of shards to delegate; with fewer, the extra hop costs more than the merge saves.
     static constexpr std::size_t minShards = 4;
-    /// Shards are only delegated when at least this much time is left until the target time of the search.
+    /// Shards are only delegated when at least this much time is left until the target time of the search, unless processor time decides;
+    /// see part_sizing.
     static constexpr std::chrono::milliseconds minTimeLeft{25};
     /// Minimum share, among the shards without a reachable backend server in this host's zone, that must have one in another zone before
     /// hosts of that zone are asked to gather them.
@@ -32,10 +33,6 @@
     ///     refused it; only meaningful without a result.
     using callback = std::function<void(std::optional<relay_result> result, bool notSent)>;
 
-    /// Maximum number of shards in a part. On a host limited to a quarter of a CPU core, a larger part takes about 10 ms to send
-    /// and another 10 ms to read.
-    static constexpr std::size_t maxShardsPerPart = 16;
-
     /// A part of a search and the host that gathers it.
     struct assigned_part {
         relay_part part;
@@ -52,12 +49,12 @@
     /// Decides which shards of a search other hosts gather.
     /// @param shards All shards of the search; each shard is a service.
     /// @param targetTime Target time of the search.
-    /// @return The delegated parts; empty when less than minTimeLeft is left. Shards without a reachable backend server in this
+    /// @return The delegated parts; empty when this host is as fast alone. Shards without a reachable backend server in this
     /// host's zone go to hosts in other zones that cover minZoneShare of them; when no zone does and they are more than
-    /// maxShardsPerPart, to hosts of the few zones that cover most of them. When more than maxShardsPerPart shards have a backend
-    /// server in this zone, they are divided among the hosts of the zone, and this host keeps the part that the relay_selector
-    /// assigns to it, if any. In both cases, fewer than minShards shards, and shards for which no host is available, stay with this
-    /// host.
+    /// part_sizing::usualShardsPerPart, to hosts of the few zones that cover most of them. When more than part_sizing::usualShardsPerPart
+    /// shards have a backend server in this zone, they are divided among the hosts of the zone, and this host keeps the part that the
+    /// relay_selector assigns to it, if any. In both cases, fewer than minShards shards, and shards for which no host is available, stay
+    /// with this host.
     [[nodiscard]] assigned_parts assignParts(const std::vector<service_id> &shards, time_point targetTime, time_point now);
 
     /// Sends a part of a search to another host.
@@ -88,9 +85,14 @@
                       const std::vector<service_id> &shards,
                       const std::vector<std::size_t> &positions,
                       const std::vector<zone_id> &zones,
+                      time_point targetTime,
                       time_point now);
     /// Assigns shards without a reachable backend server in this host's zone.
-    void assignOtherZones(assigned_parts &parts, const std::vector<service_id> &shards, std::vector<std::size_t> positions, time_point now);
+    void assignOtherZones(assigned_parts &parts,
+                          const std::vector<service_id> &shards,
+                          std::vector<std::size_t> positions,
+                          time_point targetTime,
+                          time_point now);
     /// @return The zone other than this host's in which most of the shards have a reachable backend server; nothing if none has one.
     [[nodiscard]] std::optional<zone_id>
     zoneCoveringMost(const std::vector<service_id> &shards, const std::vector<std::size_t> &positions, time_point now) const;
--- a/libs/search/include/search/relay_selector.h
+++ b/libs/search/include/search/relay_selector.h
@@ -3,6 +3,8 @@
 #include <base/ids.h>
 #include <base/monotonic_clock.h>
 #include <base/random_source.h>
+#include <search/part_sizing.h>
+#include <wire/control_messages.h>
 
 #include <chrono>
 #include <cstddef>
@@ -10,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -20,6 +23,10 @@
 struct relay_host {
     std::string address; ///< "ip:port" for traffic between entry hosts.
     zone_id zone;
+    host_capacity capacity{};
+
+    /// @return Thousandths of a processor that the host does not use; 0: not known.
+    [[nodiscard]] std::uint32_t freeMillicores() const;
 };
 
 /// Chooses the entry hosts that gather parts of a search. All hosts choose the same few hosts for a part, so that these keep connections
@@ -51,12 +58,18 @@
     ///     the same number of parts; the next ones replace candidates in backoff.
     /// @param part Position in partNames.
     /// @param used Addresses of hosts that already have a part of this search; chosen only when all candidates have one.
+    /// @param strongHostsOnly Only hosts with at least half of the greatest free capacity of their zone are candidates.
     /// @return The host, or nothing when there is none.
     [[nodiscard]] std::optional<relay_host> choose(const std::vector<zone_id> &zones,
                                                    const std::vector<std::string> &partNames,
                                                    std::size_t part,
                                                    time_point now,
-                                                   const std::vector<std::string> &used = {});
+                                                   const std::vector<std::string> &used = {},
+                                                   bool strongHostsOnly = false);
+
+    /// @param zones Availability zones of the hosts that may gather.
+    /// @return The capacities that part_sizing needs; 0 where a capacity is not known.
+    [[nodiscard]] free_capacity freeCapacity(const std::vector<zone_id> &zones) const;
 
     /// Counts a search that was sent to a host, until ended().
     void sent(const std::string &address);
@@ -75,6 +88,7 @@
 private:
     struct relay_state {
         zone_id zone;
+        std::uint32_t freeMillicores = 0; // 0: not known.
         std::chrono::milliseconds nextBackoff = initialBackoff;
         time_point backoffUntil;
         std::size_t outstanding = 0;
@@ -84,11 +98,12 @@
     /// The hosts of a zone in the order in which they are chosen for one part.
     struct part_ranking {
         std::size_t candidateCount = 0; // Number of hosts at the front that are candidates.
+        std::size_t strongCount = 0; // The hosts after these are candidates only when none of these is available.
         std::vector<relay_entry *> hosts;
     };
 
     /// @return The ranking for each part.
-    const std::vector<part_ranking> &rankings(const zone_id &zone, const std::vector<std::string> &partNames);
+    const std::vector<part_ranking> &rankings(const zone_id &zone, const std::vector<std::string> &partNames, bool strongHostsOnly);
     /// @return The candidates for a part that are not in backoff, without those in `used` unless there is no other.
     [[nodiscard]] static std::vector<relay_entry *>
     candidates(const part_ranking &ranking, time_point now, const std::vector<std::string> &used);
@@ -97,8 +112,8 @@
     random_source m_random;
     std::map<std::string, relay_state> m_hosts;
     std::map<zone_id, std::uint32_t> m_silentHosts; // Hosts of a zone that were silent since one of them answered.
-    // Rankings computed since the last setHosts(), by zone and names of the parts.
-    std::map<std::pair<zone_id, std::vector<std::string>>, std::vector<part_ranking>> m_rankings;
+    // Rankings computed since the last setHosts(), by zone, names of the parts and strongHostsOnly.
+    std::map<std::tuple<zone_id, std::vector<std::string>, bool>, std::vector<part_ranking>> m_rankings;
 };
 
 } // namespace orioledrum
--- a/libs/search/src/relay_selector.cpp
+++ b/libs/search/src/relay_selector.cpp
@@ -17,6 +17,14 @@
 
 } // namespace
 
+std::uint32_t relay_host::freeMillicores() const
+{
+    constexpr std::uint32_t wholePercent = 100;
+    const auto freePercent = wholePercent - std::min(wholePercent, capacity.usedPercent);
+    // A host in full use is still known.
+    return capacity.millicores == 0 ? 0 : std::max(1U, capacity.millicores * freePercent / wholePercent);
+}
+
 relay_selector::relay_selector(std::string self, random_source random)
     : m_self(std::move(self))
     , m_random(random)
@@ -33,21 +41,45 @@
             state = existing->second;
         }
         state.zone = host.zone;
+        state.freeMillicores = host.freeMillicores();
     }
     m_rankings.clear();
     m_hosts = std::move(updated);
 }
 
-const std::vector<relay_selector::part_ranking> &relay_selector::rankings(const zone_id &zone, const std::vector<std::string> &partNames)
+free_capacity relay_selector::freeCapacity(const std::vector<zone_id> &zones) const
+{
+    free_capacity result;
+    std::vector<std::uint32_t> values;
+    for (const auto &[address, state] : m_hosts) {
+        if (address == m_self) {
+            result.own = state.freeMillicores;
+        }
+        if (std::find(zones.begin(), zones.end(), state.zone) != zones.end() && state.freeMillicores > 0) {
+            values.push_back(state.freeMillicores);
+        }
+    }
+    if (values.empty()) {
+        return result;
+    }
+    std::sort(values.begin(), values.end());
+    result.typical = values[values.size() / 2];
+    result.strongest = values.back();
+    return result;
+}
+
+const std::vector<relay_selector::part_ranking> &
+relay_selector::rankings(const zone_id &zone, const std::vector<std::string> &partNames, bool strongHostsOnly)
 {
     if (m_rankings.size() >= maxRankings) {
         m_rankings.clear();
     }
-    const auto [found, created] = m_rankings.try_emplace({zone, partNames});
+    const auto [found, created] = m_rankings.try_emplace({zone, partNames, strongHostsOnly});
     if (!created) {
         return found->second;
     }
     struct ranked_host {
+        bool weak = false; // Not a candidate as long as there are others.
         std::size_t parts = 0; // Number of earlier parts for which it is a candidate.
         std::uint64_t weight = 0;
         relay_entry *entry = nullptr;
@@ -58,20 +90,27 @@
             hosts.push_back(&entry);
         }
     }
-    const auto hostCount = std::max<std::size_t>(1, hosts.size());
+    std::uint32_t strongest = 0;
+    for (const auto *entry : hosts) {
+        strongest = std::max(strongest, entry->second.freeMillicores);
+    }
+    const auto isWeak = [&](const relay_entry *entry) { return strongHostsOnly && entry->second.freeMillicores * 2 < strongest; };
+    const auto strongCount = hosts.size() - static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), isWeak));
+    const auto hostCount = std::max<std::size_t>(1, strongCount);
     const auto candidateCount = std::min(hostCount, std::max(minCandidates, (hostCount + partNames.size() - 1) / partNames.size()));
     std::map<const relay_entry *, std::size_t> partsOfHost;
     for (const auto &name : partNames) {
         std::vector<ranked_host> ranked;
         ranked.reserve(hosts.size());
         for (auto *entry : hosts) {
-            ranked.push_back({partsOfHost[entry], rendezvousWeight(name, entry->first), entry});
+            ranked.push_back({isWeak(entry), partsOfHost[entry], rendezvousWeight(name, entry->first), entry});
         }
         std::sort(ranked.begin(), ranked.end(), [](const ranked_host &left, const ranked_host &right) {
-            return std::tuple(left.parts, right.weight) < std::tuple(right.parts, left.weight);
+            return std::tuple(left.weak, left.parts, right.weight) < std::tuple(right.weak, right.parts, left.weight);
         });
         auto &ranking = found->second.emplace_back();
         ranking.candidateCount = candidateCount;
+        ranking.strongCount = strongCount;
         for (const auto &host : ranked) {
             if (ranking.hosts.size() < candidateCount) {
                 ++partsOfHost[host.entry];
@@ -86,9 +125,12 @@
 relay_selector::candidates(const part_ranking &ranking, time_point now, const std::vector<std::string> &used)
 {
     std::vector<relay_entry *> available;
-    for (auto *entry : ranking.hosts) {
-        if (available.size() < ranking.candidateCount && now >= entry->second.backoffUntil) {
-            available.push_back(entry);
+    for (std::size_t rank = 0; rank < ranking.hosts.size() && available.size() < ranking.candidateCount; ++rank) {
+        if (rank >= ranking.strongCount && !available.empty()) {
+            break;
+        }
+        if (now >= ranking.hosts[rank]->second.backoffUntil) {
+            available.push_back(ranking.hosts[rank]);
         }
     }
     const auto isUsed = [&](const relay_entry *entry) { return std::find(used.begin(), used.end(), entry->first) != used.end(); };
@@ -102,13 +144,14 @@
                                                  const std::vector<std::string> &partNames,
                                                  std::size_t part,
                                                  time_point now,
-                                                 const std::vector<std::string> &used)
+                                                 const std::vector<std::string> &used,
+                                                 bool strongHostsOnly)
 {
     // Choose a zone first and then a host in it, so that the backend servers of each zone get the same share of the work
     // however many hosts the zone has.
     std::vector<std::vector<relay_entry *>> candidatesByZone;
     for (const auto &zone : zones) {
-        auto zoneCandidates = candidates(rankings(zone, partNames)[part], now, used);
+        auto zoneCandidates = candidates(rankings(zone, partNames, strongHostsOnly)[part], now, used);
         if (!zoneCandidates.empty()) {
             candidatesByZone.push_back(std::move(zoneCandidates));
         }
--- a/libs/wire/include/wire/control_messages.h
+++ b/libs/wire/include/wire/control_messages.h
@@ -80,6 +80,21 @@
     std::vector<member_entry> members; ///< The newest entry of each host that the sender knows.
 };
 
+/// Processor capacity of a host and how much of it is in use.
+struct host_capacity {
+    std::uint32_t millicores = 0; ///< Thousandths of a processor that the host may use; 0: not known.
+    std::uint32_t usedPercent = 0; ///< Share of it that the host has used in the last seconds.
+
+    bool operator==(const host_capacity &) const = default;
+};
+
+/// A digest with the capacity of the hosts in it. A host of an earlier version knows only the digest alone.
+struct capacity_digest {
+    digest base;
+    host_capacity sender;
+    std::vector<host_capacity> members; ///< In the order of digest::members.
+};
+
 /// Asks a peer for a newer configuration.
 struct config_pull {
     revision_number knownRevision = 0; ///< Configuration revision of the asking host; 0 when it has no configuration.
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -195,6 +195,16 @@
     visit(value.sender, value.configRevision, value.configHash, value.configConfirmedAge, value.hostListRevision, value.members);
 }
 template<typename Visitor>
+void visitFields(host_capacity &value, Visitor &&visit)
+{
+    visit(value.millicores, value.usedPercent);
+}
+template<typename Visitor>
+void visitFields(capacity_digest &value, Visitor &&visit)
+{
+    visit(value.base, value.sender, value.members);
+}
+template<typename Visitor>
 void visitFields(config_pull &value, Visitor &&visit)
 {
     visit(value.knownRevision);
@@ -404,6 +414,7 @@
 ORIOLEDRUM_INSTANTIATE_CODEC(lease_batch)
 ORIOLEDRUM_INSTANTIATE_CODEC(lease_batch_answer)
 ORIOLEDRUM_INSTANTIATE_CODEC(digest)
+ORIOLEDRUM_INSTANTIATE_CODEC(capacity_digest)
 ORIOLEDRUM_INSTANTIATE_CODEC(relay_search)
 ORIOLEDRUM_INSTANTIATE_CODEC(relay_answer)
 ORIOLEDRUM_INSTANTIATE_CODEC(relay_resume)
