Take the processor time of a process from getrusage

A process clock that counts while the process waits showed all hosts in full use, so that no host counted as strong.

--- a/libs/base/src/processor_meter.cpp
+++ b/libs/base/src/processor_meter.cpp
@@ -1,7 +1,8 @@
 #include <base/processor_meter.h>
 
+#include <sys/resource.h>
+
 #include <algorithm>
-#include <ctime>
 
 namespace orioledrum
 {
@@ -31,9 +32,10 @@
 
 std::chrono::nanoseconds processor_meter::processTime()
 {
-    timespec spec{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &spec);
-    return std::chrono::seconds(spec.tv_sec) + std::chrono::nanoseconds(spec.tv_nsec);
+    rusage usage{};
+    ::getrusage(RUSAGE_SELF, &usage);
+    const auto toDuration = [](const timeval &time) { return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_usec); };
+    return toDuration(usage.ru_utime) + toDuration(usage.ru_stime);
 }
 
 } // namespace orioledrum
