--- a/libs/search/include/search/replica.h
+++ b/libs/search/include/search/replica.h
@@ -30,11 +30,13 @@
     [[nodiscard]] server_incarnation incarnation() const { return {startedAt, address}; }
 };
 
-/// Load that a backend server reports with an answer.
+/// Load that a backend server reports with an answer. A figure is empty when the backend server did not report it or it was not readable.
 struct replica_load {
-    std::uint32_t running = 0; ///< Requests being run.
-    std::uint32_t waiting = 0; ///< Requests queued.
-    std::uint32_t slots = 0; ///< Requests that can run concurrently.
+    std::optional<std::uint32_t> running = std::nullopt; ///< Requests being run.
+    std::optional<std::uint32_t> waiting = std::nullopt; ///< Requests queued.
+    std::optional<std::uint32_t> slots = std::nullopt; ///< Requests that can run concurrently.
+    std::optional<std::uint32_t> workTimePercent =
+        std::nullopt; ///< How long work takes there at present, as a percentage of the usual time.
 };
 
 /// How an attempt at a backend server ended.
--- a/libs/search/src/replica.cpp
+++ b/libs/search/src/replica.cpp
@@ -183,7 +183,8 @@
     if (!m_loadKnown || now - m_loadReportedAt > maxLoadAge) {
         return outstanding;
     }
-    const std::uint32_t total = m_load.running + m_load.waiting;
+    // An unknown figure adds nothing: like the outstanding calls of this host alone, the sum is then a lower bound.
+    const std::uint32_t total = m_load.running.value_or(0) + m_load.waiting.value_or(0);
     const std::uint32_t others = total > m_outstandingAtReport ? total - m_outstandingAtReport : 0;
     return outstanding + others;
 }
