Count concurrent calls with equal attempt numbers each

Each request numbers its attempts from 0, so concurrent requests of one host have calls with the same number at one backend server. The end of one removed all of them from replica's outstanding calls. The load, the age of the oldest call and the share of the connection limit were therefore too low as soon as a host had two requests in progress.

The call that was sent closest to the start of the ended one is now removed, and no other.

The effect on a deployment was not measured.

--- a/libs/search/include/search/replica.h
+++ b/libs/search/include/search/replica.h
@@ -196,6 +196,8 @@
     static std::chrono::microseconds overdueAge(std::chrono::microseconds expected);
     void backOff(time_point now); // Starts a backoff; the next one is twice as long, up to maxBackoff, unless a response arrives first.
     void recordResponse(time_point now);
+    // Removes the outstanding call with this number that was sent closest to the given time before now.
+    std::optional<outstanding_call> takeOutstanding(std::uint64_t attempt, std::chrono::microseconds latency, time_point now);
     [[nodiscard]] double statisticsWeight(time_point now) const; // Remaining weight of the statistics, 0 to 1.
 
     replica_entry m_entry;
--- a/libs/search/src/replica.cpp
+++ b/libs/search/src/replica.cpp
@@ -67,7 +67,7 @@
                         std::chrono::microseconds expectedLatency,
                         time_point now)
 {
-    std::erase_if(m_outstanding, [attempt](const outstanding_call &call) { return call.attempt == attempt; });
+    takeOutstanding(attempt, latency, now);
     // A search that ends cancels its calls. If those to a backend server that does not answer were not counted, each search would call it
     // first again.
     if (end == attempt_end::abandoned && latency <= overdueAge(expectedLatency)) {
@@ -95,6 +95,24 @@
     }
 }
 
+std::optional<replica::outstanding_call> replica::takeOutstanding(std::uint64_t attempt, std::chrono::microseconds latency, time_point now)
+{
+    // Each request numbers its attempts from 0, so concurrent requests have calls with the same number here.
+    auto found = m_outstanding.end();
+    for (auto each = m_outstanding.begin(); each != m_outstanding.end(); ++each) {
+        const auto distance = [&](const outstanding_call &call) { return std::chrono::abs(call.sentAt - (now - latency)); };
+        if (each->attempt == attempt && (found == m_outstanding.end() || distance(*each) < distance(*found))) {
+            found = each;
+        }
+    }
+    if (found == m_outstanding.end()) {
+        return std::nullopt;
+    }
+    const auto taken = *found;
+    m_outstanding.erase(found);
+    return taken;
+}
+
 bool replica::setQuietUntil(time_point until)
 {
     m_reopening = true;
