Use the learned load limits when a backend server is chosen

The expected time of a call, which decides the choice and the admission of searches, now uses the learned limit in place of the slots, the reported work time, and the lasting slowness that learned_limit finds. Response times are divided by the reported work time before they count as slowness, so that it is not counted twice. A backend server that only memory speaks against gets a probe at most once for 30 calls to its service. Connection limits, slots and cold rates are checked as before. replica_registry_settings::learnedLimits switches it off.

--- a/libs/search/include/search/replica.h
+++ b/libs/search/include/search/replica.h
@@ -4,7 +4,9 @@
 #include <base/monotonic_clock.h>
 #include <limits/cold_rate_limit.h>
 #include <search/call_suspension.h>
+#include <search/learned_limit.h>
 #include <search/server_incarnation.h>
+#include <search/work_time_estimate.h>
 
 #include <algorithm>
 #include <chrono>
@@ -83,7 +85,8 @@
     static constexpr std::chrono::milliseconds drainGracePeriod{800};
 
     /// @param gracePeriod Time during which it may be called while it drains, at most drainGracePeriod.
-    replica(replica_entry entry, time_point now, std::chrono::milliseconds gracePeriod = drainGracePeriod);
+    /// @param learns Whether it learns from answers how much load the backend server takes well, see learned_limit and work_time_estimate.
+    replica(replica_entry entry, time_point now, std::chrono::milliseconds gracePeriod = drainGracePeriod, bool learns = true);
 
     /// Applies an entry. After a restart (a new start time or address) the cold time is that of the entry, and the statistics, the reported
     /// load and the backoff are reset. Only an entry of a later incarnation ends a suspension, see server_incarnation::isAfter().
@@ -170,9 +173,24 @@
     /// latest report, unless it is older than maxLoadAge.
     [[nodiscard]] std::uint32_t load(time_point now) const;
 
-    /// @return Latency of recent calls as a multiple of the expected latency; 1 without recent calls.
+    /// @return Latency of recent calls as a multiple of the expected latency, without the work time that the backend server reports; 1
+    /// without recent calls, or what learned_limit has learned of a slow backend server.
     [[nodiscard]] double slowness(time_point now) const;
 
+    /// @return Calls at a time that the backend server takes well: the learned limit, at most its slots.
+    [[nodiscard]] double callsAtATime(time_point now) const;
+
+    /// @return Time that work takes there as a multiple of the usual time, by its reports; 1 when it reports none or this is switched off.
+    [[nodiscard]] double workTimeFactor(time_point now) const { return m_learns ? m_workTime.factor(now) : 1; }
+
+    /// @return What is learned of its load; null when this is switched off.
+    [[nodiscard]] learned_limit *learned() { return m_learns ? &m_learned : nullptr; }
+    [[nodiscard]] const learned_limit *learned() const { return m_learns ? &m_learned : nullptr; }
+
+    /// @return True when only something learned earlier speaks against calls: it is slow, and has not answered for longer than a spell of
+    /// slow work lasts. Whether it still is can be found out only by a call.
+    [[nodiscard]] bool slowByMemory(time_point now) const;
+
     /// @return Share of recent calls that ended other than `served`, 0 to 1. Abandoned calls that were not overdue are not counted.
     [[nodiscard]] double failureShare(time_point now) const;
 
@@ -181,7 +199,8 @@
     /// @param unqueuedLatency Latency of a call that does not wait in a queue.
     [[nodiscard]] std::chrono::microseconds latencyAtNormalSpeed(std::chrono::microseconds unqueuedLatency, time_point now) const;
 
-    /// @return Expected latency of a further call: latencyAtNormalSpeed() times the slowness, which counts as at least 0.5.
+    /// @return Expected latency of a further call: latencyAtNormalSpeed() times the reported work time and the slowness, which counts as at
+    /// least 0.5.
     /// @param unqueuedLatency Latency of a call that does not wait in a queue.
     [[nodiscard]] std::chrono::microseconds expectedTime(std::chrono::microseconds unqueuedLatency, time_point now) const;
 
@@ -190,14 +209,22 @@
         std::uint64_t attempt = 0;
         time_point sentAt;
         std::chrono::microseconds expected{0};
+        double queueFactor = 1; // See learned_limit::answer, like the two members below.
+        std::uint32_t load = 1;
+        bool loadReported = false;
     };
 
     /// @return Age above which a call with this expected latency is overdue.
     static std::chrono::microseconds overdueAge(std::chrono::microseconds expected);
     void backOff(time_point now); // Starts a backoff; the next one is twice as long, up to maxBackoff, unless a response arrives first.
     void recordResponse(time_point now);
+    [[nodiscard]] bool loadReported(time_point now) const { return m_loadKnown && now - m_loadReportedAt <= maxLoadAge; }
+    [[nodiscard]] std::uint32_t slots(time_point now) const; // By the entry; fewer while the backend server reports fewer.
+    // Latency of a call at normal speed as a multiple of its unqueued latency. @param load Calls at the backend server, this one included.
+    [[nodiscard]] double queueFactorOf(std::uint32_t load, time_point now) const;
     // Removes the outstanding call with this number that was sent closest to the given time before now.
     std::optional<outstanding_call> takeOutstanding(std::uint64_t attempt, std::chrono::microseconds latency, time_point now);
+    void learn(const outstanding_call &call, attempt_end end, std::chrono::microseconds latency, time_point now);
     [[nodiscard]] double statisticsWeight(time_point now) const; // Remaining weight of the statistics, 0 to 1.
 
     replica_entry m_entry;
@@ -220,6 +247,9 @@
     time_point m_lastResponseAt; // Latest answer to a call or probe, with any status.
     cold_rate_limit m_coldRate;
     call_suspension m_suspension;
+    bool m_learns;
+    work_time_estimate m_workTime;
+    learned_limit m_learned;
     bool m_reopening = false; // A quiet time was asked for, and no call has been served since.
 };
 
--- a/libs/search/include/search/replica_registry.h
+++ b/libs/search/include/search/replica_registry.h
@@ -38,6 +38,8 @@
     double otherZoneShare = 0.3;
     /// Time during which a draining backend server may be called, at most replica::drainGracePeriod.
     std::chrono::milliseconds drainGracePeriod = replica::drainGracePeriod;
+    /// Whether backend servers are compared by what this host has learned of their load, see learned_limit and work_time_estimate.
+    bool learnedLimits = true;
 };
 
 /// All backend servers that this host may call, by service. Not thread-safe.
@@ -119,6 +121,7 @@
     preferredReplicas(const service_id &service, const replica_preference &preference, std::uint32_t maxCount) const;
 
     /// Chooses the backend server with the lowest cost, which is the expected latency plus penalties and a small random jitter.
+    /// A backend server that is slow by what was learned earlier gets a call from time to time, see learned_limit::probeDue().
     /// If the backend server is cold, the call counts against its rate limit; at the limit, the next one by cost is chosen.
     /// @return The backend server, or null when no backend server may be called.
     [[nodiscard]] replica_ptr choose(const selection_criteria &criteria, time_point now);
@@ -167,6 +170,13 @@
     /// Calls `visit` for each service to which calls were decided.
     void visitAccounts(const std::function<void(const service_id &, const call_account &)> &visit) const;
 
+    /// Backend servers about which this host has learned something, see learned_limit.
+    struct learned_counts {
+        std::size_t slow = 0; ///< Slow compared with the others of their service.
+        std::size_t limited = 0; ///< Fewer calls at a time than slots.
+    };
+    [[nodiscard]] learned_counts learnedCounts(time_point now) const;
+
     [[nodiscard]] std::size_t size() const { return m_byId.size(); }
     [[nodiscard]] std::uint32_t hostCount() const { return m_hosts.hostCount(); }
     /// @return The backend servers of a service.
@@ -200,7 +210,15 @@
                                                                               const Filter &mayBeCalled) const;
     // Limit on the outstanding calls of this host to the candidate; SIZE_MAX if there is none.
     [[nodiscard]] std::size_t callLimit(const replica &candidate) const;
-    [[nodiscard]] std::chrono::microseconds cost(const replica &candidate, std::chrono::microseconds unqueuedLatency, time_point now) const;
+    // @param expected Expected latency without penalties.
+    [[nodiscard]] std::chrono::microseconds
+    cost(const replica &candidate, std::chrono::microseconds unqueuedLatency, std::chrono::microseconds expected, time_point now) const;
+    // Tells each backend server of a service how fast the others are.
+    static void comparePaces(const std::vector<replica_ptr> &servers, time_point now);
+    // Expected latency without penalties. A backend server that seems slow only by what was learned earlier counts as usual when a call
+    // should find out whether it still is; `probe` is then set.
+    static std::chrono::microseconds
+    expectedOrProbe(replica &candidate, std::chrono::microseconds unqueuedLatency, bool mayProbe, time_point now, bool &probe);
     // Counts a call against the rate limit if the candidate is cold; false when the limit is reached.
     [[nodiscard]] bool acquireColdPermit(replica &candidate, time_point now) const;
 
--- a/libs/search/src/replica.cpp
+++ b/libs/search/src/replica.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-replica::replica(replica_entry entry, time_point now, std::chrono::milliseconds gracePeriod)
+replica::replica(replica_entry entry, time_point now, std::chrono::milliseconds gracePeriod, bool learns)
     : m_entry(std::move(entry))
     , m_statisticsAt(now)
     , m_gracePeriod(std::min(gracePeriod, drainGracePeriod))
@@ -29,6 +29,7 @@
     , m_coldUntil(now + m_entry.coldRemaining)
     , m_backoffUntil(now)
     , m_suspension(m_entry.incarnation())
+    , m_learns(learns)
 {
 }
 
@@ -50,6 +51,8 @@
         m_logSlowness = 0;
         m_failureShare = 0;
         m_loadKnown = false;
+        m_workTime = {};
+        m_learned.reset();
         m_backoffUntil = now;
         m_nextBackoff = initialBackoff;
         m_unreachable = false;
@@ -58,7 +61,7 @@
 
 void replica::callSent(std::uint64_t attempt, std::chrono::microseconds expected, time_point now)
 {
-    m_outstanding.push_back({attempt, now, expected});
+    m_outstanding.push_back({attempt, now, expected, queueFactorOf(load(now) + 1, now), load(now) + 1, loadReported(now)});
 }
 
 void replica::callEnded(std::uint64_t attempt,
@@ -67,22 +70,25 @@
                         std::chrono::microseconds expectedLatency,
                         time_point now)
 {
-    takeOutstanding(attempt, latency, now);
+    const auto ended = takeOutstanding(attempt, latency, now);
+    if (m_learns && ended && !cold(ended->sentAt) && !cold(now)) {
+        learn(*ended, end, latency, now);
+    }
     // A search that ends cancels its calls. If those to a backend server that does not answer were not counted, each search would call it
     // first again.
     if (end == attempt_end::abandoned && latency <= overdueAge(expectedLatency)) {
         return;
     }
-    const double weight = statisticsWeight(now);
-    m_logSlowness *= weight;
-    m_failureShare *= weight;
+    m_logSlowness = std::log2(slowness(now));
+    m_failureShare = failureShare(now);
     m_statisticsAt = now;
     const bool answered = end == attempt_end::served;
     m_reopening = m_reopening && !(answered && !m_suspension.active(now));
     m_failureShare += ((answered ? 0.0 : 1.0) - m_failureShare) * failureWeight;
     if (answered || end == attempt_end::timedOut) {
-        const double sample =
-            expectedLatency.count() > 0 ? static_cast<double>(latency.count()) / static_cast<double>(expectedLatency.count()) : 1;
+        // What the reported work time explains is no slowness of its own; expectedTime() would count it twice.
+        const double expected = static_cast<double>(expectedLatency.count()) * workTimeFactor(now);
+        const double sample = expected > 0 ? static_cast<double>(latency.count()) / expected : 1;
         m_logSlowness += (std::log2(std::clamp(sample, minSlownessSample, maxSlownessSample)) - m_logSlowness) * slownessWeight;
     }
     if (end == attempt_end::unreachable) {
@@ -113,6 +119,32 @@
     return taken;
 }
 
+void replica::learn(const outstanding_call &call, attempt_end end, std::chrono::microseconds latency, time_point now)
+{
+    if (end == attempt_end::shed) {
+        m_learned.refused(call.load, slots(now), now);
+        return;
+    }
+    const auto expected = static_cast<double>(call.expected.count()) * workTimeFactor(now);
+    const double slowness = expected > 0 ? static_cast<double>(latency.count()) / expected : 1;
+    // A cancelled call would have taken at least this long, which says something only when that is long.
+    const bool tooLong = end == attempt_end::timedOut || (end == attempt_end::abandoned && slowness >= learned_limit::slowThreshold);
+    if (end != attempt_end::served && !tooLong) {
+        return;
+    }
+    const bool wasSlow = m_learned.slow();
+    // A queue that this host did not know, or that has grown since the call was sent, explains the latency as well.
+    const auto reported = loadReported(now) ? m_load.running.value_or(0) + m_load.waiting.value_or(0) + 1 : 0;
+    const auto load = std::max(call.load, reported);
+    const double queueFactor = std::max(call.queueFactor, queueFactorOf(load, now));
+    // The calls of this host alone say nothing about the limit of a backend server of which more could be known.
+    const bool loadKnown = call.loadReported || !m_loadKnown;
+    m_learned.answered({slowness * call.queueFactor, queueFactor, loadKnown ? load : 0, call.loadReported}, slots(now), now);
+    if (wasSlow && !m_learned.slow()) {
+        m_logSlowness = 0; // From before the recovery.
+    }
+}
+
 bool replica::setQuietUntil(time_point until)
 {
     m_reopening = true;
@@ -131,6 +163,9 @@
     m_outstandingAtReport = static_cast<std::uint32_t>(m_outstanding.size());
     m_loadReportedAt = now;
     m_loadKnown = true;
+    if (load.workTimePercent) {
+        m_workTime.reported(*load.workTimePercent, !cold(now), now);
+    }
 }
 
 void replica::setCold(std::chrono::milliseconds remaining, time_point now)
@@ -198,7 +233,7 @@
 std::uint32_t replica::load(time_point now) const
 {
     const auto outstanding = static_cast<std::uint32_t>(m_outstanding.size());
-    if (!m_loadKnown || now - m_loadReportedAt > maxLoadAge) {
+    if (!loadReported(now)) {
         return outstanding;
     }
     // An unknown figure adds nothing: like the outstanding calls of this host alone, the sum is then a lower bound.
@@ -215,7 +250,31 @@
 
 double replica::slowness(time_point now) const
 {
-    return std::exp2(m_logSlowness * statisticsWeight(now));
+    const double lasting = m_learns ? m_learned.logSlowness() : 0;
+    return std::exp2(lasting + (m_logSlowness - lasting) * statisticsWeight(now));
+}
+
+bool replica::slowByMemory(time_point now) const
+{
+    return m_learns && now - m_lastResponseAt > work_time_estimate::spellLength
+        && m_workTime.factor(now) * std::exp2(m_learned.logSlowness()) >= learned_limit::slowThreshold;
+}
+
+std::uint32_t replica::slots(time_point now) const
+{
+    const auto published = std::max(1U, m_entry.slots);
+    return loadReported(now) && m_load.slots ? std::clamp(*m_load.slots, 1U, published) : published;
+}
+
+double replica::callsAtATime(time_point now) const
+{
+    return m_learns ? m_learned.limit(slots(now), now) : std::max(1U, m_entry.slots);
+}
+
+double replica::queueFactorOf(std::uint32_t load, time_point now) const
+{
+    const double limit = callsAtATime(now);
+    return 1 + std::max(0.0, load - limit) / limit;
 }
 
 double replica::failureShare(time_point now) const
@@ -225,15 +284,14 @@
 
 std::chrono::microseconds replica::latencyAtNormalSpeed(std::chrono::microseconds unqueuedLatency, time_point now) const
 {
-    const double slots = std::max(1U, m_entry.slots);
-    const double waiting = std::max(0.0, load(now) + 1.0 - slots);
-    return std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(unqueuedLatency.count()) * (1 + waiting / slots)));
+    return std::chrono::microseconds(
+        static_cast<std::int64_t>(static_cast<double>(unqueuedLatency.count()) * queueFactorOf(load(now) + 1, now)));
 }
 
 std::chrono::microseconds replica::expectedTime(std::chrono::microseconds unqueuedLatency, time_point now) const
 {
     const auto atNormalSpeed = static_cast<double>(latencyAtNormalSpeed(unqueuedLatency, now).count());
-    return std::chrono::microseconds(static_cast<std::int64_t>(atNormalSpeed * std::max(0.5, slowness(now))));
+    return std::chrono::microseconds(static_cast<std::int64_t>(atNormalSpeed * workTimeFactor(now) * std::max(0.5, slowness(now))));
 }
 
 } // namespace orioledrum
--- a/libs/search/src/replica_registry.cpp
+++ b/libs/search/src/replica_registry.cpp
@@ -3,6 +3,7 @@
 #include <base/rendezvous.h>
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <unordered_set>
 #include <utility>
@@ -29,7 +30,7 @@
         eraseReplica(backend_id(found->first), now);
     }
     const auto id = entry.id;
-    auto added = std::make_shared<replica>(std::move(entry), now, gracePeriod);
+    auto added = std::make_shared<replica>(std::move(entry), now, gracePeriod, m_settings.learnedLimits);
     if (const auto removed = m_suspended.find(id); removed != m_suspended.end()) {
         if (!added->entry().incarnation().isAfter(removed->second.suspension.incarnation())) {
             added->restoreSuspension(removed->second.suspension);
@@ -206,9 +207,54 @@
     return evenPart >= minCallLimit ? evenPart : std::max(1U, m_hosts.shareOf(candidate.entry()).divide(connections, minCallLimit));
 }
 
-std::chrono::microseconds replica_registry::cost(const replica &candidate, std::chrono::microseconds unqueuedLatency, time_point now) const
+void replica_registry::comparePaces(const std::vector<replica_ptr> &servers, time_point now)
 {
-    auto cost = candidate.expectedTime(unqueuedLatency, now);
+    std::vector<double> paces;
+    for (const auto &server : servers) {
+        const auto *learned = server->learned();
+        if (learned == nullptr) {
+            return;
+        }
+        // A slow one says nothing about what is usual, unless all are.
+        if (const auto pace = learned->slow() ? std::nullopt : learned->pace(now)) {
+            paces.push_back(*pace);
+        }
+    }
+    if (paces.size() < 2) {
+        return; // With nothing to compare with, the latest comparison stays.
+    }
+    std::sort(paces.begin(), paces.end());
+    for (const auto &server : servers) {
+        const auto own = server->learned()->slow() ? std::nullopt : server->learned()->pace(now);
+        // The lower median of the others: a single slow one does not make another slow one usual.
+        auto middle = (paces.size() - 1) / 2;
+        if (own) {
+            middle = (paces.size() - 2) / 2;
+            middle += *own <= paces[middle] ? 1 : 0;
+        }
+        server->learned()->setUsualPace(paces[middle]);
+    }
+}
+
+std::chrono::microseconds
+replica_registry::expectedOrProbe(replica &candidate, std::chrono::microseconds unqueuedLatency, bool mayProbe, time_point now, bool &probe)
+{
+    if (mayProbe && candidate.slowByMemory(now)) {
+        candidate.learned()->passedBy();
+        if (candidate.outstandingCalls() == 0 && candidate.learned()->probeDue(now)) {
+            probe = true;
+            return candidate.latencyAtNormalSpeed(unqueuedLatency, now);
+        }
+    }
+    return candidate.expectedTime(unqueuedLatency, now);
+}
+
+std::chrono::microseconds replica_registry::cost(const replica &candidate,
+                                                 std::chrono::microseconds unqueuedLatency,
+                                                 std::chrono::microseconds expected,
+                                                 time_point now) const
+{
+    auto cost = expected;
     if (candidate.entry().zone != m_settings.localZone) {
         const auto share = static_cast<double>(unqueuedLatency.count()) * m_settings.otherZoneShare;
         cost += std::max(m_settings.otherZonePenalty, std::chrono::microseconds(static_cast<std::int64_t>(share)));
@@ -254,8 +300,11 @@
     struct candidate {
         std::chrono::microseconds cost;
         replica_ptr server;
+        bool probe;
     };
     std::vector<candidate> candidates;
+    comparePaces(found->second.replicas, now);
+    const bool firstCall = (criteria.tried == nullptr || criteria.tried->empty()) && !criteria.requireFreeSlot;
     for (const auto &server : found->second.replicas) {
         if (criteria.allowed != nullptr
             && std::find(criteria.allowed->begin(), criteria.allowed->end(), server) == criteria.allowed->end()) {
@@ -266,18 +315,24 @@
         if (tried != criteria.reuseTried || !callable(*server, now)) {
             continue;
         }
-        if (criteria.requireFreeSlot && (server->load(now) >= server->entry().slots || server->paused(now))) {
+        if (criteria.requireFreeSlot
+            && (static_cast<double>(server->load(now)) >= std::round(server->callsAtATime(now)) || server->paused(now))) {
             continue;
         }
         // Jitter of up to 10% of the latency in both directions, so that hosts with the same view do not all choose the same
         // backend server.
         const auto jitter =
             static_cast<std::int64_t>(static_cast<double>(criteria.unqueuedLatency.count()) * 0.2 * (m_random.nextDouble() - 0.5));
-        candidates.push_back({cost(*server, criteria.unqueuedLatency, now) + std::chrono::microseconds(jitter), server});
+        bool probe = false;
+        const auto expected = expectedOrProbe(*server, criteria.unqueuedLatency, firstCall, now, probe);
+        candidates.push_back({cost(*server, criteria.unqueuedLatency, expected, now) + std::chrono::microseconds(jitter), server, probe});
     }
     std::sort(candidates.begin(), candidates.end(), [](const candidate &a, const candidate &b) { return a.cost < b.cost; });
     for (const auto &each : candidates) {
         if (acquireColdPermit(*each.server, now)) {
+            if (each.probe) {
+                each.server->learned()->probeSent(now);
+            }
             return each.server;
         }
     }
@@ -438,6 +493,18 @@
     return due;
 }
 
+replica_registry::learned_counts replica_registry::learnedCounts(time_point now) const
+{
+    learned_counts counts;
+    for (const auto &[id, server] : m_byId) {
+        if (const auto *learned = server->learned()) {
+            counts.slow += learned->slow() ? 1 : 0;
+            counts.limited += learned->limit(server->entry().slots, now) < server->entry().slots ? 1 : 0;
+        }
+    }
+    return counts;
+}
+
 std::vector<replica_registry::replica_ptr> replica_registry::replicas(const service_id &service) const
 {
     const auto found = m_services.find(service);
--- a/libs/search/tests/test_replica.cpp
+++ b/libs/search/tests/test_replica.cpp
@@ -36,3 +36,21 @@
     EXPECT_EQ(server.outstandingCalls(), 2U);
     EXPECT_TRUE(server.paused(start + milliseconds(45))) << "the oldest call was removed in place of the one that ended";
 }
+
+// Guards against a reported work time that is counted twice, once as reported and once as slowness of the calls that it made slow, and
+// against an old figure that still decides.
+TEST(ReplicaTest, aReportedWorkTimeIsCountedOnceAndLosesItsWeight)
+{
+    auto server = makeReplica();
+    auto now = start;
+    for (std::uint64_t call = 0; call < 20; ++call) {
+        const auto expected = server.latencyAtNormalSpeed(usualLatency, now);
+        server.callSent(call, expected, now);
+        now += usualLatency * 5 / 2;
+        server.setReportedLoad({1, 0, 2, 250}, now);
+        server.callEnded(call, attempt_end::served, usualLatency * 5 / 2, expected, now);
+    }
+    EXPECT_NEAR(static_cast<double>(server.expectedTime(usualLatency, now).count()), 25'000, 500);
+    // One spell, long over: the prior of three usual figures outweighs it.
+    EXPECT_LT(server.expectedTime(usualLatency, now + milliseconds(700)), usualLatency * 3 / 2);
+}
