Show operators which backend servers are learned to be slow

The setting learnedLimits now reaches the registry. The log lines serverSlow and serverRecovered and the metrics orioledrum_backend_servers_slow and orioledrum_backend_servers_limited show what a host has learned.

gatewayd builds and test_gateway passes (33 tests). The lines and metrics were not checked on running processes.

--- a/libs/gateway/src/backend_caller.cpp
+++ b/libs/gateway/src/backend_caller.cpp
@@ -5,6 +5,7 @@
 #include <logging/event_log.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace orioledrum
@@ -151,7 +152,18 @@
     if (closeIdle) {
         m_client.closeIdleConnections(call.server->entry().address);
     }
+    const auto *learned = call.server->learned();
+    const bool wasSlow = learned != nullptr && learned->slow();
     call.server->callEnded(call.attempt, outcome.end, outcome.latency, call.expectedLatency, now);
+    if (learned != nullptr && learned->slow() != wasSlow) {
+        m_log.writeRequest("calls",
+                           wasSlow ? "serverRecovered" : "serverSlow",
+                           now,
+                           {{"id", call.request->requestId},
+                            {"server", call.server->entry().id.str()},
+                            {"service", call.server->entry().service.str()},
+                            {"percent", static_cast<std::int64_t>(100 * std::exp2(learned->logSlowness()))}});
+    }
     m_metrics.callEnded(outcome.end, outcome.latency);
     done(std::move(outcome), std::move(reply));
 }
--- a/libs/gateway/src/gateway_metrics.cpp
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -107,6 +107,10 @@
                            "Age of the state read from the platform at the latest read or answer; -1 before the first list");
     m_configVersion = makeGauge(registry, "orioledrum_config_version", "Version of the active route table; 0 before the first");
     m_backendServers = makeGauge(registry, "orioledrum_backend_servers", "Backend servers with a published entry");
+    m_slowServers =
+        makeGauge(registry, "orioledrum_backend_servers_slow", "Backend servers that are slow compared with the others of their service");
+    m_limitedServers =
+        makeGauge(registry, "orioledrum_backend_servers_limited", "Backend servers whose learned limit is below their slots");
     m_hosts = makeGauge(registry, "orioledrum_hosts", "Entry hosts that share limits, this one included");
     m_ready = makeGauge(registry, "orioledrum_ready", "1 while this host reports itself ready");
     m_platformReadFailures = makeCounter(registry, "orioledrum_platform_read_failures_total", "Failed reads of the platform's store");
@@ -176,6 +180,12 @@
     m_backendServers->Set(static_cast<double>(count));
 }
 
+void gateway_metrics::setLearnedLimits(std::size_t slow, std::size_t limited)
+{
+    m_slowServers->Set(static_cast<double>(slow));
+    m_limitedServers->Set(static_cast<double>(limited));
+}
+
 void gateway_metrics::setHosts(std::size_t count)
 {
     m_hosts->Set(static_cast<double>(count));
--- a/libs/gateway/src/gateway_metrics.h
+++ b/libs/gateway/src/gateway_metrics.h
@@ -49,6 +49,8 @@
     /// first list.
     void setStateAge(std::optional<std::chrono::nanoseconds> age);
     void setBackendServers(std::size_t count);
+    /// @param slow Backend servers that this host has learned to be slow. @param limited Those with a learned limit below their slots.
+    void setLearnedLimits(std::size_t slow, std::size_t limited);
     /// @param count Entry hosts that share limits, or the number assumed while others may be unknown, see host_counter::assumedHosts.
     void setHosts(std::size_t count);
     void setReady(bool ready);
@@ -74,6 +76,8 @@
     prometheus::Gauge *m_configVersion;
     prometheus::Gauge *m_stateAge;
     prometheus::Gauge *m_backendServers;
+    prometheus::Gauge *m_slowServers;
+    prometheus::Gauge *m_limitedServers;
     prometheus::Gauge *m_hosts;
     prometheus::Gauge *m_ready;
     prometheus::Counter *m_platformReadFailures;
--- a/libs/gateway/src/gateway_state.cpp
+++ b/libs/gateway/src/gateway_state.cpp
@@ -21,6 +21,7 @@
     result.extraCalls = settings.extraCalls;
     result.coldFactor = settings.coldFactor;
     result.coldSlack = settings.coldSlack;
+    result.learnedLimits = settings.learnedLimits;
     result.drainGracePeriod = settings.drainTime / drainTimePerGracePeriod;
     return result;
 }
--- a/libs/gateway/src/status_handler.cpp
+++ b/libs/gateway/src/status_handler.cpp
@@ -24,6 +24,8 @@
         http_response response;
         response.contentType = "text/plain; version=0.0.4";
         m_state.metrics.setBackendServers(m_state.registry.size());
+        const auto learned = m_state.registry.learnedCounts(monotonic_clock::now());
+        m_state.metrics.setLearnedLimits(learned.slow, learned.limited);
         m_state.metrics.setHosts(m_state.registry.hostCount());
         m_state.metrics.setReady(ready());
         m_state.metrics.setOmittedLines(m_state.log.omitted());
