--- a/libs/gateway/include/gateway/change_follower.h
+++ b/libs/gateway/include/gateway/change_follower.h
@@ -3,6 +3,7 @@
 #include <base/error.h>
 #include <base/monotonic_clock.h>
 #include <gateway/published_change.h>
+#include <gateway/published_revision.h>
 
 #include <chrono>
 #include <cstdint>
@@ -54,20 +55,32 @@
     /// @return The read to start next.
     [[nodiscard]] source_read nextRead() const;
 
+    /// Takes the era of an answer of the source, before readCompleted(). A new era means that the source has come back with an older copy
+    /// of its state, so that its revisions cannot be compared with those read before.
+    /// @param page The answer.
+    /// @param read The read that it answers.
+    /// @return The page; historyLost when its era is new, unless it is the first page of the list, so that the full list is read;
+    /// notReady when its era is older than one seen before.
+    expected<change_page> checkEra(change_page &&page, const source_read &read);
+
     /// Takes the result of the read that nextRead() returned.
     /// @return The changes to apply. Pages of the full list are collected and returned together with the last page; when the list is read
     /// again, the routes and the excluded zones of earlier pages are also returned at once.
     follower_update readCompleted(expected<change_page> &&page, time_point now);
 
     /// Takes a full list that another host has read.
-    /// @param revision Revision of the list; an older one than revision() is ignored.
+    /// @param revision Revision of the list; an older one than position() is ignored.
     /// @return The changes to apply.
-    follower_update listReceived(std::vector<published_change> &&changes, std::uint64_t revision);
+    follower_update listReceived(std::vector<published_change> &&changes, const published_revision &revision);
 
     /// @return True once the full list has been read for the first time.
     [[nodiscard]] bool synchronized() const { return m_synchronized; }
     /// @return The revision up to which all changes were read.
-    [[nodiscard]] std::uint64_t revision() const { return m_revision; }
+    [[nodiscard]] std::uint64_t revision() const { return m_position.number; }
+    /// @return The same with its era.
+    [[nodiscard]] const published_revision &position() const { return m_position; }
+    /// @return The newest era that was seen; that of position() unless the list is being read because of a new one.
+    [[nodiscard]] const std::optional<std::uint64_t> &latestEra() const { return m_latestEra; }
     /// @return The number of consecutive failed reads; reads that are followed by one of the full list at once are
     /// not counted.
     [[nodiscard]] std::uint32_t failures() const { return m_failures; }
@@ -79,7 +92,8 @@
     std::string m_pageToken;
     std::uint64_t m_listRevision = 0; // Revision of the first page: changes made while later pages were read are read again.
     std::vector<published_change> m_listedChanges;
-    std::uint64_t m_revision = 0;
+    published_revision m_position;
+    std::optional<std::uint64_t> m_latestEra;
     std::uint32_t m_failures = 0;
     bool m_lastReadHadChanges = false;
     std::chrono::milliseconds m_batchDelay{0}; // Delay after the latest read with changes.
--- a/libs/gateway/include/gateway/published_change.h
+++ b/libs/gateway/include/gateway/published_change.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -48,6 +49,7 @@
 struct change_page {
     std::vector<published_change> changes;
     std::uint64_t revision = 0; ///< The page covers all changes up to this revision.
+    std::optional<std::uint64_t> era; ///< Era of `revision`, see published_revision. Not set by decode() and decodeList().
     std::string nextPageToken; ///< Passed to change_source::list() for the next page; empty on the last one.
     /// The page in the encoding of the source, for change_source::decode() or decodeList() on another host.
     std::string encoded;
--- a/libs/gateway/src/change_follower.cpp
+++ b/libs/gateway/src/change_follower.cpp
@@ -17,7 +17,7 @@
     source_read read;
     read.listPage = m_listing;
     read.pageToken = m_pageToken;
-    read.after = m_revision;
+    read.after = m_position.number;
     read.wait = m_listing ? std::chrono::milliseconds(0) : m_settings.wait;
     read.timeout = read.wait + m_settings.answerTimeout;
     if (m_listing) {
@@ -33,6 +33,19 @@
     return read;
 }
 
+expected<change_page> change_follower::checkEra(change_page &&page, const source_read &read)
+{
+    if (page.era < m_latestEra) {
+        return makeError(error_code::notReady, "read changes", "the answer is of an older era of the source");
+    }
+    const bool isNew = m_latestEra < page.era;
+    m_latestEra = page.era;
+    if (isNew && !(read.listPage && read.pageToken.empty())) {
+        return makeError(error_code::historyLost, "read changes", "the source has come back with older state");
+    }
+    return std::move(page);
+}
+
 follower_update change_follower::readCompleted(expected<change_page> &&page, time_point now)
 {
     follower_update update;
@@ -62,7 +75,7 @@
     update.reconnected = m_failures > 0;
     m_failures = 0;
     if (!m_listing) {
-        m_revision = std::max(m_revision, page->revision);
+        m_position.number = std::max(m_position.number, page->revision);
         update.changes = std::move(page->changes);
         return update;
     }
@@ -84,21 +97,22 @@
     }
     m_listing = false;
     m_synchronized = true;
-    m_revision = m_listRevision;
+    m_position = {m_latestEra, m_listRevision};
     update.isFullSnapshot = true;
     update.changes = std::exchange(m_listedChanges, {});
     return update;
 }
 
-follower_update change_follower::listReceived(std::vector<published_change> &&changes, std::uint64_t revision)
+follower_update change_follower::listReceived(std::vector<published_change> &&changes, const published_revision &revision)
 {
     follower_update update;
-    if (revision < m_revision) {
+    if (revision < m_position) {
         return update;
     }
     update.reconnected = m_failures > 0;
     m_failures = 0;
-    m_revision = revision;
+    m_position = revision;
+    m_latestEra = std::max(m_latestEra, revision.era);
     update.isFullSnapshot = true;
     update.changes = std::move(changes);
     return update;
--- a/libs/gateway/src/change_journal.cpp
+++ b/libs/gateway/src/change_journal.cpp
@@ -6,14 +6,15 @@
 namespace orioledrum
 {
 
-void change_journal::restart(std::uint64_t revision, std::vector<std::string> listPages)
+void change_journal::restart(const published_revision &revision, std::vector<std::string> listPages)
 {
     m_listPages = std::move(listPages);
     m_restartedAt.reset();
     m_entries.clear();
     m_bytes = 0;
-    m_start = revision;
-    m_revision = revision;
+    m_era = revision.era;
+    m_start = revision.number;
+    m_revision = revision.number;
 }
 
 void change_journal::add(std::uint64_t revision, std::string page, time_point now)
@@ -42,14 +43,14 @@
     }
 }
 
-std::optional<std::vector<std::string>> change_journal::pagesAfter(std::uint64_t revision) const
+std::optional<std::vector<std::string>> change_journal::pagesAfter(const published_revision &revision) const
 {
-    if (revision < m_start) {
+    if (revision.era != m_era || revision.number < m_start) {
         return std::nullopt;
     }
     std::vector<std::string> pages;
     for (const auto &entry : m_entries) {
-        if (entry.revision > revision) {
+        if (entry.revision > revision.number) {
             pages.push_back(entry.page);
         }
     }
--- a/libs/gateway/src/change_journal.h
+++ b/libs/gateway/src/change_journal.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/monotonic_clock.h>
+#include <gateway/published_revision.h>
 
 #include <chrono>
 #include <cstddef>
@@ -25,24 +26,24 @@
     /// Discards all pages, after a read of the full list.
     /// @param revision Revision of the list.
     /// @param listPages The pages of the list, if this host has them.
-    void restart(std::uint64_t revision, std::vector<std::string> listPages = {});
+    void restart(const published_revision &revision, std::vector<std::string> listPages = {});
 
     /// Adds a page of changes, or advances the revision when `page` is empty.
-    /// @param revision The page contains all changes after revision() up to this one.
+    /// @param revision The page contains all changes after revision() up to this one, in the same era.
     void add(std::uint64_t revision, std::string page, time_point now);
 
     /// @return The pages that contain all changes after a revision, and possibly earlier ones; nothing when the journal does not
-    /// reach back that far.
-    [[nodiscard]] std::optional<std::vector<std::string>> pagesAfter(std::uint64_t revision) const;
+    /// reach back that far or is of another era.
+    [[nodiscard]] std::optional<std::vector<std::string>> pagesAfter(const published_revision &revision) const;
 
     /// @return The pages of the list from which the journal was restarted, while it contains all changes since; otherwise empty.
     /// They are kept for maxAge, for hosts that miss changes because the platform has dropped its history.
     [[nodiscard]] const std::vector<std::string> &listPages() const { return m_listPages; }
     /// @return Revision after which the journal contains all changes.
-    [[nodiscard]] std::uint64_t startRevision() const { return m_start; }
+    [[nodiscard]] published_revision startRevision() const { return {m_era, m_start}; }
 
     /// @return The revision up to which all changes are known.
-    [[nodiscard]] std::uint64_t revision() const { return m_revision; }
+    [[nodiscard]] published_revision revision() const { return {m_era, m_revision}; }
 
 private:
     struct recorded_page {
@@ -57,6 +58,7 @@
     std::vector<std::string> m_listPages;
     std::optional<time_point> m_restartedAt; // Set by the first add() after restart().
     std::size_t m_bytes = 0;
+    std::optional<std::uint64_t> m_era; // Of all revisions here.
     std::uint64_t m_start = 0; // The journal contains all changes after this revision.
     std::uint64_t m_revision = 0;
 };
--- a/libs/gateway/src/change_sync.cpp
+++ b/libs/gateway/src/change_sync.cpp
@@ -121,8 +121,8 @@
             m_listStartedAt = now;
         }
     } else {
-        if (m_journal.revision() != read.after) {
-            m_journal.restart(read.after); // This host has read from another one meanwhile; the journal lacks those changes.
+        if (m_journal.revision() != m_follower.position()) {
+            m_journal.restart(m_follower.position()); // This host has read from another one meanwhile; the journal lacks those changes.
         }
         const auto answerTime = read.timeout - read.wait;
         const auto untilOld = roundedUp(m_confirmedAt.value_or(now) + m_deadlines.wait - now);
@@ -130,7 +130,7 @@
         read.timeout = read.wait + answerTime;
     }
     m_mainId = ++m_lastId;
-    m_reads[m_mainId] = {read, now};
+    m_reads[m_mainId] = {read, m_follower.position().era, now};
     m_nextCheckAt = now + m_deadlines.ownReadInterval;
     const bool old = m_confirmedAt && now - *m_confirmedAt >= m_deadlines.nextReaderAge;
     actions.emplace_back(start_platform_read{m_mainId, read, old || m_follower.failures() > 0});
@@ -145,7 +145,7 @@
     read.after = m_follower.revision();
     read.timeout = m_deadlines.ownReadTimeout;
     const auto id = ++m_lastId;
-    m_reads[id] = {read, now, true};
+    m_reads[id] = {read, m_follower.position().era, now, true};
     m_nextCheckAt = now + m_deadlines.ownReadInterval;
     actions.emplace_back(start_platform_read{id, read, true});
 }
@@ -158,7 +158,8 @@
     const auto timeout = std::max(minPullTimeout, untilNextReader);
     m_mainId = ++m_lastId;
     m_pulls[m_mainId] = {reader, now};
-    actions.emplace_back(send_pull{m_mainId, reader, {m_follower.revision(), timeout - m_deadlines.answerTime}, timeout});
+    actions.emplace_back(
+        send_pull{m_mainId, reader, {m_follower.revision(), timeout - m_deadlines.answerTime}, m_follower.position().era, timeout});
 }
 
 expected<change_page> change_sync::withoutKnownChanges(expected<change_page> &&page, const platform_read &read) const
@@ -173,6 +174,7 @@
     }
     auto decoded = m_source.decode(page->encoded, m_follower.revision());
     if (decoded) {
+        decoded->era = page->era;
         decoded->encoded = std::move(page->encoded);
     }
     return decoded;
@@ -192,6 +194,12 @@
     if (read.read.listPage ? !isMain : listing) {
         return actions; // Another read has found meanwhile that the list is needed, or no longer needed.
     }
+    if (!read.read.listPage && read.era != m_follower.position().era) {
+        return actions; // Its revision is one of an earlier era, so its changes may not be all that are missing.
+    }
+    if (result) {
+        result = m_follower.checkEra(std::move(*result), read.read);
+    }
     auto page = withoutKnownChanges(std::move(result), read);
     if (!page) {
         const bool needsList = page.error().code == error_code::historyLost || page.error().code == error_code::tooLarge;
@@ -213,7 +221,10 @@
     const auto waitEnd = read.startedAt + read.read.wait;
     const auto knownTo = read.read.listPage ? m_listStartedAt : (!hasChanges && now >= waitEnd ? waitEnd : read.startedAt);
     std::string encoded = std::exchange(page->encoded, {});
+    const auto before = m_follower.position();
+    const bool hadState = m_follower.synchronized();
     auto update = m_follower.readCompleted(std::move(page), now);
+    m_eraChanged = m_eraChanged || (hadState && before.era != m_follower.position().era);
     recordInJournal(read.read.listPage, update.isFullSnapshot, hasChanges, std::move(encoded), now);
     const bool complete = !read.read.listPage || update.isFullSnapshot;
     apply(std::move(update), read.read.listPage ? "list" : (read.isCheck ? "check" : "watch"), now, actions);
@@ -234,14 +245,15 @@
     if (listPage) {
         m_listPages.push_back(std::move(encoded));
         if (isFullSnapshot) {
-            m_journal.restart(m_follower.revision(), std::exchange(m_listPages, {}));
+            m_journal.restart(m_follower.position(), std::exchange(m_listPages, {}));
         }
     } else if (m_readingPlatform) {
         m_journal.add(m_follower.revision(), hasChanges ? std::move(encoded) : std::string(), now);
     }
 }
 
-change_sync_actions change_sync::readerAnswered(std::uint64_t id, expected<change_batch> &&batch, time_point now)
+change_sync_actions
+change_sync::readerAnswered(std::uint64_t id, expected<change_batch> &&batch, time_point now, std::optional<std::uint64_t> era)
 {
     change_sync_actions actions;
     const auto found = m_pulls.find(id);
@@ -254,12 +266,12 @@
         return actions; // A read has found meanwhile that the full list is needed.
     }
     const auto confirmedBefore = m_confirmedAt;
-    const auto revisionBefore = m_follower.revision();
-    const auto applied = batch ? applyBatch(pull, *batch, now, actions) : expected<void>(tl::unexpected(batch.error()));
+    const auto positionBefore = m_follower.position();
+    const auto applied = batch ? applyBatch(pull, *batch, era, now, actions) : expected<void>(tl::unexpected(batch.error()));
     if (!applied) {
         m_selection.failed(pull.reader, now);
         actions.emplace_back(reader_failed{pull.reader, applied.error()});
-    } else if (m_confirmedAt == confirmedBefore && m_follower.revision() == revisionBefore) {
+    } else if (m_confirmedAt == confirmedBefore && m_follower.position() == positionBefore) {
         m_selection.failed(pull.reader, now);
         actions.emplace_back(reader_failed{pull.reader, {error_code::notReady, "its state is not newer", "read changes", pull.reader}});
     }
@@ -267,19 +279,31 @@
     return actions;
 }
 
-expected<void>
-change_sync::applyBatch(const outstanding_pull &pull, const change_batch &batch, time_point now, change_sync_actions &actions)
+expected<void> change_sync::applyBatch(const outstanding_pull &pull,
+                                       const change_batch &batch,
+                                       const std::optional<std::uint64_t> &era,
+                                       time_point now,
+                                       change_sync_actions &actions)
 {
+    if (era < m_follower.position().era) {
+        return makeError(error_code::notReady, "read changes", "the state of the reader is of an older or unknown era", pull.reader);
+    }
+    if (era != m_follower.position().era && batch.listPages.empty()) {
+        return makeError(error_code::historyLost, "read changes", "the reader has not passed on the list of its era", pull.reader);
+    }
+    const auto eraBefore = m_follower.position().era;
     follower_update update;
     if (!batch.listPages.empty()) {
-        auto list = decodeList(batch.listPages);
+        auto list = decodeList(batch.listPages, era);
         if (!list) {
             return tl::unexpected(list.error());
         }
         update = std::move(*list);
+        m_eraChanged = m_eraChanged || eraBefore != m_follower.position().era;
     }
     change_page page;
     page.revision = batch.revision;
+    page.era = era;
     for (const auto &encoded : batch.pages) {
         auto decoded = m_source.decode(encoded, m_follower.revision());
         if (!decoded) {
@@ -300,7 +324,7 @@
     return {};
 }
 
-expected<follower_update> change_sync::decodeList(const std::vector<std::string> &pages)
+expected<follower_update> change_sync::decodeList(const std::vector<std::string> &pages, const std::optional<std::uint64_t> &era)
 {
     std::vector<published_change> changes;
     std::uint64_t revision = 0;
@@ -312,10 +336,11 @@
         revision = i == 0 ? decoded->revision : revision; // Changes made while later pages were read come again.
         std::move(decoded->changes.begin(), decoded->changes.end(), std::back_inserter(changes));
     }
-    if (revision < m_follower.revision()) {
+    const published_revision position{era, revision};
+    if (position < m_follower.position()) {
         return makeError(error_code::historyLost, "read changes", "the list of the reader is older than the state of this host");
     }
-    return m_follower.listReceived(std::move(changes), revision);
+    return m_follower.listReceived(std::move(changes), position);
 }
 
 void change_sync::apply(follower_update &&update, std::string from, time_point now, change_sync_actions &actions)
@@ -323,7 +348,8 @@
     if (update.reconnected) {
         m_removalsDeferredUntil = removalsDeferredUntil(now + m_settings.removalDeferral, now);
     }
-    actions.emplace_back(apply_changes{std::move(update), std::move(from), m_confirmedAt, m_removalsDeferredUntil});
+    actions.emplace_back(
+        apply_changes{std::move(update), m_follower.position().era, std::move(from), m_confirmedAt, m_removalsDeferredUntil});
 }
 
 void change_sync::confirm(time_point moment, time_point now)
@@ -355,10 +381,11 @@
         && now - *m_confirmedAt < m_deadlines.ownReadAge;
 }
 
-change_sync_actions change_sync::pullReceived(std::uint64_t pull, const change_pull &message, time_point now)
+change_sync_actions
+change_sync::pullReceived(std::uint64_t pull, const change_pull &message, time_point now, std::optional<std::uint64_t> era)
 {
     const auto wait = std::clamp<std::chrono::microseconds>(message.wait, std::chrono::microseconds(0), maxPullWait);
-    m_waitingPulls.push_back({pull, message.after, now, now + wait});
+    m_waitingPulls.push_back({pull, era, message.after, now, now + wait});
     change_sync_actions actions;
     answerPulls(now, actions);
     return actions;
@@ -372,13 +399,20 @@
 bool change_sync::tryAnswer(const waiting_pull &pull, time_point now, change_sync_actions &actions) const
 {
     const auto refuse = [&](error_code code, const char *reason) {
-        actions.emplace_back(answer_pull{pull.pull, makeError(code, "read changes", reason)});
+        actions.emplace_back(answer_pull{pull.pull, makeError(code, "read changes", reason), std::nullopt});
         return true;
     };
     if (!canAnswerPulls(now)) {
         return refuse(error_code::notReady, "this host does not pass changes on now");
     }
-    auto pages = m_journal.pagesAfter(pull.after);
+    const auto era = m_journal.revision().era;
+    if (!pull.era && m_eraChanged) {
+        return refuse(error_code::notReady, "the era of the asking host's state is not known");
+    }
+    if (pull.era > era) {
+        return refuse(error_code::notReady, "the state of this host is of an older era");
+    }
+    auto pages = m_journal.pagesAfter({pull.era ? pull.era : era, pull.after});
     change_batch batch;
     if (!pages && !m_journal.listPages().empty()) {
         batch.listPages = m_journal.listPages();
@@ -390,12 +424,12 @@
     if (pages->empty() && batch.listPages.empty() && *m_confirmedAt <= pull.arrivedAt && now < pull.deadline) {
         return false;
     }
-    batch.revision = m_journal.revision();
+    batch.revision = m_journal.revision().number;
     batch.confirmed = std::chrono::floor<std::chrono::microseconds>(*m_confirmedAt - pull.arrivedAt);
     batch.deferRemovals =
         std::max(std::chrono::microseconds(0), std::chrono::duration_cast<std::chrono::microseconds>(m_removalsDeferredUntil - now));
     batch.pages = std::move(*pages);
-    actions.emplace_back(answer_pull{pull.pull, std::move(batch)});
+    actions.emplace_back(answer_pull{pull.pull, std::move(batch), m_journal.revision().era});
     return true;
 }
 
--- a/libs/gateway/src/change_sync.h
+++ b/libs/gateway/src/change_sync.h
@@ -51,14 +51,19 @@
     [[nodiscard]] time_point nextTick() const;
 
     /// Takes the result of a start_platform_read.
-    change_sync_actions readCompleted(std::uint64_t id, expected<change_page> &&page, time_point now);
+    change_sync_actions readCompleted(std::uint64_t id, expected<change_page> &&result, time_point now);
     /// Takes the result of a send_pull.
-    change_sync_actions readerAnswered(std::uint64_t id, expected<change_batch> &&batch, time_point now);
+    /// @param era Era of the batch; nothing when the reader does not tell it.
+    change_sync_actions
+    readerAnswered(std::uint64_t id, expected<change_batch> &&batch, time_point now, std::optional<std::uint64_t> era = std::nullopt);
     /// Takes a change_pull of another host. It is answered when there is a change, when this host knows that there was none, or after its
     /// wait; with an error when this host does not read the platform itself, is out of contact with it, is stopping, or no longer has the
     /// changes.
     /// @param pull Chosen by the caller, for answer_pull.
-    change_sync_actions pullReceived(std::uint64_t pull, const change_pull &message, time_point now);
+    /// @param era Era of the state of the asking host; nothing when it is not known, because that host is of an earlier build. Such a host
+    /// is answered while this host has seen a single era, and refused afterwards, because it would mix the eras.
+    change_sync_actions
+    pullReceived(std::uint64_t pull, const change_pull &message, time_point now, std::optional<std::uint64_t> era = std::nullopt);
 
     /// Sets the addresses of the live hosts of this host's zone.
     void setZoneHosts(const std::vector<std::string> &addresses) { m_selection.setZoneHosts(addresses); }
@@ -67,12 +72,15 @@
 
     /// @return The revision up to which all changes are known.
     [[nodiscard]] std::uint64_t revision() const { return m_follower.revision(); }
+    /// @return The same with its era.
+    [[nodiscard]] const published_revision &position() const { return m_follower.position(); }
     /// @return The latest moment of which it is certain that all changes published before it are known.
     [[nodiscard]] std::optional<time_point> confirmedAt() const { return m_confirmedAt; }
 
 private:
     struct platform_read {
         source_read read;
+        std::optional<std::uint64_t> era; // Of `read.after`.
         time_point startedAt;
         bool isCheck = false; // Started because of the age of the state, beside what was outstanding.
     };
@@ -84,6 +92,7 @@
 
     struct waiting_pull {
         std::uint64_t pull = 0;
+        std::optional<std::uint64_t> era; // Nothing: not known.
         std::uint64_t after = 0;
         time_point arrivedAt;
         time_point deadline;
@@ -99,9 +108,12 @@
     /// Handles the result of a read of changes that another read may have overtaken.
     [[nodiscard]] expected<change_page> withoutKnownChanges(expected<change_page> &&page, const platform_read &read) const;
     void recordInJournal(bool listPage, bool isFullSnapshot, bool hasChanges, std::string encoded, time_point now);
-    [[nodiscard]] expected<void>
-    applyBatch(const outstanding_pull &pull, const change_batch &batch, time_point now, change_sync_actions &actions);
-    [[nodiscard]] expected<follower_update> decodeList(const std::vector<std::string> &pages);
+    [[nodiscard]] expected<void> applyBatch(const outstanding_pull &pull,
+                                            const change_batch &batch,
+                                            const std::optional<std::uint64_t> &era,
+                                            time_point now,
+                                            change_sync_actions &actions);
+    [[nodiscard]] expected<follower_update> decodeList(const std::vector<std::string> &pages, const std::optional<std::uint64_t> &era);
     void apply(follower_update &&update, std::string from, time_point now, change_sync_actions &actions);
     void confirm(time_point moment, time_point now);
     /// @return Until when removals may be deferred, so that a host that was connected to the platform applies each of them within its
@@ -132,6 +144,7 @@
     std::uint32_t m_checkFailures = 0; // Since the state was confirmed.
     bool m_ageReported = false; // state_old was reported since the state was confirmed.
     std::vector<waiting_pull> m_waitingPulls;
+    bool m_eraChanged = false; // The source has come back with older state since the first list.
     time_point m_removalsDeferredUntil; // Of this host or of the reader that it asks.
     bool m_stopping = false;
 };
--- a/libs/gateway/src/change_sync_action.h
+++ b/libs/gateway/src/change_sync_action.h
@@ -27,6 +27,8 @@
     std::uint64_t id = 0;
     std::string reader; ///< Address.
     change_pull pull;
+    /// Era of the state of this host. Nothing when the source tells none; the pull then has the form without an era.
+    std::optional<std::uint64_t> era;
     std::chrono::milliseconds timeout{0};
 };
 
@@ -34,11 +36,13 @@
 struct answer_pull {
     std::uint64_t pull = 0; ///< As given to change_sync::pullReceived().
     expected<change_batch> result;
+    std::optional<std::uint64_t> era; ///< Of the result.
 };
 
 /// Apply changes to this host's state.
 struct apply_changes {
     follower_update update;
+    std::optional<std::uint64_t> era; ///< Era of the state that results.
     std::string from; ///< "list", "watch", "check" or the address of the reader.
     /// All changes published before this time were known before; nothing on the first list.
     std::optional<time_point> knownBefore;
--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -203,7 +203,7 @@
         handleRelaySearch(request, exchange);
         return;
     }
-    if (request.path == changesPath) {
+    if (request.path == changesPath || request.path == eraChangesPath) {
         m_reader.handlePull(request, std::move(exchange));
         return;
     }
--- a/libs/gateway/src/publication_reader.cpp
+++ b/libs/gateway/src/publication_reader.cpp
@@ -104,8 +104,10 @@
     , m_source(source)
     , m_client(client)
     , m_sync(syncSettings(state.settings), source, state.settings.hosts.text())
+    , m_retained(state.settings.expiredEntryReturnTime)
     , m_tickTimer(state.context)
     , m_removalTimer(state.context)
+    , m_returnTimer(state.context)
 {
 }
 
@@ -122,14 +124,27 @@
 
 void publication_reader::handlePull(const http_request &request, std::shared_ptr<http_exchange> exchange)
 {
-    const auto message = orioledrum::decode<change_pull>(request.body);
-    if (!message) {
-        exchange->respond(errorResponse(400, message.error()));
-        return;
+    change_pull pull;
+    std::optional<std::uint64_t> era;
+    if (request.path == eraChangesPath) {
+        const auto message = orioledrum::decode<era_pull>(request.body);
+        if (!message) {
+            exchange->respond(errorResponse(400, message.error()));
+            return;
+        }
+        pull = message->pull;
+        era = message->era;
+    } else {
+        const auto message = orioledrum::decode<change_pull>(request.body);
+        if (!message) {
+            exchange->respond(errorResponse(400, message.error()));
+            return;
+        }
+        pull = *message;
     }
     const auto id = ++m_lastPull;
-    m_waitingPulls[id] = std::move(exchange);
-    run(m_sync.pullReceived(id, *message, monotonic_clock::now()));
+    m_waitingPulls[id] = {std::move(exchange), era.has_value()};
+    run(m_sync.pullReceived(id, pull, monotonic_clock::now(), era));
 }
 
 void publication_reader::run(change_sync_actions &&actions)
@@ -194,20 +209,32 @@
 
 void publication_reader::pull(const send_pull &action)
 {
-    auto call = makeHostCall(action.reader, changesPath, encode(action.pull), action.timeout);
-    m_client.send(std::move(call), [this, id = action.id, reader = action.reader](http_client::result result) {
-        const auto decodeBatch = [&]() -> expected<change_batch> {
-            if (!result) {
-                m_client.closeIdleConnections(reader); // Other connections may have gone silent as well.
-                return tl::unexpected(result.error().failure);
-            }
-            if (result->status != 200) {
-                return makeError(error_code::notReady, "read changes", "refused with status " + std::to_string(result->status), reader);
-            }
-            return decode<change_batch>(result->body);
-        };
-        run(m_sync.readerAnswered(id, decodeBatch(), monotonic_clock::now()));
-    });
+    auto call = action.era ? makeHostCall(action.reader, eraChangesPath, encode(era_pull{*action.era, action.pull}), action.timeout)
+                           : makeHostCall(action.reader, changesPath, encode(action.pull), action.timeout);
+    m_client.send(
+        std::move(call), [this, id = action.id, reader = action.reader, withEra = action.era.has_value()](http_client::result result) {
+            std::optional<std::uint64_t> era;
+            const auto decodeBatch = [&]() -> expected<change_batch> {
+                if (!result) {
+                    m_client.closeIdleConnections(reader); // Other connections may have gone silent as well.
+                    return tl::unexpected(result.error().failure);
+                }
+                if (result->status != 200) {
+                    return makeError(error_code::notReady, "read changes", "refused with status " + std::to_string(result->status), reader);
+                }
+                if (!withEra) {
+                    return decode<change_batch>(result->body);
+                }
+                auto answer = decode<era_batch>(result->body);
+                if (!answer) {
+                    return tl::unexpected(answer.error());
+                }
+                era = answer->era;
+                return std::move(answer->batch);
+            };
+            auto batch = decodeBatch();
+            run(m_sync.readerAnswered(id, std::move(batch), monotonic_clock::now(), era));
+        });
 }
 
 void publication_reader::answer(answer_pull &&action)
@@ -216,11 +243,56 @@
     if (waiting.empty()) {
         return;
     }
-    waiting.mapped()->respond(action.result ? http_response{200, "application/msgpack", {}, encode(*action.result)}
-                                            : errorResponse(503, action.result.error()));
+    const auto &[exchange, withEra] = waiting.mapped();
+    if (!action.result) {
+        exchange->respond(errorResponse(503, action.result.error()));
+        return;
+    }
+    // A host that has told its era is answered only by a host whose source tells one.
+    auto body = withEra ? encode(era_batch{action.era.value_or(0), std::move(*action.result)}) : encode(*action.result);
+    exchange->respond({200, "application/msgpack", {}, std::move(body)});
 }
 
 void publication_reader::apply(apply_changes &&changes)
+{
+    const auto returns = m_retained.returns();
+    changes.update = m_retained.filter(std::move(changes.update), changes.era, monotonic_clock::now());
+    if (m_retained.returns() != returns) {
+        // Event "storeReturned": the source has come back with older state; `kept` counts what stays in use until it is written again.
+        m_state.log.write("platform",
+                          "storeReturned",
+                          {{"era", static_cast<std::int64_t>(changes.era.value_or(0))},
+                           {"revision", static_cast<std::int64_t>(m_sync.revision())},
+                           {"from", changes.from},
+                           {"kept", static_cast<std::int64_t>(m_retained.retained())}});
+    }
+    applyFiltered(std::move(changes));
+    applyDueReturns();
+}
+
+void publication_reader::applyDueReturns()
+{
+    const auto now = monotonic_clock::now();
+    apply_changes due;
+    due.update.changes = m_retained.tick(now);
+    if (!due.update.changes.empty()) {
+        due.era = m_sync.position().era;
+        due.from = "return";
+        applyFiltered(std::move(due));
+    }
+    const auto next = m_retained.nextTick();
+    if (next == time_point::max()) {
+        return;
+    }
+    m_returnTimer.expires_after(next - now);
+    m_returnTimer.async_wait([this](const asio::error_code &code) {
+        if (!code) {
+            applyDueReturns();
+        }
+    });
+}
+
+void publication_reader::applyFiltered(apply_changes &&changes)
 {
     const auto now = monotonic_clock::now();
     auto &update = changes.update;
--- a/libs/gateway/src/publication_reader.h
+++ b/libs/gateway/src/publication_reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <change_sync.h>
+#include <retained_state.h>
 
 #include <base/ids.h>
 
@@ -39,16 +40,25 @@
     /// Sets the addresses of the live hosts of this host's zone.
     void setZoneHosts(const std::vector<std::string> &addresses) { m_sync.setZoneHosts(addresses); }
 
-    /// Handles a change_pull of another host, see change_sync::pullReceived(). Errors are answered with status 503.
+    /// Handles a change_pull or, at eraChangesPath, an era_pull of another host, see change_sync::pullReceived(). Errors are answered with
+    /// status 503.
     void handlePull(const http_request &request, std::shared_ptr<http_exchange> exchange);
 
 private:
+    struct waiting_exchange {
+        std::shared_ptr<http_exchange> exchange;
+        bool withEra = false; // The answer is an era_batch, otherwise a change_batch.
+    };
+
     /// Carries out the actions and sets the timer for the next ones.
     void run(change_sync_actions &&actions);
     void read(const start_platform_read &action);
     void pull(const send_pull &action);
     void answer(answer_pull &&action);
+    /// Applies changes, except those that an older copy of the source's state has brought back.
     void apply(apply_changes &&changes);
+    void applyFiltered(apply_changes &&changes);
+    void applyDueReturns();
     void applyTable(std::shared_ptr<const route_table> table, const apply_changes &changes, time_point now);
     /// Applies the deferred removals of backend servers that are due, and sets the timer for the next one.
     void applyDueRemovals();
@@ -57,14 +67,18 @@
     change_source &m_source;
     http_client &m_client;
     change_sync m_sync;
-    std::unordered_map<std::uint64_t, std::shared_ptr<http_exchange>> m_waitingPulls; // By the id given to change_sync.
+    retained_state m_retained;
+    std::unordered_map<std::uint64_t, waiting_exchange> m_waitingPulls; // By the id given to change_sync.
     std::uint64_t m_lastPull = 0;
     asio::steady_timer m_tickTimer;
     asio::steady_timer m_removalTimer;
+    asio::steady_timer m_returnTimer;
     std::set<zone_id> m_excludedZones;
 };
 
 /// HTTP path at which entry hosts answer a change_pull.
 inline constexpr const char *changesPath = "/hosts/changes";
+/// HTTP path at which they answer an era_pull. Hosts of an earlier build answer it with status 400.
+inline constexpr const char *eraChangesPath = "/hosts/era-changes";
 
 } // namespace orioledrum
--- a/libs/gateway/tests/fakes/simulated_zone.cpp
+++ b/libs/gateway/tests/fakes/simulated_zone.cpp
@@ -1,5 +1,6 @@
 #include "simulated_zone.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -57,14 +58,30 @@
 
 std::uint64_t simulated_zone::publish()
 {
-    ++m_revision;
+    m_numbers.push_back(++m_lastNumber);
     answerWatches();
-    return m_revision;
+    return m_lastNumber;
+}
+
+void simulated_zone::goBack(std::uint64_t revisions, bool keepsHistory)
+{
+    m_era = m_era.value_or(0) + 1;
+    m_numbers.resize(revision() - std::min(revisions, revision() - 1));
+    m_oldestRevision = keepsHistory ? 0 : revision();
+    for (auto &[id, watch] : std::exchange(m_watches, {})) {
+        watch.answer(makeError(error_code::unreachable, "read", "the connection broke"));
+    }
+}
+
+change_page simulated_zone::inEra(change_page page) const
+{
+    page.era = m_era;
+    return page;
 }
 
 void simulated_zone::dropHistory()
 {
-    m_oldestRevision = m_revision;
+    m_oldestRevision = revision();
     answerWatches();
 }
 
@@ -159,7 +176,7 @@
             sendPull(host, *pull);
         } else if (auto *answer = std::get_if<answer_pull>(&action)) {
             if (auto pending = m_pulls.extract(answer->pull); !pending.empty() && !hasFault(host, host_fault::hostsSilent)) {
-                pending.mapped()(std::move(answer->result));
+                pending.mapped()(*answer);
             }
         } else if (const auto *changes = std::get_if<apply_changes>(&action)) {
             applyAt(host, *changes, m_now);
@@ -221,13 +238,13 @@
 
 void simulated_zone::receiveRead(std::size_t host, const source_read &read, std::function<void(expected<change_page>)> answer)
 {
-    if (hasFault(host, host_fault::storeRefuses)) {
+    if (hasFault(host, host_fault::storeRefuses) || m_now < m_stoppedUntil) {
         answer(makeError(error_code::unreachable, "read", "refused"));
         return;
     }
     if (read.listPage) {
         const auto index = numberIn(read.pageToken);
-        answer(fake_change_source::makeListPage(m_revision, index, m_times.listPages));
+        answer(inEra(fake_change_source::makeListPage(revision(), index, m_times.listPages, m_numbers)));
         return;
     }
     const auto id = ++m_lastId;
@@ -235,7 +252,7 @@
     answerWatches();
     at(m_now + read.wait, [this, id] {
         if (auto watch = m_watches.extract(id); !watch.empty()) {
-            watch.mapped().answer(fake_change_source::makePage(m_revision, m_revision));
+            watch.mapped().answer(inEra(fake_change_source::makePage(revision(), revision(), m_numbers)));
         }
     });
 }
@@ -245,13 +262,13 @@
     std::vector<std::pair<watch_state, expected<change_page>>> due;
     std::erase_if(m_watches, [&](auto &entry) {
         auto &watch = entry.second;
-        if (watch.after < m_oldestRevision) {
+        if (watch.after < m_oldestRevision || watch.after > revision()) {
             due.emplace_back(std::move(watch), makeError(error_code::historyLost, "read", "the history is gone"));
             return true;
         }
-        if (watch.after < m_revision) {
+        if (watch.after < revision()) {
             const auto after = watch.after;
-            due.emplace_back(std::move(watch), fake_change_source::makePage(after, m_revision));
+            due.emplace_back(std::move(watch), inEra(fake_change_source::makePage(after, revision(), m_numbers)));
             return true;
         }
         return false;
@@ -265,25 +282,25 @@
 {
     const auto reader = numberIn(action.reader.substr(action.reader.rfind('.') + 1));
     const auto ended = std::make_shared<bool>(false);
-    const auto complete = [this, host, ended, id = action.id](const expected<change_batch> &batch) {
+    const auto complete = [this, host, ended, id = action.id](const answer_pull &batch) {
         if (!std::exchange(*ended, true)) {
-            deliver(host, [this, id, batch](change_sync &sync) { return sync.readerAnswered(id, expected<change_batch>(batch), m_now); });
+            deliver(host, [this, id, batch](change_sync &sync) {
+                return sync.readerAnswered(id, expected<change_batch>(batch.result), m_now, batch.era);
+            });
         }
     };
-    at(m_now + action.timeout, [complete] { complete(makeError(error_code::deadlineExceeded, "pull", "timed out")); });
+    at(m_now + action.timeout, [complete] { complete({0, makeError(error_code::deadlineExceeded, "pull", "timed out"), {}}); });
     if (hasFault(host, host_fault::hostsSilent) || hasFault(reader, host_fault::hostsSilent)) {
         return;
     }
     if (hasFault(reader, host_fault::dead)) {
-        at(m_now + 2 * m_times.networkDelay, [complete] { complete(makeError(error_code::unreachable, "pull", "refused")); });
+        at(m_now + 2 * m_times.networkDelay, [complete] { complete({0, makeError(error_code::unreachable, "pull", "refused"), {}}); });
         return;
     }
     const auto id = ++m_lastId;
-    m_pulls[id] = [this, complete](const expected<change_batch> &batch) {
-        at(m_now + m_times.networkDelay, [complete, batch] { complete(batch); });
-    };
-    at(m_now + m_times.networkDelay, [this, reader, id, message = action.pull] {
-        deliver(reader, [this, id, message](change_sync &sync) { return sync.pullReceived(id, message, m_now); });
+    m_pulls[id] = [this, complete](const answer_pull &batch) { at(m_now + m_times.networkDelay, [complete, batch] { complete(batch); }); };
+    at(m_now + m_times.networkDelay, [this, reader, id, message = action.pull, era = action.era] {
+        deliver(reader, [this, id, message, era](change_sync &sync) { return sync.pullReceived(id, message, m_now, era); });
     });
 }
 
@@ -291,16 +308,21 @@
 {
     auto &receiver = m_hosts[host];
     const auto removedAt = std::max(time, changes.deferRemovalsUntil.value_or(time));
+    if (changes.update.isFullSnapshot) {
+        receiver.state.clear();
+    }
     for (const auto &change : changes.update.changes) {
         if (const auto *zone = std::get_if<zone_changed>(&change)) {
-            receiver.excluded.try_emplace(numberIn(zone->zone.str()), time);
+            const auto number = numberIn(zone->zone.str());
+            receiver.state.insert(number);
+            receiver.excluded.try_emplace(number, time);
+            if (changes.update.isFullSnapshot) {
+                receiver.removed.try_emplace(number, removedAt); // It is not in the list.
+            }
         } else if (const auto *removal = std::get_if<replica_removed>(&change)) {
             receiver.removed.try_emplace(numberIn(removal->id.str()), removedAt);
         }
     }
-    for (auto revision = receiver.sync->revision(); changes.update.isFullSnapshot && revision > 0; --revision) {
-        receiver.removed.try_emplace(revision, removedAt); // It is not in the list.
-    }
 }
 
 } // namespace orioledrum
--- a/libs/gateway/tests/fakes/simulated_zone.h
+++ b/libs/gateway/tests/fakes/simulated_zone.h
@@ -7,7 +7,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,8 +46,15 @@
     void runUntil(time_point end);
     [[nodiscard]] time_point now() const { return m_now; }
 
-    /// Publishes a change now. @return Its revision.
+    /// Publishes a change now. @return Its number, which is its revision as long as the store has not gone back.
     std::uint64_t publish();
+    /// Lets the store tell its era from now on.
+    void setEra(std::uint64_t era) { m_era = era; }
+    /// Lets the store come back with the copy that it had some revisions ago, in its next era. Open connections break.
+    /// @param keepsHistory The copy has the changes before its revision.
+    void goBack(std::uint64_t revisions, bool keepsHistory);
+    /// Lets the store answer all reads with an error from now on for a time.
+    void stopStore(std::chrono::milliseconds duration) { m_stoppedUntil = m_now + duration; }
     /// Drops the history of the store: watches from an older revision fail with historyLost.
     void dropHistory();
     /// Lets a host fail from now on.
@@ -59,6 +68,10 @@
     [[nodiscard]] time_point excludedAt(std::size_t host, std::uint64_t revision) const;
     /// @return When the host had removed the backend server of a change; max() if it has not.
     [[nodiscard]] time_point removedAt(std::size_t host, std::uint64_t revision) const;
+    /// @return The numbers of the changes that the host has applied and the source has not taken back.
+    [[nodiscard]] const std::set<std::uint64_t> &state(std::size_t host) const { return m_hosts[host].state; }
+    /// @return The numbers of the changes that the store has.
+    [[nodiscard]] std::set<std::uint64_t> storeState() const { return {m_numbers.begin(), m_numbers.end()}; }
     /// @return Number of reads that the host has sent to the store.
     [[nodiscard]] std::size_t reads(std::size_t host) const { return m_hosts[host].reads; }
     [[nodiscard]] std::size_t hostCount() const { return m_hosts.size(); }
@@ -73,6 +86,7 @@
         std::uint64_t tickGeneration = 0;
         std::map<std::uint64_t, time_point> excluded;
         std::map<std::uint64_t, time_point> removed;
+        std::set<std::uint64_t> state;
         std::size_t reads = 0;
     };
 
@@ -101,6 +115,8 @@
     void sendPull(std::size_t host, const send_pull &action);
     void applyAt(std::size_t host, const apply_changes &changes, time_point time);
     void answerWatches();
+    [[nodiscard]] std::uint64_t revision() const { return m_numbers.size(); }
+    [[nodiscard]] change_page inEra(change_page page) const;
 
     change_sync_settings m_settings;
     timing m_times;
@@ -110,10 +126,13 @@
     std::priority_queue<event> m_events;
     std::vector<simulated_host> m_hosts;
     std::map<std::uint64_t, watch_state> m_watches;
-    std::map<std::uint64_t, std::function<void(expected<change_batch>)>> m_pulls;
+    std::map<std::uint64_t, std::function<void(const answer_pull &)>> m_pulls;
     std::uint64_t m_lastId = 0;
-    std::uint64_t m_revision = 1;
+    fake_change_source::change_numbers m_numbers{1}; // One for each revision.
+    std::uint64_t m_lastNumber = 1;
     std::uint64_t m_oldestRevision = 0;
+    std::optional<std::uint64_t> m_era;
+    time_point m_stoppedUntil;
 };
 
 } // namespace orioledrum
--- a/libs/gateway/tests/test_change_follower.cpp
+++ b/libs/gateway/tests/test_change_follower.cpp
@@ -157,9 +157,9 @@
 {
     change_follower follower({});
     follower.readCompleted(makePage(10), start);
-    EXPECT_FALSE(follower.listReceived(std::move(makePage(9, "", {"a"}).changes), 9).isFullSnapshot);
+    EXPECT_FALSE(follower.listReceived(std::move(makePage(9, "", {"a"}).changes), {std::nullopt, 9}).isFullSnapshot);
     EXPECT_EQ(follower.revision(), 10U);
-    EXPECT_TRUE(follower.listReceived(std::move(makePage(12, "", {"a"}).changes), 12).isFullSnapshot);
+    EXPECT_TRUE(follower.listReceived(std::move(makePage(12, "", {"a"}).changes), {std::nullopt, 12}).isFullSnapshot);
     EXPECT_EQ(follower.nextRead().after, 12U);
 }
 
@@ -194,3 +194,36 @@
     const auto watch = follower.nextRead();
     EXPECT_EQ(watch.timeout - watch.wait, first);
 }
+
+// Guards against a follower that waits for revisions above those of before, when the source has come back with an older copy; one that
+// mixes pages of two eras in a list; and one that goes back to an earlier era because of a late answer.
+TEST(ChangeFollowerTest, readsTheListOfANewEra)
+{
+    const auto page = [](std::uint64_t era, std::uint64_t revision, const std::string &nextPageToken = {}) {
+        auto result = makePage(revision, nextPageToken);
+        result.era = era;
+        return result;
+    };
+    change_follower follower({});
+    const auto complete = [&](change_page &&answer) {
+        auto checked = follower.checkEra(std::move(answer), follower.nextRead());
+        const auto code = checked ? std::optional<error_code>() : checked.error().code;
+        follower.readCompleted(std::move(checked), start);
+        return code;
+    };
+    EXPECT_FALSE(complete(page(3, 10)));
+    EXPECT_EQ(complete(page(4, 12)), error_code::historyLost); // A watch.
+    EXPECT_EQ(follower.position(), (published_revision{3, 10}));
+    EXPECT_TRUE(follower.nextRead().listPage);
+    EXPECT_FALSE(complete(page(4, 6, "next")));
+    EXPECT_EQ(complete(page(5, 5)), error_code::historyLost); // The second page.
+    EXPECT_TRUE(follower.nextRead().pageToken.empty());
+    EXPECT_FALSE(complete(page(5, 5)));
+    EXPECT_EQ(follower.position(), (published_revision{5, 5}));
+    EXPECT_EQ(complete(page(4, 20)), error_code::notReady);
+    EXPECT_EQ(complete(makePage(20)), error_code::notReady); // Without an era.
+    EXPECT_EQ(follower.position(), (published_revision{5, 5}));
+    EXPECT_FALSE(follower.listReceived({}, {4, 30}).isFullSnapshot);
+    EXPECT_TRUE(follower.listReceived({}, {6, 2}).isFullSnapshot);
+    EXPECT_EQ(follower.position(), (published_revision{6, 2}));
+}
--- a/libs/gateway/tests/test_change_readers.cpp
+++ b/libs/gateway/tests/test_change_readers.cpp
@@ -77,7 +77,7 @@
 {
     change_journal journal;
     std::uint64_t revision = *rc::gen::inRange<std::uint64_t>(0, 5);
-    journal.restart(revision);
+    journal.restart({7, revision});
     const auto journalStart = revision;
     std::map<std::uint64_t, std::string> pages; // By the last revision of the page.
     auto now = start;
@@ -92,9 +92,9 @@
         }
         journal.add(revision, page, now);
     }
-    RC_ASSERT(journal.revision() == revision);
+    RC_ASSERT(journal.revision().number == revision);
     for (std::uint64_t after = 0; after <= revision; ++after) {
-        const auto result = journal.pagesAfter(after);
+        const auto result = journal.pagesAfter({7, after});
         if (!result) {
             continue;
         }
@@ -105,23 +105,23 @@
         }
         RC_ASSERT(*result == wanted);
     }
-    RC_ASSERT(journal.pagesAfter(revision).has_value());
+    RC_ASSERT(journal.pagesAfter({7, revision}).has_value());
 }
 
 // Guards against a journal that grows without limit, and against one that is restarted but still hands out earlier pages.
 TEST(ChangeJournalTest, dropsOldPages)
 {
     change_journal journal;
-    journal.restart(10);
+    journal.restart({7, 10});
     journal.add(11, "old", start);
     journal.add(12, "new", start + change_journal::maxAge + milliseconds(1));
-    EXPECT_FALSE(journal.pagesAfter(10));
-    EXPECT_EQ(journal.pagesAfter(11), std::vector<std::string>{"new"});
+    EXPECT_FALSE(journal.pagesAfter({7, 10}));
+    EXPECT_EQ(journal.pagesAfter({7, 11}), std::vector<std::string>{"new"});
     journal.add(13, std::string(change_journal::maxBytes, 'x'), start + change_journal::maxAge + milliseconds(2));
-    EXPECT_FALSE(journal.pagesAfter(11));
-    journal.restart(20);
-    EXPECT_FALSE(journal.pagesAfter(13));
-    EXPECT_TRUE(journal.pagesAfter(20)->empty());
+    EXPECT_FALSE(journal.pagesAfter({7, 11}));
+    journal.restart({7, 20});
+    EXPECT_FALSE(journal.pagesAfter({7, 13}));
+    EXPECT_TRUE(journal.pagesAfter({7, 20})->empty());
 }
 
 // Guards against hosts that all read the full list when the platform drops its history: the pages of a reader's list are passed on while
@@ -129,13 +129,29 @@
 TEST(ChangeJournalTest, keepsTheListWhileItIsComplete)
 {
     change_journal journal;
-    journal.restart(10, {"list"});
+    journal.restart({7, 10}, {"list"});
     journal.add(11, "change", start);
-    EXPECT_FALSE(journal.pagesAfter(9));
+    EXPECT_FALSE(journal.pagesAfter({7, 9}));
     EXPECT_EQ(journal.listPages(), std::vector<std::string>{"list"});
     EXPECT_EQ(journal.pagesAfter(journal.startRevision()), std::vector<std::string>{"change"});
     journal.add(12, "", start + change_journal::maxAge + milliseconds(1));
     EXPECT_TRUE(journal.listPages().empty());
-    journal.restart(20);
+    journal.restart({7, 20});
     EXPECT_TRUE(journal.listPages().empty());
 }
+
+// Guards against pages of one numbering for a host that follows another: after the source has come back with older state, the same
+// revisions stand for other changes.
+TEST(ChangeJournalTest, hasNoPagesForAnotherEra)
+{
+    change_journal journal;
+    journal.restart({7, 10}, {"list"});
+    journal.add(11, "change", start);
+    EXPECT_TRUE(journal.pagesAfter({7, 10}));
+    EXPECT_FALSE(journal.pagesAfter({6, 10}));
+    EXPECT_FALSE(journal.pagesAfter({8, 10}));
+    EXPECT_FALSE(journal.pagesAfter({std::nullopt, 10}));
+    journal.restart({8, 4});
+    EXPECT_FALSE(journal.pagesAfter({7, 11}));
+    EXPECT_TRUE(journal.pagesAfter({8, 4}));
+}
--- a/libs/gateway/tests/test_change_sync.cpp
+++ b/libs/gateway/tests/test_change_sync.cpp
@@ -311,6 +311,75 @@
     EXPECT_FALSE(old->result);
 }
 
+// Guards against a mixed fleet that mixes eras: a host of the previous build tells none. It is answered as before until the source has
+// come back with older state, and then reads the source itself. A host with a later era is refused, one with an earlier era gets the list.
+TEST_F(ChangeSyncReaderTest, pullsAreAnsweredByEra)
+{
+    const auto answer = [this](std::uint64_t after, std::optional<std::uint64_t> era) -> expected<change_batch> {
+        for (const auto &action : m_sync.pullReceived(1, {after, milliseconds(0)}, m_now, era)) {
+            if (const auto *pull = std::get_if<answer_pull>(&action)) {
+                return pull->result;
+            }
+        }
+        return makeError(error_code::internal, "test", "no answer");
+    };
+    const auto pageOf = [](change_page page, std::uint64_t era) {
+        page.era = era;
+        return page;
+    };
+    EXPECT_TRUE(answer(5, std::nullopt)); // The source tells no era.
+    EXPECT_FALSE(answer(5, 3));
+    auto list = started(m_sync.readCompleted(m_watch.id, pageOf(fake_change_source::makePage(5, 5), 3), m_now)); // It begins to tell one.
+    ASSERT_TRUE(list.read.listPage);
+    auto watch = started(m_sync.readCompleted(list.id, pageOf(fake_change_source::makeListPage(5, 0, 1), 3), m_now));
+    EXPECT_FALSE(answer(5, std::nullopt));
+    EXPECT_TRUE(answer(5, 3));
+    list = started(m_sync.readCompleted(watch.id, makeError(error_code::historyLost, "read", "gone"), m_now));
+    ASSERT_TRUE(list.read.listPage);
+    watch = started(m_sync.readCompleted(list.id, pageOf(fake_change_source::makeListPage(4, 0, 1), 4), m_now));
+    ASSERT_FALSE(watch.read.listPage);
+    EXPECT_EQ(m_sync.position(), (published_revision{4, 4}));
+    EXPECT_FALSE(answer(4, std::nullopt));
+    EXPECT_FALSE(answer(4, 5));
+    ASSERT_TRUE(answer(4, 4));
+    EXPECT_TRUE(answer(4, 4)->listPages.empty());
+    ASSERT_TRUE(answer(5, 3));
+    EXPECT_EQ(answer(5, 3)->listPages.size(), 1U);
+}
+
+// Guards against a host of the previous build that is refused for nothing: it is answered while the source has never come back.
+TEST(ChangeSyncTest, hostsOfThePreviousBuildAreAnsweredWithinOneEra)
+{
+    const fake_change_source source;
+    change_sync sync(settingsFor(deployments.front()), source, "10.0.0.1:1");
+    const time_point now{seconds(3600)};
+    auto page = fake_change_source::makeListPage(5, 0, 1);
+    page.era = 9;
+    sync.readCompleted(std::get<start_platform_read>(sync.start(now).front()).id, std::move(page), now);
+    const auto actions = sync.pullReceived(1, {5, milliseconds(0)}, now);
+    ASSERT_FALSE(actions.empty());
+    EXPECT_TRUE(std::get<answer_pull>(actions.front()).result);
+}
+
+// Guards against an answer that was on the way when the source came back: its revision belongs to the earlier numbering, so that changes
+// between would be missing.
+TEST_F(ChangeSyncReaderTest, anAnswerToAReadOfAnEarlierEraIsDropped)
+{
+    const auto pageOf = [](change_page page, std::uint64_t era) {
+        page.era = era;
+        return page;
+    };
+    m_now = m_sync.nextTick();
+    const auto check = started(m_sync.tick(m_now));
+    ASSERT_NE(check.id, 0U);
+    const auto list = started(m_sync.readCompleted(m_watch.id, pageOf(fake_change_source::makePage(5, 6), 2), m_now));
+    ASSERT_TRUE(list.read.listPage);
+    m_sync.readCompleted(list.id, pageOf(fake_change_source::makeListPage(3, 0, 1), 2), m_now);
+    ASSERT_EQ(m_sync.position(), (published_revision{2, 3}));
+    EXPECT_TRUE(m_sync.readCompleted(check.id, pageOf(fake_change_source::makePage(5, 9), 2), m_now).empty()); // Lacks 4 and 5.
+    EXPECT_EQ(m_sync.position(), (published_revision{2, 3}));
+}
+
 // Guards against times of another host that are out of range: a removal that is deferred for ever, or a state that is never confirmed
 // again.
 TEST(ChangeSyncTest, timesOfAReaderAreLimited)
@@ -344,3 +413,159 @@
         }
     }
 }
+
+namespace
+{
+
+/// One course in which the store comes back with older state.
+struct return_course {
+    std::size_t returns = 1;
+    std::uint64_t lost = 3; ///< Revisions that each return loses.
+    std::uint64_t rewritten = 1; ///< Changes that are written before hosts read again; revisions are then assigned again.
+    bool keepsHistory = true;
+    milliseconds stopped{0}; ///< Time for which the store answers nothing before it comes back.
+    /// What fails at each host from before the first return until after the last one; none for the others.
+    std::vector<host_fault> faults;
+    milliseconds publishedAt{0}; ///< After the last return.
+};
+
+/// @return Empty when each host uses a change that is published after the return within the bound and then has exactly the changes of the
+/// store; otherwise a text that says what was wrong. Hosts that have failed get the bound from the end of their fault.
+std::string playReturn(const bounds &deployment, const simulated_zone::timing &times, const return_course &events)
+{
+    const auto settings = settingsFor(deployment);
+    simulated_zone zone(hosts, settings, times);
+    zone.setEra(7);
+    zone.runUntil(zone.now() + seconds(5));
+    for (int i = 0; i < 12; ++i) {
+        zone.publish();
+        zone.runUntil(zone.now() + milliseconds(100));
+    }
+    zone.runUntil(zone.now() + settings.bound);
+    const auto readers = zone.readers();
+    std::vector<std::size_t> order(readers); // Readers first.
+    for (std::size_t host = 0; host < hosts; ++host) {
+        if (std::find(readers.begin(), readers.end(), host) == readers.end()) {
+            order.push_back(host);
+        }
+    }
+    const milliseconds faultTime = (events.stopped + settings.bound) * events.returns;
+    const auto faultsEndAt = zone.now() + faultTime;
+    for (std::size_t i = 0; i < events.faults.size(); ++i) {
+        zone.fail(order[i], events.faults[i], faultTime);
+    }
+    for (std::size_t i = 0; i < events.returns; ++i) {
+        zone.stopStore(events.stopped);
+        zone.runUntil(zone.now() + events.stopped);
+        zone.goBack(events.lost, events.keepsHistory);
+        for (std::uint64_t change = 0; change < events.rewritten; ++change) {
+            zone.publish();
+        }
+        if (i + 1 < events.returns) {
+            zone.runUntil(zone.now() + settings.bound / 2);
+        }
+    }
+    zone.runUntil(zone.now() + events.publishedAt);
+    const auto publishedAt = zone.now();
+    const auto number = zone.publish();
+    zone.runUntil(std::max(publishedAt, faultsEndAt) + settings.bound + milliseconds(10));
+    for (std::size_t i = 0; i < order.size(); ++i) {
+        const auto host = order[i];
+        const bool failed = i < events.faults.size() && events.faults[i] != host_fault::none;
+        if (failed && events.faults[i] == host_fault::dead) {
+            continue;
+        }
+        const auto since = failed ? std::max(publishedAt, faultsEndAt) : publishedAt;
+        const auto text = "bound " + std::to_string(settings.bound.count()) + " ms, returns " + std::to_string(events.returns) + ", lost "
+            + std::to_string(events.lost) + ", rewritten " + std::to_string(events.rewritten) + ", history "
+            + std::to_string(events.keepsHistory) + ", stopped " + std::to_string(events.stopped.count()) + " ms, published "
+            + std::to_string(events.publishedAt.count()) + " ms later, host " + std::to_string(i) + (failed ? " (failed)" : "");
+        if (zone.excludedAt(host, number) > since + settings.bound) {
+            return text + " did not use the change in time";
+        }
+        if (zone.state(host) != zone.storeState()) {
+            return text + " has another state than the store";
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+// Guards against states that are ordered by their revision alone: after the store had come back with an older copy, hosts applied nothing
+// until the revisions had passed the old ones, and took changes of the new numbering for those that they had.
+TEST(ChangeSyncTest, changesAreInUseWithinTheBoundAfterTheStoreCameBackOlder)
+{
+    std::size_t played = 0;
+    for (const auto &deployment : deployments) {
+        for (const std::size_t returns : {1U, 2U}) {
+            for (const std::uint64_t lost : {0U, 1U, 5U}) {
+                for (const std::uint64_t rewritten : {0U, 1U, 5U, 9U}) {
+                    for (const bool keepsHistory : {true, false}) {
+                        for (const milliseconds stopped : {milliseconds(0), milliseconds(400), milliseconds(2500)}) {
+                            for (const auto &times : {fastHosts, slowHosts}) {
+                                ASSERT_EQ(
+                                    playReturn(deployment, times, {returns, lost, rewritten, keepsHistory, stopped, {}, milliseconds(0)}),
+                                    "");
+                                ++played;
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+    EXPECT_GT(played, 1000U);
+}
+
+// Guards against a reader of the old era beside one of the new one, a zone that is cut off from the store during the return, and hosts
+// that miss it: frozen, dead, or cut off alone.
+TEST(ChangeSyncTest, hostsThatMissTheReturnOfTheStoreFollowItsNewEra)
+{
+    const auto silent = host_fault::storeSilent;
+    const std::vector<std::vector<host_fault>> faults{
+        {silent},
+        {host_fault::none, silent},
+        {silent, silent},
+        {silent, silent, silent, silent, silent},
+        {host_fault::none, host_fault::none, host_fault::frozen},
+        {host_fault::none, host_fault::none, silent, host_fault::hostsSilent},
+        {host_fault::dead, silent},
+        {silent, host_fault::frozen},
+        {host_fault::hostsSilent, host_fault::hostsSilent},
+        {host_fault::connectionsSilent, host_fault::storeSlow},
+    };
+    for (const auto &deployment : deployments) {
+        for (const auto &failing : faults) {
+            for (const std::size_t returns : {1U, 2U}) {
+                for (const std::uint64_t rewritten : {0U, 5U, 9U}) {
+                    for (const bool keepsHistory : {true, false}) {
+                        for (const auto &times : {fastHosts, slowHosts}) {
+                            ASSERT_EQ(playReturn(deployment,
+                                                 times,
+                                                 {returns, 5, rewritten, keepsHistory, milliseconds(300), failing, milliseconds(0)}),
+                                      "");
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+// Guards against the same at other moments than those above.
+RC_GTEST_PROP(ChangeSyncTest, changesAreInUseWithinAnyBoundAfterTheStoreCameBackOlder, ())
+{
+    const auto deployment = *rc::gen::elementOf(deployments);
+    return_course events;
+    events.returns = *rc::gen::inRange<std::size_t>(1, 4);
+    events.lost = *rc::gen::inRange<std::uint64_t>(0, 12);
+    events.rewritten = *rc::gen::inRange<std::uint64_t>(0, 14);
+    events.keepsHistory = *rc::gen::arbitrary<bool>();
+    events.stopped = milliseconds(*rc::gen::inRange(0, 4000));
+    events.publishedAt = milliseconds(*rc::gen::inRange(0, 3000));
+    for (int host = 0; host < 2; ++host) {
+        events.faults.push_back(*rc::gen::elementOf(readerFaults));
+    }
+    RC_ASSERT(playReturn(deployment, *rc::gen::element(fastHosts, slowHosts), events) == "");
+}
--- a/libs/search/include/search/replica.h
+++ b/libs/search/include/search/replica.h
@@ -27,6 +27,8 @@
     std::chrono::milliseconds coldRemaining{0}; ///< Time for which the backend server stays cold, counted from the writing of the entry.
     std::optional<std::chrono::milliseconds> startedAt; ///< Time at which the process started, as Unix time.
 
+    double sequence = 0; ///< Raised by the process with each entry; counted anew after a start.
+
     [[nodiscard]] server_incarnation incarnation() const { return {startedAt, address}; }
 };
 
--- a/libs/wire/include/wire/change_messages.h
+++ b/libs/wire/include/wire/change_messages.h
@@ -30,4 +30,17 @@
     std::vector<std::string> listPages;
 };
 
+/// A change_pull with the era of its revision. A message of its own beside change_pull, which hosts of an earlier build read and send: the
+/// codec refuses a message with another number of fields.
+struct era_pull {
+    std::uint64_t era = 0;
+    change_pull pull;
+};
+
+/// The answer to an era_pull.
+struct era_batch {
+    std::uint64_t era = 0; ///< Era of all revisions and pages of the batch; may differ from era_pull::era.
+    change_batch batch;
+};
+
 } // namespace orioledrum
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -94,6 +94,16 @@
     visit(value.revision, value.confirmed, value.deferRemovals, value.pages, value.listPages);
 }
 template<typename Visitor>
+void visitFields(era_pull &value, Visitor &&visit)
+{
+    visit(value.era, value.pull);
+}
+template<typename Visitor>
+void visitFields(era_batch &value, Visitor &&visit)
+{
+    visit(value.era, value.batch);
+}
+template<typename Visitor>
 void visitFields(usage_request &value, Visitor &&visit)
 {
     visit(value.source, value.knownHosts, value.organisations, value.tokens);
@@ -409,6 +419,8 @@
 ORIOLEDRUM_INSTANTIATE_CODEC(relay_resume)
 ORIOLEDRUM_INSTANTIATE_CODEC(change_pull)
 ORIOLEDRUM_INSTANTIATE_CODEC(change_batch)
+ORIOLEDRUM_INSTANTIATE_CODEC(era_pull)
+ORIOLEDRUM_INSTANTIATE_CODEC(era_batch)
 ORIOLEDRUM_INSTANTIATE_CODEC(usage_request)
 ORIOLEDRUM_INSTANTIATE_CODEC(usage_answer)
 ORIOLEDRUM_INSTANTIATE_CODEC(usage_takeover)
--- a/libs/wire/tests/test_codec.cpp
+++ b/libs/wire/tests/test_codec.cpp
@@ -1,3 +1,4 @@
+#include <wire/change_messages.h>
 #include <wire/codec.h>
 #include <wire/control_messages.h>
 #include <wire/order_messages.h>
@@ -105,6 +106,42 @@
     EXPECT_FALSE(decode<relay_search>(withAnotherField).has_value());
 }
 
+// Guards against a change of the messages without an era, which hosts of an earlier build send and read: these are their bytes.
+TEST(Codec, ChangeMessagesOfAnEarlierBuildAreRead)
+{
+    const std::string pull("\x92\x05\xce\x00\x03\xd0\x90", 7);
+    EXPECT_EQ(encode(change_pull{5, std::chrono::milliseconds(250)}), pull);
+    const auto decodedPull = decode<change_pull>(pull);
+    ASSERT_TRUE(decodedPull);
+    EXPECT_EQ(decodedPull->after, 5U);
+    const std::string batch("\x95\x06\xd1\xfe\x0c\x00\x91\xa1p\x90", 10);
+    EXPECT_EQ(encode(change_batch{6, std::chrono::microseconds(-500), std::chrono::microseconds(0), {"p"}, {}}), batch);
+    const auto decodedBatch = decode<change_batch>(batch);
+    ASSERT_TRUE(decodedBatch);
+    EXPECT_EQ(decodedBatch->revision, 6U);
+    // Neither form is taken for the other.
+    EXPECT_FALSE(decode<era_pull>(pull));
+    EXPECT_FALSE(decode<era_batch>(batch));
+    EXPECT_FALSE(decode<change_pull>(encode(era_pull{3, {5, {}}})));
+    EXPECT_FALSE(decode<change_batch>(encode(era_batch{3, {}})));
+}
+
+// Guards against a batch that loses its era on the way to another host.
+TEST(Codec, ChangeMessagesCarryTheirEra)
+{
+    const auto pull = decode<era_pull>(encode(era_pull{3, {5, std::chrono::milliseconds(250)}}));
+    ASSERT_TRUE(pull);
+    EXPECT_EQ(pull->era, 3U);
+    EXPECT_EQ(pull->pull.after, 5U);
+    EXPECT_EQ(pull->pull.wait, std::chrono::milliseconds(250));
+    const auto batch = decode<era_batch>(encode(era_batch{4, {6, std::chrono::microseconds(-500), {}, {"p"}, {"l"}}}));
+    ASSERT_TRUE(batch);
+    EXPECT_EQ(batch->era, 4U);
+    EXPECT_EQ(batch->batch.revision, 6U);
+    EXPECT_EQ(batch->batch.pages, std::vector<std::string>{"p"});
+    EXPECT_EQ(batch->batch.listPages, std::vector<std::string>{"l"});
+}
+
 // Guards against accepting a truncated message, and against a crash while decoding it.
 TEST(Codec, EveryTruncationIsRejected)
 {
