--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -4,7 +4,6 @@
 users' platform, which the code in platform/ implements for gatewayd. Faults are set for each backend server and for the store.
 """
 import asyncio
-import base64
 import bisect
 import collections
 import hashlib
@@ -13,11 +12,12 @@
 import pathlib
 import signal
 import socket
-import struct
 import subprocess
 import threading
 import time
 
+from platform_store import Store, StoreLink, make_response, read_message, reset_connection  # noqa: F401
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 RECORD_BYTES = 16
 EXTRA_CALL_SHARE = 0.2  # Bound on retries and hedges to a service, per request in 10 s, over all gateways.
@@ -30,160 +30,6 @@
         return probe.getsockname()[1]
 
 
-async def read_message(reader):
-    """Reads one HTTP/1.1 message. Returns start line, header (lower case names) and body.
-
-    Returns None when the connection closes before the end of the header, and raises IncompleteReadError when it closes later.
-    """
-    try:
-        head = await reader.readuntil(b"\r\n\r\n")
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return None
-    lines = head.decode("latin-1").split("\r\n")
-    header = {}
-    for line in lines[1:]:
-        if ":" in line:
-            name, value = line.split(":", 1)
-            header[name.strip().lower()] = value.strip()
-    if header.get("transfer-encoding", "").lower() == "chunked":
-        body = b""
-        while True:
-            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
-            body += (await reader.readexactly(size + 2))[:-2]
-            if size == 0:
-                return lines[0], header, body
-    return lines[0], header, await reader.readexactly(int(header.get("content-length", 0)))
-
-
-def make_response(status, header=None, body=b"", close=False):
-    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
-    lines += [f"{name}: {value}" for name, value in (header or {}).items()]
-    if close:
-        lines.append("Connection: close")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
-
-
-def reset_connection(writer):
-    """Closes a connection with a reset. Without lingering off, the other side would see an ordinary end of the data."""
-    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
-class Store:
-    """Key-value store with revisions. Clients read it by prefix and watch for changes after a revision."""
-
-    def __init__(self):
-        self.items = {}
-        self.history = []
-        self.oldest_revision = 0
-        self.revision = 1
-        self.changed = asyncio.Event()
-        self.down = False  # When set, connections are closed without an answer.
-        self.calls = 0
-
-    def put(self, key, value):
-        self.revision += 1
-        data = value if isinstance(value, bytes) else json.dumps(value).encode()
-        item = {"key": key, "value": base64.b64encode(data).decode(), "revision": self.revision, "created": self.revision, "lease": 0}
-        self.items[key] = item
-        self.history.append(item)
-        self.wake_watchers()
-
-    def delete(self, key):
-        self.revision += 1
-        self.items.pop(key, None)
-        self.history.append({"key": key, "revision": self.revision, "deleted": True})
-        self.wake_watchers()
-
-    def compact_history(self):
-        """Drops all past events, so that a watch that starts after an older revision gets 410."""
-        self.history.clear()
-        self.oldest_revision = self.revision
-        self.wake_watchers()
-
-    def wake_watchers(self):
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-    async def serve(self, reader, writer):
-        try:
-            await self.answer_requests(reader, writer)
-        except (ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
-
-    async def answer_requests(self, reader, writer):
-        while message := await read_message(reader):
-            self.calls += 1
-            if self.down:
-                break
-            target = message[0].split(" ")[1]
-            path, _, query = target.partition("?")
-            parameters = dict(part.partition("=")[::2] for part in query.split("&") if part)
-            prefix = parameters.get("prefix", "").replace("%2F", "/")
-            if path == "/kv-range":
-                after = parameters.get("after", "").replace("%2F", "/")
-                keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
-                page = keys[:7]  # Small pages, so that each list takes several of them.
-                body = {"items": [self.items[key] for key in page], "has_more": len(keys) > len(page), "store_revision": self.revision}
-                status = 200
-            else:
-                status, body = await self.watch(prefix, int(parameters["after"]), int(parameters["wait_ms"]))
-            if self.down:
-                break
-            writer.write(make_response(status, {"Content-Type": "application/json"}, json.dumps(body).encode()))
-
-    async def watch(self, prefix, after, wait_ms):
-        end = time.monotonic() + wait_ms / 1000
-        while True:
-            if after < self.oldest_revision:
-                return 410, {}
-            events = [event for event in self.history if event["revision"] > after and event["key"].startswith(prefix)]
-            remaining_s = end - time.monotonic()
-            if events or remaining_s <= 0:
-                return 200, {"events": events, "store_revision": self.revision}
-            try:
-                await asyncio.wait_for(self.changed.wait(), remaining_s)
-            except asyncio.TimeoutError:
-                pass
-
-
-class StoreLink:
-    """A network link between one gateway and the store. While it is `cut`, bytes in both directions are lost, on open and on new
-    connections.
-    """
-
-    def __init__(self, store_address):
-        self.store_address = store_address
-        self.cut = False
-        self.calls = 0  # Requests of the gateway, lost ones included.
-
-    async def start(self):
-        """Returns the address at which the gateway reads the store."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        return "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
-
-    async def serve(self, reader, writer):
-        host, port = self.store_address.split(":")
-        try:
-            store_reader, store_writer = await asyncio.open_connection(host, int(port))
-            await asyncio.gather(self.pass_on(reader, store_writer, True), self.pass_on(store_reader, writer, False))
-        except (ConnectionError, asyncio.CancelledError):
-            writer.close()
-
-    async def pass_on(self, reader, writer, to_store):
-        try:
-            while data := await reader.read(65536):
-                self.calls += data.count(b"GET /kv-") if to_store else 0
-                if not self.cut:
-                    writer.write(data)
-        except (ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
-
-
 class Backend:
     """One backend server. `mode` is how it treats requests, or a function that returns the mode for the next request.
 
@@ -217,6 +63,7 @@
         self.server = None
         self.connections = set()
         self.draining = False
+        self.sequence = 0  # Of the latest entry.
         self.born = 1  # Start of the process, as Unix time in milliseconds.
         self.leaving = False  # Says in all answers that it leaves.
         self.retry_after = None  # Refuses requests and status checks with this value of Retry-After.
@@ -229,8 +76,9 @@
 
     def publish(self, **changes):
         """Writes the entry of this backend server to the store; `changes` replace fields of the entry."""
+        self.sequence += 1
         entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": self.slots,
-                 "state": "draining" if self.draining else "ready", "warmup_left_ms": 0, "seq": 1, "born": self.born}
+                 "state": "draining" if self.draining else "ready", "warmup_left_ms": 0, "seq": self.sequence, "born": self.born}
         entry.update(changes)
         self.platform.store.put("servers/" + self.name, entry)
 
