--- a/libs/gateway/src/publication_reader.cpp
+++ b/libs/gateway/src/publication_reader.cpp
@@ -31,6 +31,9 @@
     result.contactTime = settings.contactLossTimeout;
     result.removalBound = settings.drainTime.count() > 0 ? settings.drainTime : result.bound;
     result.removalDeferral = settings.expiredEntryReturnTime;
+    // A host that is the only one of its deployment has nobody to ask.
+    const auto self = settings.hosts.text();
+    result.asksReadersFirst = std::any_of(settings.seeds.begin(), settings.seeds.end(), [&](const auto &seed) { return seed != self; });
     return result;
 }
 
@@ -104,8 +107,10 @@
     , m_source(source)
     , m_client(client)
     , m_sync(syncSettings(state.settings), source, state.settings.hosts.text())
+    , m_retained(state.settings.expiredEntryReturnTime)
     , m_tickTimer(state.context)
     , m_removalTimer(state.context)
+    , m_returnTimer(state.context)
 {
 }
 
@@ -122,14 +127,48 @@
 
 void publication_reader::handlePull(const http_request &request, std::shared_ptr<http_exchange> exchange)
 {
-    const auto message = orioledrum::decode<change_pull>(request.body);
+    change_pull pull;
+    std::optional<std::uint64_t> era;
+    if (request.path == eraChangesPath) {
+        const auto message = orioledrum::decode<era_pull>(request.body);
+        if (!message) {
+            exchange->respond(errorResponse(400, message.error()));
+            return;
+        }
+        pull = message->pull;
+        era = message->era;
+    } else {
+        const auto message = orioledrum::decode<change_pull>(request.body);
+        if (!message) {
+            exchange->respond(errorResponse(400, message.error()));
+            return;
+        }
+        pull = *message;
+    }
+    const auto id = ++m_lastPull;
+    using answer_form = waiting_exchange::answer_form;
+    m_waitingPulls[id] = {std::move(exchange), era ? answer_form::eraBatch : answer_form::changeBatch};
+    run(m_sync.pullReceived(id, pull, monotonic_clock::now(), era));
+}
+
+void publication_reader::handleStateRequest(const http_request &request, std::shared_ptr<http_exchange> exchange)
+{
+    const auto message = orioledrum::decode<state_request>(request.body);
     if (!message) {
         exchange->respond(errorResponse(400, message.error()));
         return;
     }
     const auto id = ++m_lastPull;
-    m_waitingPulls[id] = std::move(exchange);
-    run(m_sync.pullReceived(id, *message, monotonic_clock::now()));
+    m_waitingPulls[id] = {std::move(exchange), waiting_exchange::answer_form::stateAnswer};
+    run(m_sync.stateRequested(id, *message, monotonic_clock::now()));
+}
+
+void publication_reader::setZoneHosts(const std::vector<std::string> &addresses)
+{
+    m_sync.setZoneHosts(addresses);
+    if (!m_sync.synchronized()) {
+        run(m_sync.tick(monotonic_clock::now()));
+    }
 }
 
 void publication_reader::run(change_sync_actions &&actions)
@@ -139,6 +178,8 @@
             read(*readToStart);
         } else if (const auto *pullToSend = std::get_if<send_pull>(&action)) {
             pull(*pullToSend);
+        } else if (const auto *request = std::get_if<send_state_request>(&action)) {
+            requestState(*request);
         } else if (auto *pullToAnswer = std::get_if<answer_pull>(&action)) {
             answer(std::move(*pullToAnswer));
         } else if (auto *changes = std::get_if<apply_changes>(&action)) {
@@ -194,19 +235,55 @@
 
 void publication_reader::pull(const send_pull &action)
 {
-    auto call = makeHostCall(action.reader, changesPath, encode(action.pull), action.timeout);
+    auto call = action.era ? makeHostCall(action.reader, eraChangesPath, encode(era_pull{*action.era, action.pull}), action.timeout)
+                           : makeHostCall(action.reader, changesPath, encode(action.pull), action.timeout);
+    m_client.send(
+        std::move(call), [this, id = action.id, reader = action.reader, withEra = action.era.has_value()](http_client::result result) {
+            std::optional<std::uint64_t> era;
+            const auto decodeBatch = [&]() -> expected<change_batch> {
+                if (!result) {
+                    m_client.closeIdleConnections(reader); // Other connections may have gone silent as well.
+                    return tl::unexpected(result.error().failure);
+                }
+                if (result->status != 200) {
+                    return makeError(error_code::notReady, "read changes", "refused with status " + std::to_string(result->status), reader);
+                }
+                if (!withEra) {
+                    return decode<change_batch>(result->body);
+                }
+                auto answer = decode<era_batch>(result->body);
+                if (!answer) {
+                    return tl::unexpected(answer.error());
+                }
+                era = answer->era;
+                return std::move(answer->batch);
+            };
+            auto batch = decodeBatch();
+            run(m_sync.readerAnswered(id, std::move(batch), monotonic_clock::now(), era));
+        });
+}
+
+void publication_reader::requestState(const send_state_request &action)
+{
+    auto call = makeHostCall(action.reader, statePath, encode(action.request), action.timeout);
     m_client.send(std::move(call), [this, id = action.id, reader = action.reader](http_client::result result) {
-        const auto decodeBatch = [&]() -> expected<change_batch> {
+        std::optional<std::uint64_t> era;
+        const auto decodeAnswer = [&]() -> expected<change_batch> {
             if (!result) {
-                m_client.closeIdleConnections(reader); // Other connections may have gone silent as well.
                 return tl::unexpected(result.error().failure);
             }
             if (result->status != 200) {
-                return makeError(error_code::notReady, "read changes", "refused with status " + std::to_string(result->status), reader);
+                return makeError(error_code::notReady, "read state", "refused with status " + std::to_string(result->status), reader);
+            }
+            auto answer = decode<state_answer>(result->body);
+            if (!answer) {
+                return tl::unexpected(answer.error());
             }
-            return decode<change_batch>(result->body);
+            era = answer->era;
+            return std::move(answer->batch);
         };
-        run(m_sync.readerAnswered(id, decodeBatch(), monotonic_clock::now()));
+        auto batch = decodeAnswer();
+        run(m_sync.stateAnswered(id, std::move(batch), monotonic_clock::now(), era));
     });
 }
 
@@ -216,11 +293,67 @@
     if (waiting.empty()) {
         return;
     }
-    waiting.mapped()->respond(action.result ? http_response{200, "application/msgpack", {}, encode(*action.result)}
-                                            : errorResponse(503, action.result.error()));
+    const auto &[exchange, form] = waiting.mapped();
+    if (!action.result) {
+        exchange->respond(errorResponse(503, action.result.error()));
+        return;
+    }
+    std::string body;
+    switch (form) {
+    case waiting_exchange::answer_form::changeBatch:
+        body = encode(*action.result);
+        break;
+    case waiting_exchange::answer_form::eraBatch:
+        // A host that has told its era is answered only by a host whose source tells one.
+        body = encode(era_batch{action.era.value_or(0), std::move(*action.result)});
+        break;
+    case waiting_exchange::answer_form::stateAnswer:
+        body = encode(state_answer{action.era, std::move(*action.result)});
+        break;
+    }
+    exchange->respond({200, "application/msgpack", {}, std::move(body)});
 }
 
 void publication_reader::apply(apply_changes &&changes)
+{
+    const auto returns = m_retained.returns();
+    changes.update = m_retained.filter(std::move(changes.update), changes.era, monotonic_clock::now());
+    if (m_retained.returns() != returns) {
+        // Event "storeReturned": the source has come back with older state; `kept` counts what stays in use until it is written again.
+        m_state.log.write("platform",
+                          "storeReturned",
+                          {{"era", static_cast<std::int64_t>(changes.era.value_or(0))},
+                           {"revision", static_cast<std::int64_t>(m_sync.revision())},
+                           {"from", changes.from},
+                           {"kept", static_cast<std::int64_t>(m_retained.retained())}});
+    }
+    applyFiltered(std::move(changes));
+    applyDueReturns();
+}
+
+void publication_reader::applyDueReturns()
+{
+    const auto now = monotonic_clock::now();
+    apply_changes due;
+    due.update.changes = m_retained.tick(now);
+    if (!due.update.changes.empty()) {
+        due.era = m_sync.position().era;
+        due.from = "return";
+        applyFiltered(std::move(due));
+    }
+    const auto next = m_retained.nextTick();
+    if (next == time_point::max()) {
+        return;
+    }
+    m_returnTimer.expires_after(next - now);
+    m_returnTimer.async_wait([this](const asio::error_code &code) {
+        if (!code) {
+            applyDueReturns();
+        }
+    });
+}
+
+void publication_reader::applyFiltered(apply_changes &&changes)
 {
     const auto now = monotonic_clock::now();
     auto &update = changes.update;
--- a/libs/wire/include/wire/change_messages.h
+++ b/libs/wire/include/wire/change_messages.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,4 +31,28 @@
     std::vector<std::string> listPages;
 };
 
+/// A change_pull with the era of its revision. A message of its own beside change_pull, which hosts of an earlier build read and send: the
+/// codec refuses a message with another number of fields.
+struct era_pull {
+    std::uint64_t era = 0;
+    change_pull pull;
+};
+
+/// The answer to an era_pull.
+struct era_batch {
+    std::uint64_t era = 0; ///< Era of all revisions and pages of the batch; may differ from era_pull::era.
+    change_batch batch;
+};
+
+/// Asks a reader of the zone for the whole published state. Sent by a host that starts.
+struct state_request {
+    std::chrono::microseconds wait{0}; ///< How long the answer may be held back while the reader reads the list itself.
+};
+
+/// The answer to a state_request.
+struct state_answer {
+    std::optional<std::uint64_t> era; ///< Nothing when the platform tells none.
+    change_batch batch; ///< Without a list when the reader is still reading it.
+};
+
 } // namespace orioledrum
