Read changes within the bound of strict revocation

Requests whose key is withdrawn end when the withdrawal is read. Where revocationMs is below the other bounds, that could be too late: the setting was read and not used. With strict revocation it now counts among the bounds that decide how often changes are read.

Measured: GatewaySettingsTest.strictRevocationShortensTheReadingOfChanges failed before (3000 in place of 1500 ms), test_gateway passes.

--- a/libs/gateway/src/gateway_settings.cpp
+++ b/libs/gateway/src/gateway_settings.cpp
@@ -185,7 +185,8 @@
 std::chrono::milliseconds gateway_settings::shortestChangeBound() const
 {
     auto shortest = std::min(maxActivationDelay, contactLossTimeout);
-    for (const auto bound : {drainTime, maxExclusionDelay}) {
+    const auto revocationBound = strictRevocation ? revocationTime.value_or(std::chrono::milliseconds(0)) : std::chrono::milliseconds(0);
+    for (const auto bound : {drainTime, maxExclusionDelay, revocationBound}) {
         if (bound.count() > 0) {
             shortest = std::min(shortest, bound);
         }
--- a/libs/gateway/tests/test_gateway_settings.cpp
+++ b/libs/gateway/tests/test_gateway_settings.cpp
@@ -68,6 +68,19 @@
     }
 }
 
+// Guards against requests whose key was withdrawn that go on longer than strict revocation allows, because the withdrawal is read too late.
+TEST(GatewaySettingsTest, strictRevocationShortensTheReadingOfChanges)
+{
+    auto settings = makeSettings();
+    const auto shortest = [&] { return gateway_settings::parse(settings.dump(), "f")->shortestChangeBound().count(); };
+    settings["revocationMs"] = 1500;
+    EXPECT_EQ(shortest(), 3000) << "without strict revocation, requests in progress go on";
+    settings["strictRevocation"] = true;
+    EXPECT_EQ(shortest(), 1500);
+    settings["revocationMs"] = 9000;
+    EXPECT_EQ(shortest(), 3000);
+}
+
 // Guards against starting with a missing or invalid field: the error must name the field.
 TEST(GatewaySettingsTest, namesEachMissingOrInvalidField)
 {
