End requests that wait for a usage token when their key is withdrawn

Strict revocation ended requests with calls in progress only. It now ends with 401, as one with calls does, and its wait for the token is cancelled. When the host stops, it gets 503 with the promise that it has not run.

--- a/libs/gateway/src/caller_authentication.cpp
+++ b/libs/gateway/src/caller_authentication.cpp
@@ -33,4 +33,9 @@
     return result;
 }
 
+bool isWithdrawn(const std::optional<key_digest> &key, const route_table &current)
+{
+    return key && current.requiresKeys() && !current.holdsKey(*key);
+}
+
 } // namespace orioledrum
--- a/libs/gateway/src/caller_authentication.h
+++ b/libs/gateway/src/caller_authentication.h
@@ -2,11 +2,13 @@
 
 #include <gateway/message_codec.h>
 
+#include <optional>
 #include <string_view>
 
 namespace orioledrum
 {
 
+class key_digest;
 class route_table;
 struct route;
 
@@ -21,4 +23,8 @@
 /// accepted and its header fields are passed on unchanged.
 [[nodiscard]] authentication authenticate(const route_table &table, const route &route, const caller_credential &credential);
 
+/// @param key The key by which a request was accepted, if any.
+/// @return True when the current table requires keys and no longer holds this one.
+[[nodiscard]] bool isWithdrawn(const std::optional<key_digest> &key, const route_table &current);
+
 } // namespace orioledrum
--- a/libs/gateway/src/caller_front.cpp
+++ b/libs/gateway/src/caller_front.cpp
@@ -28,6 +28,8 @@
 constexpr int oneWayTripCount = 4;
 /// A request waits for the answer of one host at most for its time until the target divided by this; it may ask two hosts.
 constexpr int patienceDivisor = 4;
+/// Retry-After of a request that has waited for a token until this host stops: other hosts can serve it at once.
+constexpr std::chrono::milliseconds retryAfterStop{0};
 /// The wait is at least this long, because a call cannot time out at once.
 constexpr std::chrono::microseconds minPatience{1000};
 
@@ -44,9 +46,37 @@
 } // namespace
 
 /// A request that waits for a token of its organisation.
-struct caller_front::waiting_request {
+class caller_front::waiting_request final : public open_request
+{
+public:
+    waiting_request(caller_front &front, caller_request::incoming_request &&received)
+        : incoming(std::move(received))
+        , m_front(front)
+    {
+    }
+
+    void endIfKeyWithdrawn(const route_table &current) override
+    {
+        if (!decided && isWithdrawn(incoming.key, current)) {
+            const error reason{error_code::unauthorized, "the key was withdrawn; the request has not run", "authenticate", {}};
+            m_front.endWaiting(*this, m_front.m_state.codec.encodeFailure(401, reason), "keyWithdrawn", {});
+        }
+    }
+
+    void giveUp() override
+    {
+        if (!decided) {
+            const error reason{error_code::draining, "this host stops", "stop", {}};
+            m_front.endWaiting(*this, m_front.m_state.codec.encodeNotRun(reason, retryAfterStop), "stopped", retryAfterStop);
+        }
+    }
+
     caller_request::incoming_request incoming;
-    bool decided = false; ///< Or the caller has disconnected.
+    std::uint64_t handle = 0; ///< For usage_caps::cancel().
+    bool decided = false; ///< Or the request has ended before the decision.
+
+private:
+    caller_front &m_front;
 };
 
 caller_front::caller_front(gateway_state &state, usage_caps &usage)
@@ -139,19 +169,20 @@
     const auto timeLeft = std::chrono::duration_cast<std::chrono::microseconds>(std::min(incoming.targetTime, incoming.deadline) - now);
     const auto patience = std::max(minPatience, timeLeft / patienceDivisor);
     const auto &member = *incoming.identity.member;
-    auto waiting = std::make_shared<waiting_request>();
-    waiting->incoming = std::move(incoming);
-    const auto handle =
+    const auto waiting = std::make_shared<waiting_request>(*this, std::move(incoming));
+    waiting->handle =
         m_usage.acquire(member, patience, [this, waiting](const usage_decision &decision) { tokenDecided(*waiting, decision); });
     if (waiting->decided) {
         return;
     }
-    waiting->incoming.exchange->onCallerDisconnected([this, handle, weak = std::weak_ptr(waiting)] {
+    m_state.openRequests.emplace(waiting.get(), waiting);
+    waiting->incoming.exchange->onCallerDisconnected([this, weak = std::weak_ptr(waiting)] {
         const auto gone = weak.lock();
         if (!gone || std::exchange(gone->decided, true)) {
             return;
         }
-        m_usage.cancel(handle);
+        m_state.openRequests.erase(gone.get());
+        m_usage.cancel(gone->handle);
         const auto waited = std::chrono::duration_cast<std::chrono::microseconds>(monotonic_clock::now() - gone->incoming.receivedAt);
         m_state.metrics.requestEnded(gone->incoming.matchedRoute->name, "callerGone", waited);
     });
@@ -159,11 +190,13 @@
 
 void caller_front::tokenDecided(waiting_request &waiting, const usage_decision &decision)
 {
-    if (std::exchange(waiting.decided, true)) {
+    if (waiting.decided) {
         return;
     }
     auto &incoming = waiting.incoming;
     if (decision.result == usage_grant::kind::granted) {
+        waiting.decided = true;
+        m_state.openRequests.erase(&waiting);
         makeCallerRequest(m_state, std::move(incoming))->start();
         return;
     }
@@ -175,15 +208,27 @@
                        organisation};
     const auto retryAfter = std::chrono::ceil<std::chrono::milliseconds>(decision.retryAfter);
     auto response = overCap ? m_state.codec.encodeOverCap(reason, retryAfter) : m_state.codec.encodeNotRun(reason, retryAfter);
-    const auto now = monotonic_clock::now();
     const auto *outcome = overCap ? "overCap" : "capUnknown";
+    endWaiting(waiting, std::move(response), outcome, retryAfter);
+}
+
+void caller_front::endWaiting(waiting_request &waiting,
+                              http_response response,
+                              std::string_view outcome,
+                              std::chrono::milliseconds retryAfter)
+{
+    waiting.decided = true;
+    m_state.openRequests.erase(&waiting);
+    m_usage.cancel(waiting.handle);
+    const auto &incoming = waiting.incoming;
+    const auto now = monotonic_clock::now();
     m_state.metrics.requestEnded(
         incoming.matchedRoute->name, outcome, std::chrono::duration_cast<std::chrono::microseconds>(now - incoming.receivedAt));
     m_state.log.writeRequest("front",
                              outcome,
                              now,
                              {{"id", incoming.requestId},
-                              {"organisation", organisation},
+                              {"organisation", incoming.identity.member->name},
                               {"retryAfterMs", std::int64_t{retryAfter.count()}},
                               {"config", static_cast<std::int64_t>(incoming.table->version())}});
     incoming.exchange->respond(std::move(response));
--- a/libs/gateway/src/caller_front.h
+++ b/libs/gateway/src/caller_front.h
@@ -3,6 +3,10 @@
 #include <caller_request.h>
 #include <transport/http_handler.h>
 
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
 namespace orioledrum
 {
 
@@ -21,11 +25,13 @@
     void handle(http_request request, std::shared_ptr<http_exchange> exchange) override;
 
 private:
-    struct waiting_request;
+    class waiting_request;
 
     /// Starts a request once it has a token.
     void acquireToken(caller_request::incoming_request incoming, time_point now);
     void tokenDecided(waiting_request &waiting, const usage_decision &decision);
+    /// Answers a request that waits for a token. Must be called only while it waits.
+    void endWaiting(waiting_request &waiting, http_response response, std::string_view outcome, std::chrono::milliseconds retryAfter);
 
     gateway_state &m_state;
     usage_caps &m_usage;
--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -1,5 +1,6 @@
 #include <caller_request.h>
 
+#include <caller_authentication.h>
 #include <forwarded_request.h>
 #include <gateway_state.h>
 #include <gathered_request.h>
@@ -131,7 +132,7 @@
 
 void caller_request::endIfKeyWithdrawn(const route_table &current)
 {
-    if (!m_incoming.key || !current.requiresKeys() || current.holdsKey(*m_incoming.key)) {
+    if (m_ended || !isWithdrawn(m_incoming.key, current)) {
         return;
     }
     endWithFailure(401, {error_code::unauthorized, "the key was withdrawn; the request may have run", "authenticate", {}}, "keyWithdrawn");
--- a/libs/gateway/src/caller_request.h
+++ b/libs/gateway/src/caller_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <backend_caller.h>
+#include <open_request.h>
 
 #include <base/monotonic_clock.h>
 #include <config/route_table.h>
@@ -24,7 +25,7 @@
 /// A caller's request in progress: its calls to backend servers, its timer and its answer. Calls that are still open when the answer
 /// is sent are not cancelled, so that their outcomes update the replicas. When the caller disconnects before the answer, all open calls
 /// are cancelled. The request lives until all its calls have ended.
-class caller_request : public std::enable_shared_from_this<caller_request>
+class caller_request : public open_request, public std::enable_shared_from_this<caller_request>
 {
 public:
     /// A received request with its route and time limits.
@@ -42,19 +43,14 @@
         std::uint32_t priority = 0; ///< Of the organisation, otherwise of the route; 0 is the highest.
     };
 
-    virtual ~caller_request() = default;
-    caller_request(const caller_request &) = delete;
-    caller_request &operator=(const caller_request &) = delete;
-
     /// Starts to serve the request.
     void start();
 
-    /// Ends the request like giveUp(), with 401, if the table requires keys and no longer holds the key of the caller.
-    void endIfKeyWithdrawn(const route_table &current);
+    /// Cancels the open calls. The answer leaves open whether the request has run.
+    void endIfKeyWithdrawn(const route_table &current) override;
 
-    /// Answers with a failure that promises nothing, and cancels the open calls. Does nothing once ended(). Called when this host stops
-    /// before the request has an answer.
-    void giveUp();
+    /// Cancels the open calls. The answer leaves open whether the request has run.
+    void giveUp() override;
 
 protected:
     caller_request(gateway_state &state, incoming_request received);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -2,9 +2,9 @@
 
 #include <call_audit.h>
 #include <caller_front.h>
-#include <caller_request.h>
 #include <gateway_state.h>
 #include <host_link.h>
+#include <open_request.h>
 #include <publication_reader.h>
 #include <replica_prober.h>
 #include <request_caps.h>
--- a/libs/gateway/src/gateway_state.h
+++ b/libs/gateway/src/gateway_state.h
@@ -25,7 +25,7 @@
 namespace orioledrum
 {
 
-class caller_request;
+class open_request;
 
 /// State that the components of a gateway share. Used by one thread only.
 struct gateway_state {
@@ -50,7 +50,7 @@
     service_split serviceSplit;
     std::shared_ptr<const route_table> table; ///< Active route table; null before the first one.
     /// Requests that have no answer yet, those of other hosts included.
-    std::unordered_map<const caller_request *, std::weak_ptr<caller_request>> openRequests;
+    std::unordered_map<const open_request *, std::weak_ptr<open_request>> openRequests;
     bool stopping = false;
     bool canServeNow = false; ///< Latest result of canServe().
     /// Number of received requests by route::key(), that is, the Host header value and the path prefix.
--- a/libs/gateway/src/publication_reader.cpp
+++ b/libs/gateway/src/publication_reader.cpp
@@ -1,8 +1,8 @@
 #include <publication_reader.h>
 
-#include <caller_request.h>
 #include <gateway_state.h>
 #include <host_call.h>
+#include <open_request.h>
 #include <request_caps.h>
 #include <transport/http_exchange.h>
 #include <wire/change_messages.h>
