Count refusals by reason and organisation and show organisations in the status

An operator could not see which organisations a host knows, or why requests were refused. Refusals are now counted by reason and, where it is known, by organisation; metrics give the number of keys and the cap of each organisation, and orioledrumctl shows both. Never keys or digests. explain tells a refused key, a withdrawn key and a reached cap apart.

The key is now checked before the id and the form of the header fields: a request without a valid key got 400 when it had no id.

--- a/libs/gateway/src/caller_authentication.cpp
+++ b/libs/gateway/src/caller_authentication.cpp
@@ -21,12 +21,15 @@
         switch (credential.kind) {
         case credential_kind::none:
             result.reason = "the request carries no key";
+            result.refusal = "noKey";
             break;
         case credential_kind::malformed:
             result.reason = "the key of the request is not readable";
+            result.refusal = "malformedKey";
             break;
         case credential_kind::key:
             result.reason = "no organisation holds the key of the request";
+            result.refusal = "unknownKey";
             break;
         }
     }
--- a/libs/gateway/src/caller_authentication.h
+++ b/libs/gateway/src/caller_authentication.h
@@ -17,6 +17,7 @@
     bool accepted = false;
     caller_identity identity; ///< For message_codec::forwardedHeaders(). Refers to the route table.
     std::string_view reason; ///< Why the request is refused, for the error message.
+    std::string_view refusal; ///< The same, for the metrics.
 };
 
 /// Decides by the organisations of a route table on a request that matches one of its routes. Without organisations, every request is
--- a/libs/gateway/src/caller_front.cpp
+++ b/libs/gateway/src/caller_front.cpp
@@ -30,6 +30,9 @@
 constexpr int patienceDivisor = 4;
 /// Retry-After of a request that has waited for a token until this host stops: other hosts can serve it at once.
 constexpr std::chrono::milliseconds retryAfterStop{0};
+/// Lines about requests without a valid key per second, a tenth of all lines about requests: anyone can send such requests, which must not
+/// displace the lines about others.
+constexpr std::uint32_t maxRefusedKeyLinesPerSecond = event_log::maxRequestLinesPerSecond / 10;
 /// The wait is at least this long, because a call cannot time out at once.
 constexpr std::chrono::microseconds minPatience{1000};
 
@@ -59,6 +62,7 @@
     {
         if (!decided && isWithdrawn(incoming.key, current)) {
             const error reason{error_code::unauthorized, "the key was withdrawn; the request has not run", "authenticate", {}};
+            m_front.m_state.metrics.requestRefused("keyWithdrawn", incoming.identity.member->name);
             m_front.endWaiting(*this, m_front.m_state.codec.encodeFailure(401, reason), "keyWithdrawn", {});
         }
     }
@@ -89,8 +93,12 @@
 {
     const auto now = monotonic_clock::now();
     auto fields = m_state.codec.decodeCaller(request);
-    const auto refuse = [&](http_response response, const char *outcome) {
+    const auto refuse = [&](http_response response, const char *outcome, bool logged = true) {
         m_state.metrics.requestEnded("none", outcome, std::chrono::microseconds(0));
+        if (!logged) {
+            exchange->respond(std::move(response));
+            return;
+        }
         m_state.log.writeRequest("front",
                                  outcome,
                                  now,
@@ -122,6 +130,13 @@
                "noRoute");
         return;
     }
+    const auto authenticated = authenticate(*m_state.table, *route, fields.credential);
+    if (!authenticated.accepted) {
+        const error reason{error_code::unauthorized, std::string(authenticated.reason), "authenticate", request.remoteAddress};
+        m_state.metrics.requestRefused(authenticated.refusal, {});
+        refuse(m_state.codec.encodeFailure(401, reason), "unauthenticated", mayLogRefusedKey(now));
+        return;
+    }
     if (fields.requestId.empty()) {
         refuse(m_state.codec.encodeFailure(400, {error_code::malformed, "the request has no id", "read request", request.remoteAddress}),
                "noId");
@@ -133,12 +148,6 @@
         refuse(m_state.codec.encodeFailure(400, reason), "badField");
         return;
     }
-    const auto authenticated = authenticate(*m_state.table, *route, fields.credential);
-    if (!authenticated.accepted) {
-        const error reason{error_code::unauthorized, std::string(authenticated.reason), "authenticate", request.remoteAddress};
-        refuse(m_state.codec.encodeFailure(401, reason), "unauthenticated");
-        return;
-    }
     caller_request::incoming_request incoming;
     incoming.identity = authenticated.identity;
     incoming.priority = route->priority;
@@ -209,6 +218,7 @@
     const auto retryAfter = std::chrono::ceil<std::chrono::milliseconds>(decision.retryAfter);
     auto response = overCap ? m_state.codec.encodeOverCap(reason, retryAfter) : m_state.codec.encodeNotRun(reason, retryAfter);
     const auto *outcome = overCap ? "overCap" : "capUnknown";
+    m_state.metrics.requestRefused(outcome, organisation);
     endWaiting(waiting, std::move(response), outcome, retryAfter);
 }
 
@@ -234,4 +244,13 @@
     incoming.exchange->respond(std::move(response));
 }
 
+bool caller_front::mayLogRefusedKey(time_point now)
+{
+    if (now - m_refusedKeysSince >= std::chrono::seconds(1)) {
+        m_refusedKeysSince = now;
+        m_refusedKeyLines = 0;
+    }
+    return m_refusedKeyLines++ < maxRefusedKeyLinesPerSecond;
+}
+
 } // namespace orioledrum
--- a/libs/gateway/src/caller_front.h
+++ b/libs/gateway/src/caller_front.h
@@ -33,8 +33,13 @@
     /// Answers a request that waits for a token. Must be called only while it waits.
     void endWaiting(waiting_request &waiting, http_response response, std::string_view outcome, std::chrono::milliseconds retryAfter);
 
+    /// @return False when enough lines about requests without a valid key were written in this second.
+    bool mayLogRefusedKey(time_point now);
+
     gateway_state &m_state;
     usage_caps &m_usage;
+    time_point m_refusedKeysSince; ///< Start of the second in which m_refusedKeyLines were written.
+    std::uint32_t m_refusedKeyLines = 0;
 };
 
 } // namespace orioledrum
--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -135,6 +135,7 @@
     if (m_ended || !isWithdrawn(m_incoming.key, current)) {
         return;
     }
+    m_state.metrics.requestRefused("keyWithdrawn", m_incoming.identity.member->name);
     endWithFailure(401, {error_code::unauthorized, "the key was withdrawn; the request may have run", "authenticate", {}}, "keyWithdrawn");
 }
 
--- a/libs/gateway/src/gateway_metrics.cpp
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -1,5 +1,6 @@
 #include <gateway_metrics.h>
 
+#include <config/organisation.h>
 #include <limits/call_account.h>
 
 #include <prometheus/counter.h>
@@ -10,6 +11,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <utility>
 
 namespace orioledrum
 {
@@ -100,6 +102,21 @@
                      .Name("orioledrum_backend_notices_total")
                      .Help("Answers of backend servers that ask for no more requests, by what they say")
                      .Register(registry);
+    m_refused =
+        &prometheus::BuildCounter()
+             .Name("orioledrum_refused_requests_total")
+             .Help("Requests refused by their key or by the usage cap of their organisation; the organisation is empty if not known")
+             .Register(registry);
+    m_organisationKeys =
+        &prometheus::BuildGauge().Name("orioledrum_organisation_keys").Help("Number of keys of an organisation").Register(registry);
+    m_organisationRate = &prometheus::BuildGauge()
+                              .Name("orioledrum_organisation_rate_per_s")
+                              .Help("Requests per second of the usage cap of an organisation; 0: no cap")
+                              .Register(registry);
+    m_organisationBurst = &prometheus::BuildGauge()
+                               .Name("orioledrum_organisation_burst")
+                               .Help("Requests at once in addition to the rate of the usage cap of an organisation")
+                               .Register(registry);
     m_hedges = makeCounter(registry, "orioledrum_hedges_total", "Hedged calls, sent because an earlier call was slow");
     m_retries = makeCounter(registry, "orioledrum_retries_total", "Calls retried after a failure");
     m_stateAge = makeGauge(registry,
@@ -136,6 +153,31 @@
     m_requestTimes->Add({{"route", route}}, requestBuckets).Observe(seconds(latency));
 }
 
+void gateway_metrics::requestRefused(std::string_view reason, std::string_view organisation)
+{
+    m_refused->Add({{"organisation", std::string(organisation)}, {"reason", std::string(reason)}}).Increment();
+}
+
+void gateway_metrics::setOrganisations(const std::vector<organisation> &organisations)
+{
+    auto previous = std::exchange(m_organisations, {});
+    for (const auto &each : organisations) {
+        const prometheus::Labels labels{{"organisation", each.name}};
+        const organisation_gauges gauges{
+            &m_organisationKeys->Add(labels), &m_organisationRate->Add(labels), &m_organisationBurst->Add(labels)};
+        gauges.keys->Set(static_cast<double>(each.keys.size()));
+        gauges.rate->Set(each.requestsPerSecond);
+        gauges.burst->Set(each.burst);
+        m_organisations[each.name] = gauges;
+        previous.erase(each.name);
+    }
+    for (const auto &[name, gauges] : previous) {
+        m_organisationKeys->Remove(gauges.keys);
+        m_organisationRate->Remove(gauges.rate);
+        m_organisationBurst->Remove(gauges.burst);
+    }
+}
+
 void gateway_metrics::setServiceCalls(const std::string &service, const call_account &account)
 {
     const auto set = [&](const char *kind, std::uint64_t count) {
--- a/libs/gateway/src/gateway_metrics.h
+++ b/libs/gateway/src/gateway_metrics.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace prometheus
 {
@@ -22,6 +23,7 @@
 namespace orioledrum
 {
 
+struct organisation;
 class call_account;
 
 /// Prometheus metrics of one gateway; docs/OPERATIONS.md lists the name, unit and meaning of each.
@@ -39,6 +41,11 @@
     /// @param route Name of the route, or "none" for a request that caller_front refused.
     /// @param outcome Value of the label "outcome".
     void requestEnded(const std::string &route, std::string_view outcome, std::chrono::microseconds latency);
+    /// @param reason Why the request was refused by its key or by the usage cap of its organisation.
+    /// @param organisation Name of the organisation; empty when it is not known.
+    void requestRefused(std::string_view reason, std::string_view organisation);
+    /// Shows these organisations, with the number of their keys and their caps, and no others.
+    void setOrganisations(const std::vector<organisation> &organisations);
     /// @param account Counts of the calls to a service since the start.
     void setServiceCalls(const std::string &service, const call_account &account);
     /// @param kind Event of the log line.
@@ -61,6 +68,12 @@
     [[nodiscard]] std::string text() const;
 
 private:
+    struct organisation_gauges {
+        prometheus::Gauge *keys = nullptr;
+        prometheus::Gauge *rate = nullptr;
+        prometheus::Gauge *burst = nullptr;
+    };
+
     std::unique_ptr<prometheus::Registry> m_registry;
     prometheus::Family<prometheus::Counter> *m_requests;
     prometheus::Family<prometheus::Histogram> *m_requestTimes;
@@ -69,6 +82,11 @@
     prometheus::Histogram *m_callTimes;
     prometheus::Family<prometheus::Counter> *m_serviceCalls;
     prometheus::Family<prometheus::Counter> *m_notices;
+    prometheus::Family<prometheus::Counter> *m_refused;
+    prometheus::Family<prometheus::Gauge> *m_organisationKeys;
+    prometheus::Family<prometheus::Gauge> *m_organisationRate;
+    prometheus::Family<prometheus::Gauge> *m_organisationBurst;
+    std::map<std::string, organisation_gauges> m_organisations;
     prometheus::Counter *m_hedges;
     prometheus::Counter *m_retries;
     prometheus::Gauge *m_configVersion;
--- a/libs/gateway/src/publication_reader.cpp
+++ b/libs/gateway/src/publication_reader.cpp
@@ -295,6 +295,7 @@
     m_state.table = std::move(table);
     m_state.registry.setRouteTable(m_state.table);
     m_state.metrics.setConfigVersion(m_state.table->version());
+    m_state.metrics.setOrganisations(m_state.table->organisations());
     if (m_state.settings.strictRevocation) {
         // A request leaves the map when it ends.
         for (const auto &[key, open] : std::vector(m_state.openRequests.begin(), m_state.openRequests.end())) {
--- a/libs/gateway/tests/test_caller_authentication.cpp
+++ b/libs/gateway/tests/test_caller_authentication.cpp
@@ -36,6 +36,10 @@
         const auto refused = authenticate(*table, closed, credential);
         EXPECT_FALSE(refused.accepted);
         EXPECT_FALSE(refused.reason.empty());
+        EXPECT_EQ(refused.refusal,
+                  credential.kind == credential_kind::none            ? "noKey"
+                      : credential.kind == credential_kind::malformed ? "malformedKey"
+                                                                      : "unknownKey");
         EXPECT_EQ(refused.reason.find("kk"), std::string_view::npos);
     }
 }
@@ -62,3 +66,13 @@
     EXPECT_TRUE(result.accepted);
     EXPECT_FALSE(result.identity.verified);
 }
+
+// Guards against requests that end although their key was not withdrawn, or go on although it was.
+TEST(CallerAuthenticationTest, findsWithdrawnKeys)
+{
+    const auto key = key_digest::of("k");
+    EXPECT_FALSE(isWithdrawn(key, *makeTable(std::vector{member})));
+    EXPECT_TRUE(isWithdrawn(key, *makeTable(std::vector<organisation>())));
+    EXPECT_FALSE(isWithdrawn(key, *makeTable(std::nullopt))) << "no keys are needed any more";
+    EXPECT_FALSE(isWithdrawn(std::nullopt, *makeTable(std::vector{member}))) << "accepted on a public route";
+}
--- a/tools/orioledrumctl/explanation.cpp
+++ b/tools/orioledrumctl/explanation.cpp
@@ -283,6 +283,18 @@
     if (line.event == "noRoute") {
         return "refused: no route of the configuration in force matches " + line.field("target");
     }
+    if (line.event == "unauthenticated") {
+        return "refused: it carried no key of an organisation in the configuration in force";
+    }
+    if (line.event == "keyWithdrawn") {
+        return "ended because its key was withdrawn";
+    }
+    if (line.event == "overCap") {
+        return "refused: organisation " + line.field("organisation") + " had reached its usage cap";
+    }
+    if (line.event == "capUnknown") {
+        return "refused: the host that keeps the usage cap of organisation " + line.field("organisation") + " did not answer";
+    }
     return "refused before it was routed: " + line.event;
 }
 
--- a/tools/orioledrumctl/gateway_status.cpp
+++ b/tools/orioledrumctl/gateway_status.cpp
@@ -13,8 +13,10 @@
 {
 
 constexpr std::string_view callsMetric = "orioledrum_service_calls_total{";
+constexpr std::string_view refusedMetric = "orioledrum_refused_requests_total{";
+constexpr std::string_view organisationMetric = "orioledrum_organisation_";
 
-std::optional<std::uint64_t> parseCount(std::string_view text)
+std::optional<double> parseNumber(std::string_view text)
 {
     double value = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -22,18 +24,43 @@
     if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() || !(value >= 0) || value > maxExact) {
         return std::nullopt;
     }
-    return static_cast<std::uint64_t>(value);
+    return value;
+}
+
+std::optional<std::uint64_t> parseCount(std::string_view text)
+{
+    const auto value = parseNumber(text);
+    return value ? std::optional(static_cast<std::uint64_t>(*value)) : std::nullopt;
 }
 
 /// @return The value of a label in `{name="value",...}`; empty when there is none.
-std::string_view labelValue(std::string_view labels, std::string_view name)
+std::string labelValue(std::string_view labels, std::string_view name)
 {
     const auto at = labels.find(std::string(name) + "=\"");
+    std::string value;
     if (at == std::string_view::npos) {
-        return {};
+        return value;
     }
     labels.remove_prefix(at + name.size() + 2);
-    return labels.substr(0, labels.find('"'));
+    for (std::size_t i = 0; i < labels.size() && labels[i] != '"'; ++i) {
+        if (labels[i] == '\\' && i + 1 < labels.size()) {
+            ++i; // A backslash stands before a quotation mark, a backslash or the letter of a line feed.
+        }
+        value += labels[i];
+    }
+    return value;
+}
+
+double *valueOf(gateway_status::organisation_status &status, std::string_view metric)
+{
+    return metric == "keys" ? &status.keys : metric == "rate_per_s" ? &status.ratePerSecond : metric == "burst" ? &status.burst : nullptr;
+}
+
+/// @return The number without trailing zeros.
+std::string numberText(double value)
+{
+    const auto whole = static_cast<std::uint64_t>(value);
+    return static_cast<double>(whole) == value ? std::to_string(whole) : nlohmann::json(value).dump();
 }
 
 std::uint64_t *counterOf(gateway_status::service_calls &calls, std::string_view kind)
@@ -81,6 +108,21 @@
                 return makeError(error_code::malformed, "read metrics", "unexpected line: " + std::string(line), host);
             }
             *counter = *count;
+        } else if (name.starts_with(refusedMetric)) {
+            const auto count = parseCount(line.substr(space + 1));
+            if (!count) {
+                return makeError(error_code::malformed, "read metrics", "unexpected line: " + std::string(line), host);
+            }
+            status.refused[labelValue(name, "organisation")][labelValue(name, "reason")] = *count;
+        } else if (name.starts_with(organisationMetric)) {
+            const auto labels = std::min(name.find('{'), name.size());
+            auto &organisation = status.organisations[labelValue(name.substr(labels), "organisation")];
+            auto *value = valueOf(organisation, name.substr(0, labels).substr(organisationMetric.size()));
+            const auto number = parseNumber(line.substr(space + 1));
+            if (value == nullptr || !number) {
+                return makeError(error_code::malformed, "read metrics", "unexpected line: " + std::string(line), host);
+            }
+            *value = *number;
         }
     }
     for (const auto &[name, value] : gauges) {
@@ -127,6 +169,18 @@
             add("unaccounted calls to " + service, calls.unaccounted);
         }
     }
+    for (const auto &[name, organisation] : organisations) {
+        lines += "organisation " + name + ": keys " + numberText(organisation.keys);
+        if (organisation.ratePerSecond > 0) {
+            lines += ", " + numberText(organisation.ratePerSecond) + " requests/s, burst " + numberText(organisation.burst);
+        }
+        lines += "\n";
+    }
+    for (const auto &[name, reasons] : refused) {
+        for (const auto &[reason, count] : reasons) {
+            add("refused/" + reason + (name.empty() ? "" : " of " + name), count);
+        }
+    }
     return lines;
 }
 
@@ -141,6 +195,21 @@
     for (const auto &[service, calls] : services) {
         value["services"][service] = toJson(calls);
     }
+    value["organisations"] = nlohmann::json::object();
+    for (const auto &[name, organisation] : organisations) {
+        value["organisations"][name] = {{"keys", static_cast<std::uint64_t>(organisation.keys)},
+                                        {"ratePerS", organisation.ratePerSecond},
+                                        {"burst", organisation.burst},
+                                        {"refused", refusals()}};
+    }
+    value["refused"] = refusals();
+    for (const auto &[name, reasons] : refused) {
+        if (name.empty()) {
+            value["refused"] = reasons;
+        } else {
+            value["organisations"][name]["refused"] = reasons;
+        }
+    }
     return value.dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/tools/orioledrumctl/gateway_status.h
+++ b/tools/orioledrumctl/gateway_status.h
@@ -21,11 +21,24 @@
         std::uint64_t unaccounted = 0;
     };
 
+    /// An organisation of the active configuration.
+    struct organisation_status {
+        double keys = 0;
+        double ratePerSecond = 0; ///< Of its usage cap; 0: none.
+        double burst = 0;
+    };
+
+    /// Number of refused requests since the start of the process, by reason.
+    using refusals = std::map<std::string, std::uint64_t>;
+
     bool ready = false;
     std::uint64_t configVersion = 0;
     std::uint64_t hosts = 0;
     std::uint64_t backendServers = 0;
     std::map<std::string, service_calls> services;
+    std::map<std::string, organisation_status> organisations;
+    /// By organisation; empty for requests whose organisation is not known. May hold organisations that the configuration no longer has.
+    std::map<std::string, refusals> refused;
 
     /// @param metrics Text format of Prometheus. Unknown metrics are ignored.
     /// @param host Named in the error.
--- a/tools/orioledrumctl/tests/test_gateway_status.cpp
+++ b/tools/orioledrumctl/tests/test_gateway_status.cpp
@@ -39,6 +39,29 @@
     EXPECT_EQ(nlohmann::json::parse(status->json())["services"]["s1"]["extra"], 20);
 }
 
+// Guards against organisations, caps or refusals that an operator does not see, or sees for another organisation.
+TEST(GatewayStatusTest, showsOrganisationsAndWhatWasRefused)
+{
+    const auto status = gateway_status::parse(metrics
+                                                  + "orioledrum_organisation_keys{organisation=\"north\"} 2\n"
+                                                    "orioledrum_organisation_rate_per_s{organisation=\"north\"} 12.5\n"
+                                                    "orioledrum_organisation_burst{organisation=\"north\"} 4\n"
+                                                    "orioledrum_organisation_keys{organisation=\"a\\\"b\\\\c\"} 1\n"
+                                                    "orioledrum_refused_requests_total{organisation=\"\",reason=\"unknownKey\"} 7\n"
+                                                    "orioledrum_refused_requests_total{organisation=\"north\",reason=\"overCap\"} 3\n",
+                                              "h");
+    ASSERT_TRUE(status) << status.error().describe();
+    const auto text = status->text();
+    EXPECT_NE(text.find("organisation north: keys 2, 12.5 requests/s, burst 4\n"), std::string::npos) << text;
+    EXPECT_NE(text.find("organisation a\"b\\c: keys 1\n"), std::string::npos) << text;
+    EXPECT_NE(text.find("refused/unknownKey: 7\n"), std::string::npos) << text;
+    EXPECT_NE(text.find("refused/overCap of north: 3\n"), std::string::npos) << text;
+    const auto json = nlohmann::json::parse(status->json());
+    EXPECT_EQ(json["refused"]["unknownKey"], 7);
+    EXPECT_EQ(json["organisations"]["north"]["refused"]["overCap"], 3);
+    EXPECT_EQ(json["organisations"]["a\"b\\c"]["keys"], 1);
+}
+
 // Guards against a status made of zeros when the address is not one of gatewayd, or its numbers cannot be read.
 TEST(GatewayStatusTest, rejectsOtherTexts)
 {
@@ -49,7 +72,10 @@
                             "orioledrum_hosts nan\n",
                             "orioledrum_hosts 1e300\n",
                             "orioledrum_service_calls_total{kind=\"other\",service=\"s\"} 1\n",
-                            "orioledrum_service_calls_total{kind=\"first\",service=\"s\"} many\n"}) {
+                            "orioledrum_service_calls_total{kind=\"first\",service=\"s\"} many\n",
+                            "orioledrum_organisation_keys{organisation=\"s\"} many\n",
+                            "orioledrum_organisation_other{organisation=\"s\"} 1\n",
+                            "orioledrum_refused_requests_total{organisation=\"s\",reason=\"overCap\"} -1\n"}) {
         EXPECT_FALSE(gateway_status::parse(metrics + odd, "h")) << odd;
     }
 }
--- a/tools/orioledrumctl/tests/test_log_commands.cpp
+++ b/tools/orioledrumctl/tests/test_log_commands.cpp
@@ -52,6 +52,27 @@
     EXPECT_TRUE(contains(viewItemsOf(explanation, "g1"), "routes of version 3 were in force", 572));
 }
 
+// Guards against a request refused by its key or usage cap, or ended by a withdrawn key, that is explained as one without a route.
+TEST(ExplainCommand, tellsWhyAnOrganisationWasRefused)
+{
+    const auto file = std::filesystem::temp_directory_path() / ("orioledrum-organisations-" + std::to_string(::getpid()) + ".log");
+    std::ofstream(file) << R"({"at":"2026-01-01T00:00:00.000Z","host":"g1","part":"front","event":"unauthenticated","id":"a","status":401})"
+                        << "\n"
+                        << R"({"at":"2026-01-01T00:00:01.000Z","host":"g1","part":"request","event":"keyWithdrawn","id":"b","ms":9})"
+                        << "\n"
+                        << R"({"at":"2026-01-01T00:00:02.000Z","host":"g1","part":"front","event":"overCap","id":"c","organisation":"m"})"
+                        << "\n";
+    const auto causeOf = [&](const std::string &id) {
+        const auto outcome = runCommand("explain --json " + id + " " + file.string() + " 2>/dev/null");
+        const auto explanation = json::parse(outcome.output, nullptr, false);
+        return explanation.is_discarded() ? outcome.output : explanation.at("cause").get<std::string>();
+    };
+    EXPECT_EQ(causeOf("a"), "refused: it carried no key of an organisation in the configuration in force");
+    EXPECT_EQ(causeOf("b"), "ended because its key was withdrawn");
+    EXPECT_EQ(causeOf("c"), "refused: organisation m had reached its usage cap");
+    std::filesystem::remove(file);
+}
+
 // Guards against explanations limited to the host that answered the caller when the cause lies at another host.
 TEST(ExplainCommand, tracesRequestAcrossHosts)
 {
