Test organisations and their keys over real sockets

The part had tests of single classes only. The stand-in of the platform now publishes organisations and public routes, keeps the bytes that backend servers receive, and sends header fields twice and trailers. A backend server of the stand-in that detects cancelled requests could read a connection twice at once.

--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -69,6 +69,26 @@
     writer.transport.abort()
 
 
+class RecordingReader:
+    """Reads from a stream and appends all bytes read to `record`."""
+
+    def __init__(self, reader, record):
+        self.reader, self.record = reader, record
+
+    async def read(self, size):
+        return self.kept(await self.reader.read(size))
+
+    async def readexactly(self, size):
+        return self.kept(await self.reader.readexactly(size))
+
+    async def readuntil(self, separator):
+        return self.kept(await self.reader.readuntil(separator))
+
+    def kept(self, data):
+        self.record += data
+        return data
+
+
 class Store:
     """Key-value store with revisions. Clients read it by prefix and watch for changes after a revision."""
 
@@ -221,6 +241,7 @@
         self.leaving = False  # Says in all answers that it leaves.
         self.retry_after = None  # Refuses requests and status checks with this value of Retry-After.
         self.probes = []  # Times of status checks.
+        self.received = bytearray()  # All bytes received, if Platform.record_bytes is set.
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -251,6 +272,8 @@
 
     async def serve(self, reader, writer):
         self.connections.add(writer)
+        if self.platform.record_bytes:
+            reader = RecordingReader(reader, self.received)
         try:
             while message := await read_message(reader):
                 if not await self.answer(message, reader, writer):
@@ -299,6 +322,7 @@
                     self.cancelled.append(request_id)
                     return False
                 closed.cancel()
+                await asyncio.gather(closed, return_exceptions=True)  # Until it ends, nothing else can read from the connection.
             else:
                 await work
         finally:
@@ -365,6 +389,9 @@
         self.config_version = 0
         self.request_count = 0
         self.sent = []  # (time, target) of each request of a caller.
+        self.record_bytes = False  # Whether backend servers keep the bytes that they receive; applies to new connections.
+        self.tenants = None  # Organisations of the published configuration; None: callers need no keys.
+        self.public_routes = ()  # Names of routes that need no key.
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
 
@@ -425,12 +452,14 @@
     def add_backend(self, name, service, zone):
         self.run(self._add_backend(name, service, zone))
 
-    def publish_routes_on_loop(self, single="single", extra=(), timeout_ms=1500, warm_up_s=1.0, cold_per_s=0.0, **limits):
+    def publish_routes_on_loop(self, single="single", extra=(), timeout_ms=1500, warm_up_s=1.0, cold_per_s=0.0, target_latency_ms=120,
+                               **limits):
         """Publishes the next version of the routes, with one more route for each name in `extra`. Runs in the thread of the loop.
         `cold_per_s` limits the requests to a cold backend server; 0: not limited. `limits` replace fields of the limits for callers.
+        The organisations are those of `tenants`.
         """
         self.config_version += 3
-        base = {"host": "h.example", "timeout_ms": timeout_ms, "target_latency_ms": 120, "priority": 1, "max_attempts": 2}
+        base = {"host": "h.example", "timeout_ms": timeout_ms, "target_latency_ms": target_latency_ms, "priority": 1, "max_attempts": 2}
         search = {"kind": "idempotent", "gather": self.shards, "top_k": 10, "min_coverage": 0.75}
         routes = [{**base, **search, "name": "search", "prefix": "/search/"},
                   {**base, "name": "fetch", "prefix": "/fetch/", "kind": "idempotent", "service": single},
@@ -439,13 +468,19 @@
         services = [{"name": name, "health_path": "/health", "max_conns": 60, "protocol": "h1", "tls": False, "warmup_s": warm_up_s,
                      "cold_per_s": cold_per_s} for name in [*self.shards, "single", "other"]]
         limits = {"max_header_bytes": 16384, "max_body_bytes": 10000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, **limits}
-        self.store.put("op/config", {"version": self.config_version, "routes": routes, "services": services, "limits": limits})
+        configuration = {"version": self.config_version, "routes": routes, "services": services, "limits": limits}
+        if self.tenants is not None:
+            configuration["tenants"] = self.tenants
+        for route in routes:
+            if route["name"] in self.public_routes:
+                route["public"] = True
+        self.store.put("op/config", configuration)
 
     def publish_routes(self, **options):
         """Like publish_routes_on_loop(), but for callers in other threads."""
         self.call_on_loop(self.publish_routes_on_loop, **options)
 
-    def start_gateway(self, name, zone, wait=True):
+    def start_gateway(self, name, zone, wait=True, **more_settings):
         """Starts a gateway, on its previous ports when it ran before. With `wait`, returns when it is ready."""
         ports = {key: free_port() for key in ("callers", "readiness", "hosts", "metrics")}
         previous = self.gateways.get(name)
@@ -456,6 +491,7 @@
                     "extraCallShare": EXTRA_CALL_SHARE, "extraCallSlack": EXTRA_CALL_SLACK, "coldFactor": 1.5, "coldSlack": 5, "configurationInForceMs": 3000,
                     "contactLossMs": 4000, "drainMs": 3000, "stopTimeMs": 6000, "lapsedReturnMs": 1000, "callerDelayMs": 3}
         settings.update({key: f"127.0.0.1:{port}" for key, port in ports.items()})
+        settings.update(more_settings)
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         log = open(self.folder / f"{name}.log", "ab")
@@ -512,13 +548,15 @@
         return lines
 
     async def send(self, name, target, method="GET", body=b"", port="callers", request_id=None, deadline_ms=1500, give_up_s=None,
-                   connection=None, header=None):
+                   connection=None, header=None, trailer=None):
         """Sends one request. `connection` is an empty list, which receives the open connection, or a list that an earlier request has
         filled; without it, the connection closes after the request. With `give_up_s`, the caller resets the connection after that
-        time without reading the answer. `port` names the port of the gateway: callers, readiness, hosts or metrics.
+        time without reading the answer. `port` names the port of the gateway: callers, readiness, hosts or metrics. `header` holds
+        more header fields, as a dictionary or as a list of pairs; `trailer` holds fields that follow a chunked body. With an empty
+        `request_id` the request has none.
         """
         self.request_count += 1
-        request_id = request_id or "r%06d" % self.request_count
+        request_id = "r%06d" % self.request_count if request_id is None else request_id
         if port == "callers":
             self.sent.append((time.monotonic(), target))
         began = time.monotonic()
@@ -529,9 +567,15 @@
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.gateways[name]["ports"][port])
                 if connection is not None:
                     connection += [reader, writer]
-            lines = [f"{method} {target} HTTP/1.1", "Host: h.example", f"Request-Id: {request_id}", f"Deadline-Ms: {deadline_ms}"]
-            lines += [f"{key}: {value}" for key, value in (header or {}).items()]
-            if body or method == "POST":
+            lines = [f"{method} {target} HTTP/1.1", "Host: h.example", f"Deadline-Ms: {deadline_ms}"]
+            if request_id:
+                lines.append(f"Request-Id: {request_id}")
+            lines += [f"{key}: {value}" for key, value in (header.items() if isinstance(header, dict) else header or ())]
+            if trailer:
+                lines += ["Transfer-Encoding: chunked", "Trailer: " + ", ".join(trailer)]
+                end = "".join(f"{key}: {value}\r\n" for key, value in trailer.items()).encode()
+                body = (b"%x\r\n%b\r\n" % (len(body), body) if body else b"") + b"0\r\n" + end + b"\r\n"
+            elif body or method == "POST":
                 lines.append(f"Content-Length: {len(body)}")
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
             if give_up_s:
