--- a/libs/gateway/src/publication_reader.cpp
+++ b/libs/gateway/src/publication_reader.cpp
@@ -1,8 +1,8 @@
 #include <publication_reader.h>
 
-#include <caller_request.h>
 #include <gateway_state.h>
 #include <host_call.h>
+#include <open_request.h>
 #include <request_caps.h>
 #include <transport/http_exchange.h>
 #include <wire/change_messages.h>
@@ -428,6 +428,7 @@
     m_state.table = std::move(table);
     m_state.registry.setRouteTable(m_state.table);
     m_state.metrics.setConfigVersion(m_state.table->version());
+    m_state.metrics.setOrganisations(m_state.table->organisations());
     if (m_state.settings.strictRevocation) {
         // A request leaves the map when it ends.
         for (const auto &[key, open] : std::vector(m_state.openRequests.begin(), m_state.openRequests.end())) {
--- a/scripts/platform_store.py
+++ b/scripts/platform_store.py
@@ -2,48 +2,9 @@
 import asyncio
 import base64
 import json
-import socket
-import struct
 import time
 
-
-async def read_message(reader):
-    """Reads one HTTP/1.1 message. Returns start line, header (lower case names) and body.
-
-    Returns None when the connection closes before the end of the header, and raises IncompleteReadError when it closes later.
-    """
-    try:
-        head = await reader.readuntil(b"\r\n\r\n")
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return None
-    lines = head.decode("latin-1").split("\r\n")
-    header = {}
-    for line in lines[1:]:
-        if ":" in line:
-            name, value = line.split(":", 1)
-            header[name.strip().lower()] = value.strip()
-    if header.get("transfer-encoding", "").lower() == "chunked":
-        body = b""
-        while True:
-            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
-            body += (await reader.readexactly(size + 2))[:-2]
-            if size == 0:
-                return lines[0], header, body
-    return lines[0], header, await reader.readexactly(int(header.get("content-length", 0)))
-
-
-def make_response(status, header=None, body=b"", close=False):
-    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
-    lines += [f"{name}: {value}" for name, value in (header or {}).items()]
-    if close:
-        lines.append("Connection: close")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
-
-
-def reset_connection(writer):
-    """Closes a connection with a reset. Without lingering off, the other side would see an ordinary end of the data."""
-    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
+from http_streams import make_response, read_message
 
 
 class Store:
