--- a/libs/gateway/src/usage_caps.cpp
+++ b/libs/gateway/src/usage_caps.cpp
@@ -5,6 +5,7 @@
 #include <transport/http_client.h>
 #include <transport/http_exchange.h>
 #include <transport/http_request.h>
+#include <usage_hosts.h>
 #include <wire/codec.h>
 #include <wire/usage_messages.h>
 
@@ -17,49 +18,11 @@
 namespace orioledrum
 {
 
-namespace
-{
-
-/// Periods of membership by which the views of two hosts on one change may differ.
-constexpr int noticePeriods = 4;
-
-usage_host_state toUsageState(host_state state)
-{
-    switch (state) {
-    case host_state::live:
-        return usage_host_state::live;
-    case host_state::leaving:
-        return usage_host_state::leaving;
-    case host_state::suspect:
-    case host_state::down:
-        return usage_host_state::lost;
-    }
-    return usage_host_state::lost;
-}
-
-/// @return The times of membership in a fleet of this size; see membership_settings::scalingThreshold.
-usage_fleet_times timesOf(const membership_view &view)
-{
-    const membership_settings settings;
-    std::unordered_map<zone_id, std::size_t> hostsOfZone;
-    std::size_t largestZone = 0;
-    for (const auto &member : view.members) {
-        largestZone = std::max(largestZone, ++hostsOfZone[member.zone]);
-    }
-    const auto scale = std::max<std::size_t>(1, (largestZone + settings.scalingThreshold - 1) / settings.scalingThreshold);
-    usage_fleet_times times;
-    times.notice = settings.period * noticePeriods;
-    times.establish = settings.suspectAfter * static_cast<std::int64_t>(scale) + times.notice;
-    return times;
-}
-
-} // namespace
-
 usage_caps::usage_caps(gateway_state &state, http_client &client)
     : m_state(state)
     , m_client(client)
     , m_fleet(state.settings.host, state.settings.zone)
-    , m_owner(m_fleet)
+    , m_owner(m_fleet, monotonic_clock::now())
     , m_requests(m_fleet, m_owner)
     , m_lastActiveAt(monotonic_clock::now())
 {
@@ -68,12 +31,8 @@
 void usage_caps::setHosts(const membership_view &view, bool settled, time_point now)
 {
     checkForPause(now);
-    std::vector<usage_host> hosts;
-    for (const auto &member : view.members) {
-        hosts.push_back({member.host, member.address, member.zone, toUsageState(member.state)});
-    }
-    m_knownHosts = hosts.size();
-    m_fleet.update(std::move(hosts), settled, timesOf(view), now);
+    m_knownHosts = view.members.size();
+    m_fleet.update(usageHostsOf(view), settled, usageTimesOf(view), now);
     m_owner.fleetChanged();
 }
 
@@ -84,7 +43,7 @@
     if (paused) {
         m_state.log.write("usage", "restartedAfterPause", {});
         m_fleet.restart(now);
-        m_owner.restart();
+        m_owner.restart(now);
         m_requests.restart();
     }
 }
--- a/libs/limits/include/limits/usage_cap.h
+++ b/libs/limits/include/limits/usage_cap.h
@@ -22,10 +22,14 @@
     static constexpr std::chrono::milliseconds maxTokenLife{1000};
     /// Part of the excess that the lifetime of tokens may use; the rest is the reserve.
     static constexpr double maxTokenLifeShare = 0.5;
-    /// Part of the reserve that the zones hand out. Two hosts of a zone may take themselves for the one that does so, and the other half
-    /// is the part of single hosts.
+    /// Part of the reserve that the zones hand out. It counts twice, because two hosts of a zone may take themselves for the one that does
+    /// so.
     static constexpr double zoneReserveShare = 0.25;
-    static constexpr double hostReserveShare = 0.5;
+    /// Part of the reserve that is divided among single hosts.
+    static constexpr double hostReserveShare = 0.3;
+    /// Part of the reserve by which the owner's bucket is deeper than the burst. Without it, an organisation with a burst below 1 lost
+    /// requests to the times of messages.
+    static constexpr double depthReserveShare = 0.2;
 
     /// @return Requests in a window beyond those that the cap allows.
     [[nodiscard]] double excess() const
@@ -44,6 +48,9 @@
 
     /// @return Requests in a window that the owner does not hand out.
     [[nodiscard]] double reserve() const { return excess() - requestsPerSecond * std::chrono::duration<double>(tokenLife()).count(); }
+
+    /// @return Tokens that the owner's bucket holds at most.
+    [[nodiscard]] double depth() const { return std::max(1.0, burst + reserve() * depthReserveShare); }
 };
 
 } // namespace orioledrum
--- a/libs/limits/include/limits/usage_cap_client.h
+++ b/libs/limits/include/limits/usage_cap_client.h
@@ -61,6 +61,9 @@
 
     /// Both must outlive this object.
     usage_cap_client(const usage_fleet &fleet, usage_cap_owner &owner);
+    virtual ~usage_cap_client() = default;
+    usage_cap_client(const usage_cap_client &) = delete;
+    usage_cap_client &operator=(const usage_cap_client &) = delete;
 
     /// Asks for a token. The decision is in takeDecisions(), at once or after an answer.
     /// @param request Chosen by the caller; unique among those without a decision.
@@ -82,6 +85,10 @@
     /// Forgets all tokens, after a pause of the process.
     void restart();
 
+protected:
+    /// @return Time from a question after which its tokens are not used. A test that does not want them to expire overrides it.
+    [[nodiscard]] virtual std::chrono::microseconds tokenLife(const usage_cap &cap) const { return cap.tokenLife(); }
+
 private:
     struct waiting_request {
         std::uint64_t request = 0;
--- a/libs/limits/include/limits/usage_cap_owner.h
+++ b/libs/limits/include/limits/usage_cap_owner.h
@@ -39,7 +39,11 @@
 {
 public:
     /// @param fleet Must outlive this object.
-    explicit usage_cap_owner(const usage_fleet &fleet);
+    /// @param now Start of the process.
+    usage_cap_owner(const usage_fleet &fleet, time_point now);
+    virtual ~usage_cap_owner() = default;
+    usage_cap_owner(const usage_cap_owner &) = delete;
+    usage_cap_owner &operator=(const usage_cap_owner &) = delete;
 
     /// Handles a request for tokens at the owner.
     usage_grant request(const usage_cap &cap, std::uint32_t wanted, time_point now);
@@ -61,7 +65,12 @@
     void fleetChanged();
 
     /// Empties all buckets, after a pause of the process; to be called together with usage_fleet::restart().
-    void restart();
+    void restart(time_point now);
+
+protected:
+    /// @return True when nothing may be handed out at the start that an earlier process of this host may have handed out in the same
+    /// window. A test that does not want this overrides it.
+    [[nodiscard]] virtual bool startsEmpty() const { return true; }
 
 private:
     struct owned_cap {
@@ -82,9 +91,11 @@
     bool advance(const usage_cap &cap, owned_cap &state, time_point now);
     static void stopOwning(owned_cap &state);
     usage_grant refuse(const usage_cap &cap, owned_cap &state, time_point now) const;
-    static usage_grant takeReserve(std::optional<window_counter> &counter, const usage_cap &cap, std::uint32_t limit, time_point now);
+    [[nodiscard]] usage_grant
+    takeReserve(std::optional<window_counter> &counter, const usage_cap &cap, std::uint32_t limit, time_point now) const;
 
     const usage_fleet &m_fleet;
+    time_point m_startedAt;
     std::unordered_map<std::string, owned_cap> m_caps;
     std::vector<usage_claim> m_claims;
 };
--- a/libs/limits/include/limits/usage_fleet.h
+++ b/libs/limits/include/limits/usage_fleet.h
@@ -97,6 +97,8 @@
     /// @return The number of hosts among which a cap is divided.
     [[nodiscard]] std::size_t hostCount() const { return std::max({std::size_t{1}, m_hosts.size(), m_heardHosts}); }
     [[nodiscard]] usage_place findPlace(const std::string &organisation) const;
+    /// @return The hosts in rank for the organisation.
+    [[nodiscard]] const std::vector<const known_host *> &rankingFor(const std::string &organisation) const;
 
     entry_host_id m_self;
     zone_id m_zone;
@@ -107,6 +109,9 @@
     std::size_t m_heardHosts = 0; ///< Greatest number that another host knew.
     time_point m_heardAt;
     mutable std::unordered_map<std::string, usage_place> m_places;
+    /// Kept until hosts become known or are removed. Hashing 300 hosts for each organisation after each change of a state took most of the
+    /// time of a simulation.
+    mutable std::unordered_map<std::string, std::vector<const known_host *>> m_rankings;
 };
 
 } // namespace orioledrum
--- a/libs/limits/src/usage_cap_client.cpp
+++ b/libs/limits/src/usage_cap_client.cpp
@@ -168,7 +168,7 @@
         }
         auto &state = m_organisations[open.caps[item].organisation];
         if (grant.result == usage_grant::kind::granted) {
-            state.tokens.push_back({grant.tokens, open.askedAt + open.caps[item].tokenLife()});
+            state.tokens.push_back({grant.tokens, open.askedAt + tokenLife(open.caps[item])});
         }
         for (auto &each : open.waiting[item]) {
             if (grant.result == usage_grant::kind::granted) {
--- a/libs/limits/src/usage_cap_owner.cpp
+++ b/libs/limits/src/usage_cap_owner.cpp
@@ -26,8 +26,9 @@
 
 } // namespace
 
-usage_cap_owner::usage_cap_owner(const usage_fleet &fleet)
+usage_cap_owner::usage_cap_owner(const usage_fleet &fleet, time_point now)
     : m_fleet(fleet)
+    , m_startedAt(now)
 {
 }
 
@@ -59,7 +60,7 @@
     if (!state.ownedSince) {
         state.ownedSince = now;
         state.updatedAt = place.certainFrom;
-        state.level = 0;
+        state.level = startsEmpty() ? 0 : cap.depth();
     }
     const bool certain = state.confirmed || now >= place.certainFrom;
     if (!certain) {
@@ -74,7 +75,7 @@
     // The lower of both shares holds for the time in between, in which it changed.
     const auto filledShare = state.share > 0 ? std::min(share, state.share) : share;
     const auto elapsed = std::chrono::duration<double>(std::max(time_point::duration(0), now - state.updatedAt)).count();
-    state.level = std::min(state.level + cap.requestsPerSecond * filledShare * elapsed, std::max(1.0, cap.burst * share));
+    state.level = std::min(state.level + cap.requestsPerSecond * filledShare * elapsed, std::max(1.0, cap.depth() * share));
     state.updatedAt = now;
     state.share = share;
     return true;
@@ -102,10 +103,15 @@
     return {usage_grant::kind::refused, 0, std::chrono::ceil<std::chrono::microseconds>(state.expectedFreeAt - now)};
 }
 
-usage_grant usage_cap_owner::takeReserve(std::optional<window_counter> &counter, const usage_cap &cap, std::uint32_t limit, time_point now)
+usage_grant
+usage_cap_owner::takeReserve(std::optional<window_counter> &counter, const usage_cap &cap, std::uint32_t limit, time_point now) const
 {
+    const auto span = cap.limits.window + cap.tokenLife(); // A token may be used until the end of its life.
+    if (startsEmpty() && now - m_startedAt < span) {
+        return {usage_grant::kind::refused, 0, std::chrono::ceil<std::chrono::microseconds>(m_startedAt + span - now)};
+    }
     if (!counter) {
-        counter.emplace(cap.limits.window + cap.tokenLife()); // A token may be used until the end of its life.
+        counter.emplace(span);
     }
     if (counter->count(now) >= limit) {
         return {usage_grant::kind::refused, 0, counter->timeUntilLower(now)};
@@ -163,12 +169,13 @@
     }
     state.confirmed = true;
     state.confirmedShare = std::clamp(answer->share, 0.0, 1.0);
-    state.level = std::clamp(answer->level, 0.0, cap.burst);
+    state.level = std::clamp(answer->level, 0.0, cap.depth());
     state.updatedAt = now;
 }
 
-void usage_cap_owner::restart()
+void usage_cap_owner::restart(time_point now)
 {
+    m_startedAt = now;
     m_caps.clear();
     m_claims.clear();
 }
--- a/libs/limits/src/usage_fleet.cpp
+++ b/libs/limits/src/usage_fleet.cpp
@@ -23,25 +23,29 @@
     } else if (!m_settledAt) {
         m_settledAt = now;
     }
-    std::map<entry_host_id, known_host> updated;
     std::set<zone_id> zones;
+    std::set<entry_host_id> ids;
+    bool othersKnown = false;
     for (auto &host : hosts) {
         zones.insert(host.zone);
-        const auto known = m_hosts.find(host.id);
-        auto &entry = updated[host.id];
-        if (known == m_hosts.end()) {
-            entry = {std::move(host), now, now};
-            continue;
-        }
-        entry = known->second;
-        if (entry.host.state != host.state) {
-            entry.changedAt = now;
+        ids.insert(host.id);
+        const auto [found, added] = m_hosts.try_emplace(host.id);
+        auto &known = found->second;
+        if (added) {
+            known.liveSince = now;
+            known.changedAt = now;
+            othersKnown = true;
+        } else if (known.host.state != host.state) {
+            known.changedAt = now;
             // A host that leaves is not behind a partition, so one that returns from a planned restart stays established.
-            entry.liveSince = entry.host.state == usage_host_state::lost ? now : entry.liveSince;
+            known.liveSince = known.host.state == usage_host_state::lost ? now : known.liveSince;
         }
-        entry.host = std::move(host);
+        known.host = std::move(host);
+    }
+    const auto removed = std::erase_if(m_hosts, [&](const auto &entry) { return !ids.contains(entry.first); });
+    if (othersKnown || removed > 0) {
+        m_rankings.clear();
     }
-    m_hosts = std::move(updated);
     m_zoneCount = std::max<std::size_t>(1, zones.size());
     if (now - m_heardAt >= heardHostsLife) {
         m_heardHosts = 0;
@@ -79,8 +83,12 @@
     return found->second;
 }
 
-usage_place usage_fleet::findPlace(const std::string &organisation) const
+const std::vector<const usage_fleet::known_host *> &usage_fleet::rankingFor(const std::string &organisation) const
 {
+    const auto [found, added] = m_rankings.try_emplace(organisation);
+    if (!added) {
+        return found->second;
+    }
     struct ranked_host {
         std::uint64_t weight = 0;
         const known_host *known = nullptr;
@@ -93,6 +101,15 @@
     std::sort(ranking.begin(), ranking.end(), [](const ranked_host &left, const ranked_host &right) {
         return left.weight != right.weight ? left.weight > right.weight : left.known->host.id < right.known->host.id;
     });
+    for (const auto &each : ranking) {
+        found->second.push_back(each.known);
+    }
+    return found->second;
+}
+
+usage_place usage_fleet::findPlace(const std::string &organisation) const
+{
+    const auto &ranking = rankingFor(organisation);
     usage_place place;
     place.share.hosts = static_cast<std::uint32_t>(hostCount());
     place.certainFrom = settledAt();
@@ -101,7 +118,7 @@
     }
     bool waitsForLostHost = false;
     for (std::size_t rank = 0; rank < ranking.size(); ++rank) {
-        const auto &known = *ranking[rank].known;
+        const auto &known = *ranking[rank];
         const auto &host = known.host;
         if (host.id == m_self) {
             place.share.rank = static_cast<std::uint32_t>(rank);
