--- a/libs/gateway/tests/fakes/simulated_usage.cpp
+++ b/libs/gateway/tests/fakes/simulated_usage.cpp
@@ -353,6 +353,7 @@
     auto times = usageTimesOf(*view);
     if (m_fault == usage_fault::ownerDoesNotWait) {
         times.notice = 0ms;
+        times.establish = 0ms;
     }
     if (m_fault == usage_fault::ownerDoesNotScale) {
         for (auto &each : hosts) {
--- a/libs/gateway/tests/test_usage_caps_at_scale.cpp
+++ b/libs/gateway/tests/test_usage_caps_at_scale.cpp
@@ -56,7 +56,12 @@
                                       &course::join,
                                       &course::restartAll,
                                       &course::leaveOwner,
-                                      &course::changeCap};
+                                      &course::changeCap,
+                                      &course::flapZone,
+                                      &course::visitHosts,
+                                      &course::crashAll,
+                                      &course::restartInParts,
+                                      &course::leaveOneAfterTheOther};
         const auto first = m_seed % disturbances.size();
         const auto second = m_fleet.random().below(disturbances.size());
         (this->*disturbances[first])();
@@ -120,6 +125,67 @@
         m_fleet.run(8s);
     }
 
+    /// A zone that is cut off again and again for about as long as it takes to notice it.
+    void flapZone()
+    {
+        overloadEverywhere();
+        const auto zone = m_fleet.zoneOf(owner());
+        std::vector<int> parts(m_hosts, 0);
+        for (std::size_t host = 0; host < m_hosts; ++host) {
+            parts[host] = m_fleet.zoneOf(host) == zone ? 1 : 0;
+        }
+        for (int cut = 0; cut < 6; ++cut) {
+            m_fleet.setParts(parts);
+            m_fleet.run(std::chrono::milliseconds(5000 + m_fleet.random().below(4000)));
+            m_fleet.heal();
+            m_fleet.run(std::chrono::milliseconds(500 + m_fleet.random().below(4000)));
+        }
+    }
+
+    /// Bursts within the cap visit one host after the other and leave tokens there, then all hosts are overloaded.
+    void visitHosts()
+    {
+        const auto organisation = m_large.back();
+        for (std::size_t visit = 0; visit < std::min<std::size_t>(m_hosts, 60); ++visit) {
+            m_fleet.setDemand(organisation, 7.5, {visit});
+            m_fleet.run(200ms);
+            m_fleet.setDemand(organisation, 0);
+            m_fleet.run(800ms);
+        }
+        overloadEverywhere();
+        m_fleet.run(6s);
+    }
+
+    /// Power returns in all zones at once, and the network between them only some seconds later.
+    void restartInParts()
+    {
+        overloadEverywhere();
+        std::vector<int> parts(m_hosts, 0);
+        for (std::size_t host = 0; host < m_hosts; ++host) {
+            parts[host] = static_cast<int>(m_fleet.zoneOf(host));
+            m_fleet.kill(host);
+        }
+        m_fleet.setParts(std::move(parts));
+        startDead();
+        m_fleet.run(std::chrono::milliseconds(m_fleet.random().below(5500)));
+        m_fleet.heal();
+        m_fleet.run(15s);
+    }
+
+    /// All processes end and start again every few seconds, as after a fault that a request causes.
+    void crashAll()
+    {
+        overloadEverywhere();
+        for (int crash = 0; crash < 6; ++crash) {
+            for (std::size_t host = 0; host < m_hosts; ++host) {
+                m_fleet.kill(host);
+            }
+            startDead();
+            m_fleet.run(std::chrono::milliseconds(2100 + m_fleet.random().below(400)));
+        }
+        m_fleet.run(15s);
+    }
+
     void cutHosts()
     {
         overloadEverywhere();
@@ -217,6 +283,25 @@
         }
     }
 
+    /// Hosts that own the same organisation announce one after the other that they leave.
+    void leaveOneAfterTheOther()
+    {
+        overloadEverywhere();
+        std::vector<std::size_t> left;
+        for (int leaving = 0; leaving < 6; ++leaving) {
+            const auto viewer = m_fleet.random().below(m_hosts);
+            left.push_back(m_fleet.ownerOf(m_large.back(), viewer).value_or(viewer));
+            m_fleet.leave(left.back());
+            m_fleet.run(std::chrono::milliseconds(800 + m_fleet.random().below(800)));
+        }
+        for (const auto host : left) {
+            m_fleet.kill(host);
+        }
+        m_fleet.run(1s);
+        startDead();
+        m_fleet.run(8s);
+    }
+
     void changeCap()
     {
         overloadEverywhere();
@@ -257,6 +342,7 @@
         for (const auto organisation : m_large) {
             m_fleet.setDemand(organisation, 1);
         }
+        m_fleet.setDemand(0, 1);
         m_fleet.run(recovery);
     }
 
@@ -265,6 +351,7 @@
         for (const auto organisation : m_large) {
             m_fleet.setDemand(organisation, 7.5);
         }
+        m_fleet.setDemand(0, 100); // A small one, of whose bound the reserves are the largest part.
     }
 
     void startDead()
@@ -318,7 +405,7 @@
 std::size_t hostsOf(std::uint64_t seed)
 {
     constexpr std::array<std::size_t, 3> sizes{30, 118, 300};
-    return numberFrom("USAGE_HOSTS", sizes[seed / 9 % sizes.size()]);
+    return numberFrom("USAGE_HOSTS", sizes[seed / 14 % sizes.size()]);
 }
 
 } // namespace
@@ -329,7 +416,7 @@
 TEST(UsageCapsAtScale, keepTheBoundAndServeWhatIsWithinTheCap)
 {
     const auto first = numberFrom("USAGE_FIRST_SEED", 1);
-    const auto seeds = numberFrom("USAGE_SEEDS", 9);
+    const auto seeds = numberFrom("USAGE_SEEDS", 14);
     const bool report = std::getenv("USAGE_SEEDS") != nullptr;
     for (auto seed = first; seed < first + seeds; ++seed) {
         const auto hosts = hostsOf(seed);
@@ -373,10 +460,7 @@
 
 TEST(UsageCapsAtScale, failWithoutWaitForTheEarlierOwner)
 {
-    EXPECT_TRUE(exceedsBound(usage_fault::ownerDoesNotWait, &course::cutZone)
-                || exceedsBound(usage_fault::ownerDoesNotWait, &course::cutHosts)
-                || exceedsBound(usage_fault::ownerDoesNotWait, &course::killOwner)
-                || exceedsBound(usage_fault::ownerDoesNotWait, &course::restartAll));
+    EXPECT_TRUE(exceedsBound(usage_fault::ownerDoesNotWait, &course::restartInParts));
 }
 
 TEST(UsageCapsAtScale, failWithoutScalingByLiveHosts)
@@ -386,11 +470,10 @@
 
 TEST(UsageCapsAtScale, failWithBucketsThatStartFull)
 {
-    EXPECT_TRUE(exceedsBound(usage_fault::bucketsStartFull, &course::killOwner)
-                || exceedsBound(usage_fault::bucketsStartFull, &course::restartAll));
+    EXPECT_TRUE(exceedsBound(usage_fault::bucketsStartFull, &course::leaveOneAfterTheOther));
 }
 
 TEST(UsageCapsAtScale, failWithTokensThatDoNotExpire)
 {
-    EXPECT_TRUE(exceedsBound(usage_fault::tokensDoNotExpire, &course::shiftDemand));
+    EXPECT_TRUE(exceedsBound(usage_fault::tokensDoNotExpire, &course::visitHosts));
 }
--- a/libs/limits/src/usage_cap_owner.cpp
+++ b/libs/limits/src/usage_cap_owner.cpp
@@ -169,7 +169,7 @@
     }
     state.confirmed = true;
     state.confirmedShare = std::clamp(answer->share, 0.0, 1.0);
-    state.level = std::clamp(answer->level, 0.0, cap.depth());
+    state.level = startsEmpty() ? std::clamp(answer->level, 0.0, cap.depth()) : cap.depth();
     state.updatedAt = now;
 }
 
