Tell hosts that start of the others without waiting for the next tick

Cause: hosts that start together read the list although a reader would pass it on. Membership was looked at each 250 ms, and a digest to a seed that did not listen yet was sent again only with the next regular one, so that hosts knew nobody at the end of their wait.

Change: until a host has its first state, each answer of membership updates the hosts of its zone at once, and failed digests are sent again after 50 ms for 1 s. The stand-in gives gateways ports below those of outgoing connections, one of which took a port in two runs of the new test.

--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -9,6 +9,7 @@
 #include <usage_caps.h>
 #include <wire/codec.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace orioledrum
@@ -20,6 +21,11 @@
 constexpr std::chrono::milliseconds tickInterval{250};
 /// Timeout for the exchange of one heartbeat (a digest and its answer); the network delay between hosts is a few milliseconds.
 constexpr std::chrono::milliseconds digestTimeout{700};
+/// A seed that starts at the same time may not listen yet. The next regular digest would come too late for the first state, which waits
+/// for the hosts of the zone for a few tenths of a second at most, see first_state.
+constexpr std::chrono::milliseconds startRetryInterval{50};
+/// Time after the start in which failed digests are sent again before the next regular one.
+constexpr std::chrono::seconds startRetryTime{1};
 constexpr const char *digestPath = "/hosts/digest";
 
 membership_settings makeSettings(const gateway_settings &settings, std::vector<std::string> seeds)
@@ -46,6 +52,8 @@
     , m_usage(usage)
     , m_membership(makeSettings(state.settings, std::move(seeds)), random_source::fromSystem(), monotonic_clock::now())
     , m_timer(state.context)
+    , m_retryTimer(state.context)
+    , m_startedAt(monotonic_clock::now())
     , m_counter(monotonic_clock::now(), state.settings.extraCalls.slack, state.settings.extraCallWindow)
 {
     updateSharingHosts();
@@ -184,8 +192,9 @@
 void host_link::send(const send_digest &action)
 {
     auto call = makeHostCall(action.address, digestPath, encode(action.message), digestTimeout);
-    m_client.send(std::move(call), [this](http_client::result result) {
+    m_client.send(std::move(call), [this, action](http_client::result result) {
         if (!result || result->status != 200) {
+            retryAtStart(action);
             return; // Membership detects an unreachable host by its missing heartbeats.
         }
         const auto answer = decode<digest>(result->body);
@@ -194,6 +203,30 @@
             return;
         }
         apply(m_membership.receiveAnswer(*answer, monotonic_clock::now()));
+        if (!m_reader.hasState()) {
+            updateRelays(); // The first state waits for the hosts of the zone.
+        }
+    });
+}
+
+void host_link::retryAtStart(const send_digest &action)
+{
+    if (m_reader.hasState() || monotonic_clock::now() - m_startedAt > startRetryTime) {
+        return;
+    }
+    m_digestsToRetry.push_back(action);
+    if (m_digestsToRetry.size() > 1) {
+        return; // The timer is running.
+    }
+    m_retryTimer.expires_after(startRetryInterval);
+    m_retryTimer.async_wait([this](const asio::error_code &code) {
+        if (code) {
+            return;
+        }
+        const auto digests = std::exchange(m_digestsToRetry, {});
+        if (!m_reader.hasState()) {
+            std::for_each(digests.begin(), digests.end(), [this](const send_digest &digest) { send(digest); });
+        }
     });
 }
 
@@ -233,6 +266,9 @@
     const auto answer = m_membership.receiveDigest(*message, monotonic_clock::now(), actions);
     exchange->respond({200, "application/msgpack", {}, encode(answer)});
     apply(actions);
+    if (!m_reader.hasState()) {
+        updateRelays();
+    }
 }
 
 } // namespace orioledrum
--- a/libs/gateway/src/host_link.h
+++ b/libs/gateway/src/host_link.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace orioledrum
 {
@@ -55,6 +56,8 @@
     void tick();
     void apply(const membership_actions &actions);
     void send(const send_digest &action);
+    /// Sends a digest again that has failed, while this host starts.
+    void retryAtStart(const send_digest &action);
     /// Passes the hosts that share limits to the registry when they have changed, and calls updateRelays().
     void updateSharingHosts();
     /// Passes the live hosts to the relay client and the publication reader when the membership view has changed.
@@ -68,6 +71,9 @@
     std::shared_ptr<const membership_view> m_relayView; // View that was last passed to the relay client.
     std::unordered_map<std::uint64_t, std::shared_ptr<relayed_request>> m_relayedSearches; // By relay_search::token.
     asio::steady_timer m_timer;
+    asio::steady_timer m_retryTimer;
+    std::vector<send_digest> m_digestsToRetry; // Sent when m_retryTimer expires.
+    time_point m_startedAt;
     host_counter m_counter;
     sharing_hosts m_sharing; // As last passed to the registry.
 };
--- a/libs/gateway/src/publication_reader.h
+++ b/libs/gateway/src/publication_reader.h
@@ -40,6 +40,9 @@
     /// Sets the addresses of the live hosts of this host's zone.
     void setZoneHosts(const std::vector<std::string> &addresses);
 
+    /// @return True once the first state is known.
+    [[nodiscard]] bool hasState() const { return m_sync.synchronized(); }
+
     /// Handles a state_request of another host, see change_sync::stateRequested(). Errors are answered with status 503.
     void handleStateRequest(const http_request &request, std::shared_ptr<http_exchange> exchange);
     /// Handles a change_pull or, at eraChangesPath, an era_pull of another host, see change_sync::pullReceived(). Errors are answered with
--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -25,9 +26,15 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port below those that the system gives to outgoing connections: one of these took a port before its gateway listened."""
+    while True:
+        with socket.socket() as probe:
+            port = random.randrange(15000, 32000)
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 class Backend:
