Pause between two lists that a reader reads for hosts that start

Change: list_copy begins at most one list a second; hosts that ask meanwhile are refused and go on to the next one.

--- a/libs/gateway/src/change_sync_start.cpp
+++ b/libs/gateway/src/change_sync_start.cpp
@@ -139,7 +139,7 @@
     if (!page) {
         actions.emplace_back(platform_read_failed{page.error(), false});
     }
-    m_copy.pageRead(std::move(page), now);
+    m_copy.pageRead(std::move(page));
     if (m_copy.reading()) {
         readCopyPage(actions);
     }
--- a/libs/gateway/src/list_copy.cpp
+++ b/libs/gateway/src/list_copy.cpp
@@ -7,7 +7,7 @@
 
 bool list_copy::begin(time_point now)
 {
-    if (m_failedAt && now - *m_failedAt < failureBackoff) {
+    if (now - m_startedAt < minInterval) {
         return false;
     }
     m_reading = true;
@@ -27,13 +27,12 @@
     return read;
 }
 
-void list_copy::pageRead(expected<change_page> &&page, time_point now)
+void list_copy::pageRead(expected<change_page> &&page)
 {
     const bool isFirst = m_pageToken.empty();
     if (!page || (!isFirst && page->era != m_revision.era)) {
         m_reading = false;
         m_pages.clear();
-        m_failedAt = now;
         return;
     }
     if (isFirst) {
--- a/libs/gateway/src/list_copy.h
+++ b/libs/gateway/src/list_copy.h
@@ -10,7 +10,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,17 +21,18 @@
 class list_copy
 {
 public:
-    /// Time after a failed read in which no other one begins, so that hosts that ask again do not load a source in trouble.
-    static constexpr std::chrono::milliseconds failureBackoff{1000};
+    /// Least time between two reads, so that hosts that ask again do not load a source in trouble, or one that has come back with older
+    /// state while the journal is still of the earlier era.
+    static constexpr std::chrono::milliseconds minInterval{1000};
 
-    /// Begins to read, unless a read has failed shortly before. @return False in that case.
+    /// Begins to read, unless a read has begun shortly before. @return False in that case.
     bool begin(time_point now);
     [[nodiscard]] bool reading() const { return m_reading; }
     /// @param timeout Maximum time for a page.
     /// @return The next page to read. Only while reading().
     [[nodiscard]] source_read nextRead(std::chrono::milliseconds timeout) const;
     /// Takes the result of the read that nextRead() returned.
-    void pageRead(expected<change_page> &&page, time_point now);
+    void pageRead(expected<change_page> &&page);
 
     /// @return True when the pages and the changes of the journal together are a whole state.
     [[nodiscard]] bool completes(const change_journal &journal, time_point now) const;
@@ -49,7 +49,6 @@
     std::vector<std::string> m_pages;
     published_revision m_revision;
     time_point m_startedAt;
-    std::optional<time_point> m_failedAt;
 };
 
 } // namespace orioledrum
--- a/libs/gateway/tests/test_change_readers.cpp
+++ b/libs/gateway/tests/test_change_readers.cpp
@@ -1,4 +1,5 @@
 #include <change_journal.h>
+#include <list_copy.h>
 #include <reader_selection.h>
 
 #include <gtest/gtest.h>
@@ -155,3 +156,63 @@
     EXPECT_FALSE(journal.pagesAfter({7, 11}));
     EXPECT_TRUE(journal.pagesAfter({8, 4}));
 }
+
+namespace
+{
+
+change_page listPage(std::uint64_t era, std::uint64_t revision, const std::string &nextPageToken, const std::string &encoded)
+{
+    change_page page;
+    page.era = era;
+    page.revision = revision;
+    page.nextPageToken = nextPageToken;
+    page.encoded = encoded;
+    return page;
+}
+
+} // namespace
+
+// Guards against a state for another host that lacks changes: the list must be whole, of the era of the journal, and no older than what the
+// journal has.
+TEST(ListCopyTest, isAWholeStateOnlyWithTheChangesSince)
+{
+    change_journal journal;
+    journal.restart({7, 10});
+    list_copy copy;
+    ASSERT_TRUE(copy.begin(start));
+    copy.pageRead(listPage(7, 12, "next", "a"));
+    EXPECT_FALSE(copy.completes(journal, start));
+    EXPECT_EQ(copy.nextRead(milliseconds(100)).pageToken, "next");
+    copy.pageRead(listPage(7, 14, "", "b"));
+    EXPECT_TRUE(copy.completes(journal, start));
+    EXPECT_EQ(copy.revision(), (published_revision{7, 12}));
+    EXPECT_EQ(copy.pages(), (std::vector<std::string>{"a", "b"}));
+    EXPECT_FALSE(copy.completes(journal, start + change_journal::maxAge + milliseconds(1)));
+    journal.restart({7, 13});
+    EXPECT_FALSE(copy.completes(journal, start));
+    journal.restart({8, 5});
+    EXPECT_FALSE(copy.completes(journal, start));
+}
+
+// Guards against pages of two eras in one list, and against lists that are read one after the other without a pause while the journal is
+// still of the earlier era.
+TEST(ListCopyTest, beginsAgainOnlyAfterAPause)
+{
+    list_copy copy;
+    ASSERT_TRUE(copy.begin(start));
+    copy.pageRead(listPage(7, 12, "next", "a"));
+    copy.pageRead(listPage(8, 9, "", "b"));
+    EXPECT_FALSE(copy.reading());
+    EXPECT_TRUE(copy.pages().empty());
+    EXPECT_FALSE(copy.begin(start + list_copy::minInterval - milliseconds(1)));
+    EXPECT_TRUE(copy.begin(start + list_copy::minInterval));
+    copy.pageRead(makeError(error_code::unreachable, "read", "refused"));
+    EXPECT_FALSE(copy.reading());
+    change_journal journal;
+    journal.restart({7, 10});
+    const auto later = start + 2 * list_copy::minInterval;
+    ASSERT_TRUE(copy.begin(later));
+    copy.pageRead(listPage(8, 9, "", "whole"));
+    EXPECT_FALSE(copy.completes(journal, later));
+    EXPECT_FALSE(copy.begin(later + milliseconds(5)));
+}
