--- a/scripts/http_streams.py
+++ b/scripts/http_streams.py
@@ -1,13 +1,20 @@
 """Reads and writes HTTP/1.1 messages on asyncio streams, for the stand-ins of tests."""
 import asyncio
+import random
 import socket
 import struct
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port below those that the system gives to outgoing connections: one of these took a port before its gateway listened."""
+    while True:
+        with socket.socket() as probe:
+            port = random.randrange(15000, 32000)
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 async def read_message(reader):
