Test that response times lower and raise the learned limit

The patterns on fake fleets hardly use the limit: with two slots a slow backend server is found by its pace first. The new test drives learned_limit alone, with and without reports of load, under noise and a load from which calls take 4 times as long.

--- a/libs/search/tests/test_learned_limits.cpp
+++ b/libs/search/tests/test_learned_limits.cpp
@@ -275,3 +275,30 @@
     now += learned_limit::holdTime + std::chrono::seconds(20);
     EXPECT_EQ(limit.limit(8, now), 8);
 }
+
+// Guards against a limit that response times do not lower, also without refusals and without reports of load, that noise lowers, or that
+// stays low when answers at the limit are fast again.
+TEST(LearnedLimitsTest, responseTimesLowerAndRaiseTheLimit)
+{
+    for (const bool loadReported : {true, false}) {
+        constexpr std::uint32_t slots = 4;
+        learned_limit limit;
+        auto now = at(0);
+        // Calls with 1 to 4 others, every 50 ms; a load of 3 and more takes `factor` times as long.
+        const auto answerFor = [&](milliseconds duration, double factor) {
+            const auto until = now + duration;
+            for (std::uint32_t load = 1; now < until; load = load % slots + 1, now += milliseconds(50)) {
+                limit.answered({load >= 3 ? factor : 1, 1, load, loadReported}, slots, now);
+            }
+        };
+        answerFor(milliseconds(20'000), 1);
+        answerFor(milliseconds(600), 4); // Noise.
+        answerFor(milliseconds(5000), 1);
+        EXPECT_EQ(limit.limit(slots, now), slots);
+        answerFor(milliseconds(20'000), 4);
+        EXPECT_LT(limit.limit(slots, now), 3);
+        EXPECT_GE(limit.limit(slots, now), learned_limit::minLimit);
+        answerFor(milliseconds(30'000), 1);
+        EXPECT_EQ(limit.limit(slots, now), slots);
+    }
+}
