--- a/libs/gateway/src/gateway_metrics.cpp
+++ b/libs/gateway/src/gateway_metrics.cpp
@@ -1,6 +1,7 @@
 #include <gateway_metrics.h>
 
 #include <limits/call_account.h>
+#include <limits/usage_cap_client.h>
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -96,6 +97,10 @@
                           .Name("orioledrum_service_calls_total")
                           .Help("Calls to a service: decided as first or extra calls, written, not written, written without a decision")
                           .Register(registry);
+    m_usageTokens = &prometheus::BuildCounter()
+                         .Name("orioledrum_usage_tokens_total")
+                         .Help("Tokens of organisations with a usage cap, by result")
+                         .Register(*m_registry);
     m_notices = &prometheus::BuildCounter()
                      .Name("orioledrum_backend_notices_total")
                      .Help("Answers of backend servers that ask for no more requests, by what they say")
@@ -150,6 +155,20 @@
     set("unaccounted", account.unaccountedWrites());
 }
 
+void gateway_metrics::setUsageCounts(const usage_counts &counts)
+{
+    const auto set = [this](const char *result, std::uint64_t count) {
+        auto &counter = m_usageTokens->Add({{"result", result}});
+        counter.Increment(static_cast<double>(count) - counter.Value());
+    };
+    set("asked", counts.asked);
+    set("granted", counts.granted);
+    set("refused", counts.refused);
+    set("zoneReserve", counts.zoneReserve);
+    set("hostReserve", counts.hostReserve);
+    set("unavailable", counts.unavailable);
+}
+
 void gateway_metrics::noticeReceived(const std::string &kind)
 {
     m_notices->Add({{"kind", kind}}).Increment();
--- a/libs/gateway/src/gateway_metrics.h
+++ b/libs/gateway/src/gateway_metrics.h
@@ -23,6 +23,7 @@
 {
 
 class call_account;
+struct usage_counts;
 
 /// Prometheus metrics of one gateway; docs/OPERATIONS.md lists the name, unit and meaning of each.
 class gateway_metrics
@@ -51,6 +52,8 @@
     void setBackendServers(std::size_t count);
     /// @param count Entry hosts that share limits, or the number assumed while others may be unknown, see host_counter::assumedHosts.
     void setHosts(std::size_t count);
+    /// @param counts Tokens of organisations with a usage cap, since the start.
+    void setUsageCounts(const usage_counts &counts);
     void setReady(bool ready);
     void platformReadFailed();
     void changeUnreadable();
@@ -69,6 +72,7 @@
     prometheus::Histogram *m_callTimes;
     prometheus::Family<prometheus::Counter> *m_serviceCalls;
     prometheus::Family<prometheus::Counter> *m_notices;
+    prometheus::Family<prometheus::Counter> *m_usageTokens;
     prometheus::Counter *m_hedges;
     prometheus::Counter *m_retries;
     prometheus::Gauge *m_configVersion;
--- a/libs/gateway/src/usage_caps.cpp
+++ b/libs/gateway/src/usage_caps.cpp
@@ -67,8 +67,10 @@
 std::uint64_t usage_caps::acquire(const organisation &organisation, std::chrono::microseconds patience, callback done)
 {
     const auto handle = ++m_lastHandle;
+    const auto now = monotonic_clock::now();
+    checkForPause(now);
     m_waiting.emplace(handle, std::move(done));
-    m_requests.acquire(handle, capOf(organisation), patience, monotonic_clock::now());
+    m_requests.acquire(handle, capOf(organisation), patience, now);
     run();
     return handle;
 }
@@ -93,6 +95,7 @@
             waiting.mapped()(decision);
         }
     }
+    m_state.metrics.setUsageCounts(m_requests.counts());
 }
 
 void usage_caps::send(const usage_question &question)
@@ -108,6 +111,7 @@
     auto call = makeHostCall(question.address, requestPath, encode(message), timeout);
     m_client.send(std::move(call), [this, id = question.id, size = question.items.size()](http_client::result result) {
         const auto now = monotonic_clock::now();
+        checkForPause(now);
         const auto answer = result && result->status == 200
             ? decode<usage_answer>(result->body)
             : expected<usage_answer>(makeError(error_code::unreachable, "ask for tokens", "no answer"));
@@ -135,6 +139,7 @@
     auto call = makeHostCall(claim.address, takeoverPath, encode(message), m_fleet.times().notice);
     m_client.send(std::move(call), [this, organisation = claim.organisation](http_client::result result) {
         const auto now = monotonic_clock::now();
+        checkForPause(now);
         std::optional<usage_handover> handover;
         if (result && result->status == 200) {
             if (const auto answer = decode<usage_takeover_answer>(result->body)) {
@@ -156,6 +161,7 @@
         return;
     }
     const auto now = monotonic_clock::now();
+    checkForPause(now);
     m_fleet.hearOfHosts(message->knownHosts, now);
     usage_answer answer;
     for (std::size_t i = 0; i < message->organisations.size(); ++i) {
@@ -182,6 +188,7 @@
         return;
     }
     const auto now = monotonic_clock::now();
+    checkForPause(now);
     m_fleet.hearOfHosts(message->knownHosts, now);
     usage_takeover_answer answer;
     answer.knownHosts = static_cast<std::uint32_t>(m_knownHosts);
--- a/libs/limits/include/limits/usage_cap_client.h
+++ b/libs/limits/include/limits/usage_cap_client.h
@@ -44,6 +44,16 @@
     std::chrono::microseconds retryAfter{0};
 };
 
+/// Counts since the start of the process.
+struct usage_counts {
+    std::uint64_t asked = 0; ///< Tokens asked from other hosts.
+    std::uint64_t granted = 0; ///< Tokens granted by owners, this host included.
+    std::uint64_t refused = 0; ///< Requests refused because the cap is reached.
+    std::uint64_t zoneReserve = 0; ///< Tokens taken from the reserve of the zone.
+    std::uint64_t hostReserve = 0; ///< Tokens taken from this host's reserve.
+    std::uint64_t unavailable = 0; ///< Requests refused because no owner answered and the reserves were used up.
+};
+
 /// Gets a token for each request of an organisation with a cap: from the tokens that this host holds, from the owner, and from the reserves
 /// when the owner does not answer. A state machine without I/O; used by one thread.
 class usage_cap_client
@@ -82,6 +92,8 @@
     std::vector<usage_question> takeQuestions();
     std::vector<usage_decision> takeDecisions();
 
+    [[nodiscard]] const usage_counts &counts() const { return m_counts; }
+
     /// Forgets all tokens, after a pause of the process.
     void restart();
 
@@ -132,6 +144,7 @@
     std::map<std::uint64_t, open_question> m_questions;
     std::unordered_map<std::string, time_point> m_silentUntil; ///< By address.
     std::vector<usage_decision> m_decisions;
+    usage_counts m_counts;
     std::uint64_t m_lastId = 0;
 };
 
--- a/libs/limits/src/usage_cap_client.cpp
+++ b/libs/limits/src/usage_cap_client.cpp
@@ -35,6 +35,8 @@
 
 void usage_cap_client::decide(std::uint64_t request, const usage_grant &grant)
 {
+    m_counts.refused += grant.result == usage_grant::kind::refused ? 1 : 0;
+    m_counts.unavailable += grant.result == usage_grant::kind::unavailable ? 1 : 0;
     m_decisions.push_back({request, grant.result, grant.retryAfter});
 }
 
@@ -71,6 +73,7 @@
         } else if (grant.result == usage_grant::kind::refused) {
             refuse(waiting, grant, now);
         } else {
+            m_counts.granted += grant.tokens;
             decide(waiting.request, grant);
         }
         return;
@@ -95,6 +98,7 @@
     if (place.zoneOwnerIsSelf) {
         const auto grant = m_owner.requestZoneReserve(waiting.cap, now);
         if (grant.result == usage_grant::kind::granted) {
+            ++m_counts.zoneReserve;
             decide(waiting.request, grant);
         } else {
             takeHostReserve(waiting, now);
@@ -115,6 +119,8 @@
     if (grant.result != usage_grant::kind::granted) {
         // Not the cap is reached, but what this host may use of it without the owner.
         grant = {usage_grant::kind::unavailable, 0, silenceBackoff};
+    } else {
+        ++m_counts.hostReserve;
     }
     decide(waiting.request, grant);
 }
@@ -168,6 +174,8 @@
         }
         auto &state = m_organisations[open.caps[item].organisation];
         if (grant.result == usage_grant::kind::granted) {
+            auto &counter = open.question.source == usage_source::owner ? m_counts.granted : m_counts.zoneReserve;
+            counter += grant.tokens;
             state.tokens.push_back({grant.tokens, open.askedAt + tokenLife(open.caps[item])});
         }
         for (auto &each : open.waiting[item]) {
@@ -204,6 +212,9 @@
     std::vector<usage_question> questions;
     for (auto &[id, open] : m_questions) {
         if (!std::exchange(open.taken, true)) {
+            for (const auto &item : open.question.items) {
+                m_counts.asked += item.tokens;
+            }
             questions.push_back(open.question);
         }
     }
--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -363,6 +363,7 @@
         self.backends = {}
         self.gateways = {}
         self.config_version = 0
+        self.tenants = None  # Organisations of the published configuration; None: callers need no keys.
         self.request_count = 0
         self.sent = []  # (time, target) of each request of a caller.
         self.loop = asyncio.new_event_loop()
@@ -439,14 +440,19 @@
         services = [{"name": name, "health_path": "/health", "max_conns": 60, "protocol": "h1", "tls": False, "warmup_s": warm_up_s,
                      "cold_per_s": cold_per_s} for name in [*self.shards, "single", "other"]]
         limits = {"max_header_bytes": 16384, "max_body_bytes": 10000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, **limits}
-        self.store.put("op/config", {"version": self.config_version, "routes": routes, "services": services, "limits": limits})
+        configuration = {"version": self.config_version, "routes": routes, "services": services, "limits": limits}
+        if self.tenants is not None:
+            configuration["tenants"] = self.tenants
+        self.store.put("op/config", configuration)
 
     def publish_routes(self, **options):
         """Like publish_routes_on_loop(), but for callers in other threads."""
         self.call_on_loop(self.publish_routes_on_loop, **options)
 
-    def start_gateway(self, name, zone, wait=True):
-        """Starts a gateway, on its previous ports when it ran before. With `wait`, returns when it is ready."""
+    def start_gateway(self, name, zone, wait=True, **more_settings):
+        """Starts a gateway, on its previous ports when it ran before. With `wait`, returns when it is ready.
+        `more_settings` are added to its settings.
+        """
         ports = {key: free_port() for key in ("callers", "readiness", "hosts", "metrics")}
         previous = self.gateways.get(name)
         if previous:
@@ -456,6 +462,7 @@
                     "extraCallShare": EXTRA_CALL_SHARE, "extraCallSlack": EXTRA_CALL_SLACK, "coldFactor": 1.5, "coldSlack": 5, "configurationInForceMs": 3000,
                     "contactLossMs": 4000, "drainMs": 3000, "stopTimeMs": 6000, "lapsedReturnMs": 1000, "callerDelayMs": 3}
         settings.update({key: f"127.0.0.1:{port}" for key, port in ports.items()})
+        settings.update(more_settings)
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         log = open(self.folder / f"{name}.log", "ab")
