Fill a bucket by the share of the time since the share rose

The owner filled the bucket of an organisation from its latest request on by the lower of the shares at both ends. A trace showed an owner with share 1 whose bucket had grown by 0.08 tokens in 22 s. The share that rose counts from its rise.

--- a/libs/limits/include/limits/usage_fleet.h
+++ b/libs/limits/include/limits/usage_fleet.h
@@ -78,6 +78,8 @@
     /// @return The share of the known hosts that have not been lost for long enough to be sure of it, this one included; greater than 0. A
     /// part of the fleet behind a partition hands out this share of a cap.
     [[nodiscard]] double establishedShare(time_point now) const;
+    /// @return A time since which establishedShare() has not risen.
+    [[nodiscard]] time_point establishedSince(time_point now) const;
     /// @return The share of the known hosts that are not lost by the latest heartbeats, this one included.
     [[nodiscard]] double liveShare() const;
 
@@ -108,6 +110,7 @@
     std::size_t m_zoneCount = 1;
     std::size_t m_heardHosts = 0; ///< Greatest number that another host knew.
     time_point m_heardAt;
+    time_point m_countChangedAt; ///< Time of the latest change of hostCount().
     mutable std::unordered_map<std::string, usage_place> m_places;
     /// Kept until hosts become known or are removed. Hashing 300 hosts for each organisation after each change of a state took most of the
     /// time of a simulation.
--- a/libs/limits/src/usage_cap_owner.cpp
+++ b/libs/limits/src/usage_cap_owner.cpp
@@ -72,10 +72,15 @@
     // Right after a start this host knows since when hosts are live only from the earlier owner.
     const bool knowsFleet = now - m_fleet.settledAt() >= m_fleet.times().establish;
     const auto share = knowsFleet || !state.confirmed ? m_fleet.establishedShare(now) : std::min(m_fleet.liveShare(), state.confirmedShare);
-    // The lower of both shares holds for the time in between, in which it changed.
-    const auto filledShare = state.share > 0 ? std::min(share, state.share) : share;
-    const auto elapsed = std::chrono::duration<double>(std::max(time_point::duration(0), now - state.updatedAt)).count();
-    state.level = std::min(state.level + cap.requestsPerSecond * filledShare * elapsed, std::max(1.0, cap.depth() * share));
+    // Until the latest rise of the share, the lower of both shares holds. An organisation with few requests would otherwise get the share
+    // of the time before its latest request, however long ago the share rose.
+    const auto lowerShare = state.share > 0 ? std::min(share, state.share) : share;
+    const auto risenAt = knowsFleet ? std::clamp(m_fleet.establishedSince(now), state.updatedAt, std::max(state.updatedAt, now)) : now;
+    const auto secondsOf = [](time_point::duration span) {
+        return std::chrono::duration<double>(std::max(time_point::duration(0), span)).count();
+    };
+    const auto filled = lowerShare * secondsOf(std::min(risenAt, now) - state.updatedAt) + share * secondsOf(now - risenAt);
+    state.level = std::min(state.level + cap.requestsPerSecond * filled, std::max(1.0, cap.depth() * share));
     state.updatedAt = now;
     state.share = share;
     return true;
--- a/libs/limits/src/usage_fleet.cpp
+++ b/libs/limits/src/usage_fleet.cpp
@@ -45,9 +45,11 @@
     const auto removed = std::erase_if(m_hosts, [&](const auto &entry) { return !ids.contains(entry.first); });
     if (othersKnown || removed > 0) {
         m_rankings.clear();
+        m_countChangedAt = now;
     }
     m_zoneCount = std::max<std::size_t>(1, zones.size());
     if (now - m_heardAt >= heardHostsLife) {
+        m_countChangedAt = m_heardHosts > 0 ? now : m_countChangedAt;
         m_heardHosts = 0;
     }
     m_places.clear();
@@ -56,6 +58,7 @@
 void usage_fleet::hearOfHosts(std::size_t knownHosts, time_point now)
 {
     if (knownHosts >= m_heardHosts || now - m_heardAt >= heardHostsLife) {
+        m_countChangedAt = knownHosts < m_heardHosts ? now : m_countChangedAt;
         m_heardHosts = knownHosts;
         m_heardAt = now;
         m_places.clear();
@@ -159,6 +162,18 @@
     return static_cast<double>(std::max<std::ptrdiff_t>(1, established)) / static_cast<double>(hostCount());
 }
 
+time_point usage_fleet::establishedSince(time_point now) const
+{
+    auto latest = m_countChangedAt;
+    for (const auto &[id, known] : m_hosts) {
+        const auto at = known.liveSince + m_times.establish;
+        if (known.host.state != usage_host_state::lost && at <= now) {
+            latest = std::max(latest, at);
+        }
+    }
+    return latest;
+}
+
 double usage_fleet::liveShare() const
 {
     const auto live = std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto &entry) {
--- a/libs/limits/tests/test_usage_caps.cpp
+++ b/libs/limits/tests/test_usage_caps.cpp
@@ -348,3 +348,15 @@
     EXPECT_EQ(onlyDecision(host->client)->result, usage_grant::kind::granted);
     EXPECT_TRUE(host->client.takeQuestions().empty());
 }
+
+// Guards against an organisation with few requests whose bucket is filled by the share of its latest request: 30 s after a start, 118 hosts
+// refused 2% of the requests of small organisations.
+TEST_F(usage_host_case, shareThatRoseBetweenTwoRequestsCounts)
+{
+    const auto cap = makeCap(1, 1);
+    host_machines started(m_ranked[0], startTime);
+    started.setHosts(hosts({}), startTime);
+    EXPECT_EQ(takeAll(started.owner, cap, startTime + 5s), 0);
+    // A quarter of the rate from 4 to 9 s, when all hosts are established, then the whole: 1.25 + 3.
+    EXPECT_EQ(takeAll(started.owner, cap, startTime + 12s), 4);
+}
