--- a/libs/gateway/src/gateway_metrics.h
+++ b/libs/gateway/src/gateway_metrics.h
@@ -25,6 +25,7 @@
 
 struct organisation;
 class call_account;
+struct usage_counts;
 
 /// Prometheus metrics of one gateway; docs/OPERATIONS.md lists the name, unit and meaning of each.
 class gateway_metrics
@@ -60,6 +61,8 @@
     void setLearnedLimits(std::size_t slow, std::size_t limited);
     /// @param count Entry hosts that share limits, or the number assumed while others may be unknown, see host_counter::assumedHosts.
     void setHosts(std::size_t count);
+    /// @param counts Tokens of organisations with a usage cap, since the start.
+    void setUsageCounts(const usage_counts &counts);
     void setReady(bool ready);
     void platformReadFailed();
     void changeUnreadable();
@@ -89,6 +92,7 @@
     prometheus::Family<prometheus::Gauge> *m_organisationRate;
     prometheus::Family<prometheus::Gauge> *m_organisationBurst;
     std::map<std::string, organisation_gauges> m_organisations;
+    prometheus::Family<prometheus::Counter> *m_usageTokens;
     prometheus::Counter *m_hedges;
     prometheus::Counter *m_retries;
     prometheus::Gauge *m_configVersion;
--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -248,10 +248,7 @@
 
 void host_link::receiveAnswer(const digest &answer)
 {
-    apply(m_membership.receiveAnswer(answer, monotonic_clock::now()));
-    if (!m_reader.hasState()) {
-        updateRelays(); // The first state waits for the hosts of the zone.
-    }
+    digestReceived(m_membership.receiveAnswer(answer, monotonic_clock::now()));
 }
 
 void host_link::retryAtStart(const send_digest &action)
@@ -317,7 +314,7 @@
         m_capacities.merge(*message);
         auto answer = m_membership.receiveDigest(message->base, now, actions);
         exchange.respond({200, "application/msgpack", {}, encode(m_capacities.addTo(std::move(answer)))});
-        apply(actions);
+        digestReceived(actions);
         return;
     }
     const auto message = request.path == digestPath ? decode<digest>(request.body)
@@ -328,9 +325,14 @@
     }
     const auto answer = m_membership.receiveDigest(*message, now, actions);
     exchange.respond({200, "application/msgpack", {}, encode(answer)});
+    digestReceived(actions);
+}
+
+void host_link::digestReceived(const membership_actions &actions)
+{
     apply(actions);
     if (!m_reader.hasState()) {
-        updateRelays();
+        updateRelays(); // The first state waits for the hosts of the zone.
     }
 }
 
--- a/libs/gateway/src/host_link.h
+++ b/libs/gateway/src/host_link.h
@@ -61,6 +61,8 @@
     void sendAlone(const send_digest &action);
     void handleDigest(const http_request &request, http_exchange &exchange);
     void receiveAnswer(const digest &answer);
+    /// Carries out what a received digest has led to.
+    void digestReceived(const membership_actions &actions);
     /// Sends a digest again that has failed, while this host starts.
     void retryAtStart(const send_digest &action);
     /// Passes the hosts that share limits to the registry when they have changed, and calls updateRelays().
--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -305,7 +305,9 @@
         self.call_on_loop(self.publish_routes_on_loop, **options)
 
     def start_gateway(self, name, zone, wait=True, **more_settings):
-        """Starts a gateway, on its previous ports when it ran before. With `wait`, returns when it is ready."""
+        """Starts a gateway, on its previous ports when it ran before. With `wait`, returns when it is ready.
+        `more_settings` are added to its settings.
+        """
         ports = {key: free_port() for key in ("callers", "readiness", "hosts", "metrics")}
         previous = self.gateways.get(name)
         if previous:
