--- a/libs/transport/tests/test_http_client.cpp
+++ b/libs/transport/tests/test_http_client.cpp
@@ -514,3 +514,33 @@
     recreateClient({});
     EXPECT_TRUE(send(makeCall(server.url("/"))).has_value());
 }
+
+// Guards against a reply whose status is none of HTTP that is taken as an answer, and against the statement that its request was not sent.
+TEST_F(HttpClientTest, InvalidStatusIsNoReply)
+{
+    for (const std::string status : {"000", "099", "600", "1000", "-20", "+20", "abc", "2x0", "", "2000", "20", "199"}) {
+        for (const std::string version : {"HTTP/1.1 ", "HTTP/1.0 "}) {
+            scripted_http_server server([&](const std::string &) {
+                return scripted_http_server::action{version + status + " X\r\nContent-Length: 2\r\n\r\nok", true};
+            });
+            const auto result = send(makeCall(server.url("/a"), 2s));
+            ASSERT_FALSE(result.has_value()) << status << " gave " << result->status;
+            EXPECT_TRUE(result.error().mayHaveBeenSent) << status;
+        }
+    }
+    for (const std::string bytes : {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\n\r\n", "HTTP/1.1\r\n\r\n"}) {
+        scripted_http_server server([&](const std::string &) { return scripted_http_server::action{bytes, true}; });
+        const auto result = send(makeCall(server.url("/a"), 2s));
+        ASSERT_FALSE(result.has_value()) << bytes << " gave " << result->status;
+        EXPECT_TRUE(result.error().mayHaveBeenSent) << bytes;
+    }
+    for (const std::string status : {"200", "299", "404", "599"}) {
+        scripted_http_server server([&](const std::string &) {
+            return scripted_http_server::action{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok",
+                                                true};
+        });
+        const auto result = send(makeCall(server.url("/a"), 2s));
+        ASSERT_TRUE(result.has_value()) << status;
+        EXPECT_EQ(std::to_string(result->status), status);
+    }
+}
--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -203,6 +203,8 @@
     unframed_reset: like unframed, but resets the connection 5 bytes before the end of the body
     endless_head: sends header lines until the caller closes the connection
     endless_body: sends a body without length until the caller closes the connection
+    status:TEXT: runs the request and answers with TEXT in place of the status code
+    interim: runs the request, sends 100 (Continue) and closes the connection
     """
 
     def __init__(self, platform, name, service, zone, slots=2):
@@ -320,6 +322,12 @@
             writer.write(f"HTTP/1.1 200 OK\r\nServer-Stamp: {answer['Server-Stamp']}\r\nContent-".encode())
             writer.close()
             return False
+        elif mode.startswith("status:"):
+            writer.write(make_response(mode.removeprefix("status:"), answer, payload))
+        elif mode == "interim":
+            writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            writer.close()
+            return False
         elif mode == "wrong_id":
             answer["Request-Id"] = "another"
             writer.write(make_response(200, answer, payload))
@@ -445,8 +453,10 @@
         """Like publish_routes_on_loop(), but for callers in other threads."""
         self.call_on_loop(self.publish_routes_on_loop, **options)
 
-    def start_gateway(self, name, zone, wait=True):
-        """Starts a gateway, on its previous ports when it ran before. With `wait`, returns when it is ready."""
+    def start_gateway(self, name, zone, wait=True, **more_settings):
+        """Starts a gateway, on its previous ports when it ran before. With `wait`, returns when it is ready. `more_settings` are added
+        to its settings.
+        """
         ports = {key: free_port() for key in ("callers", "readiness", "hosts", "metrics")}
         previous = self.gateways.get(name)
         if previous:
@@ -456,6 +466,7 @@
                     "extraCallShare": EXTRA_CALL_SHARE, "extraCallSlack": EXTRA_CALL_SLACK, "coldFactor": 1.5, "coldSlack": 5, "configurationInForceMs": 3000,
                     "contactLossMs": 4000, "drainMs": 3000, "stopTimeMs": 6000, "lapsedReturnMs": 1000, "callerDelayMs": 3}
         settings.update({key: f"127.0.0.1:{port}" for key, port in ports.items()})
+        settings.update(more_settings)
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         log = open(self.folder / f"{name}.log", "ab")
