--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -2,8 +2,8 @@
 
 #include <curl_socket.h>
 #include <deadline_queue.h>
+#include <http_transfer.h>
 
-#include <arpa/inet.h>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -13,8 +13,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <unordered_map>
 #include <vector>
 
@@ -24,181 +22,8 @@
 namespace
 {
 
-// A reply with a larger header fails with tooLarge.
-constexpr std::size_t maxReplyHeaderBytes = std::size_t{64} * 1024;
-/// A reply up to this size is accepted however much memory the other replies take.
-constexpr std::size_t minReplyShare = std::size_t{256} * 1024;
 constexpr std::size_t maxPooledHandles = 1024;
 
-/// State of one call from send() to its result, or to the end of its transfer when it was cancelled with
-/// closeOnCancel = false.
-struct transfer {
-    std::uint64_t id = 0;
-    CURL *easy = nullptr;
-    http_call call;
-    http_client::callback done; ///< Empty after the result was reported.
-    http_reply reply;
-    std::string server; ///< "address:port" from the URL.
-    std::chrono::steady_clock::time_point deadline;
-    curl_slist *headers = nullptr;
-    void *client = nullptr; ///< The http_client::impl that runs the transfer.
-    std::shared_ptr<curl_socket> lastSocket; ///< The socket most recently opened for this call.
-    std::size_t headerBytes = 0;
-    std::size_t maxReplyBytes = 0;
-    std::size_t maxBufferedBytes = 0;
-    std::size_t *bufferedBytes = nullptr; ///< Size of the reply bodies of all transfers of the client.
-    bool writeAllowed = false; ///< libcurl was allowed to write the request, so it may have been sent.
-    bool stoppedBeforeSend = false; ///< beforeSend returned false.
-    bool resendRefused = false; ///< libcurl tried to send the request a second time.
-    bool headComplete = false; ///< The empty line after the head of the final reply was received.
-    bool tooLarge = false; ///< The reply exceeded a limit.
-    std::array<char, CURL_ERROR_SIZE> errorText{}; ///< Written by libcurl.
-
-    transfer() = default;
-    transfer(const transfer &) = delete;
-    transfer &operator=(const transfer &) = delete;
-    ~transfer()
-    {
-        discardReply();
-        curl_slist_free_all(headers);
-    }
-
-    void discardReply()
-    {
-        if (bufferedBytes != nullptr) {
-            *bufferedBytes -= m_accountedBytes;
-        }
-        m_accountedBytes = 0;
-        reply = {};
-    }
-
-    /// Appends to the reply body. @return False when the reply exceeds a limit.
-    bool appendBody(const char *data, std::size_t length)
-    {
-        const auto size = reply.body.size() + length;
-        const auto unused = maxBufferedBytes - std::min(maxBufferedBytes, *bufferedBytes);
-        if (size > maxReplyBytes || (size > minReplyShare && size > unused / 4)) {
-            return false;
-        }
-        reply.body.append(data, length);
-        m_accountedBytes += length;
-        *bufferedBytes += length;
-        return true;
-    }
-
-private:
-    std::size_t m_accountedBytes = 0; // Bytes of the reply that are counted in *bufferedBytes.
-};
-
-std::string formatAddress(const sockaddr &address)
-{
-    std::array<char, INET6_ADDRSTRLEN> text{};
-    if (address.sa_family == AF_INET) {
-        const auto &v4 = reinterpret_cast<const sockaddr_in &>(address);
-        inet_ntop(AF_INET, &v4.sin_addr, text.data(), text.size());
-        return std::string(text.data()) + ":" + std::to_string(ntohs(v4.sin_port));
-    }
-    if (address.sa_family == AF_INET6) {
-        const auto &v6 = reinterpret_cast<const sockaddr_in6 &>(address);
-        inet_ntop(AF_INET6, &v6.sin6_addr, text.data(), text.size());
-        return "[" + std::string(text.data()) + "]:" + std::to_string(ntohs(v6.sin6_port));
-    }
-    return {};
-}
-
-/// @return "address:port" of an http URL: the part between the scheme and the path, which is not checked further. Empty when
-/// the scheme is not http or the URL contains spaces or control characters.
-std::string serverAddress(std::string_view url)
-{
-    constexpr std::string_view scheme = "http://";
-    if (!url.starts_with(scheme) || std::any_of(url.begin(), url.end(), [](unsigned char c) { return c <= ' ' || c == 0x7f; })) {
-        return {};
-    }
-    url.remove_prefix(scheme.size());
-    return std::string(url.substr(0, url.find_first_of("/?#")));
-}
-
-/// @return Why the call is invalid, or empty when it is valid.
-std::string_view validateCall(const http_call &call)
-{
-    if (serverAddress(call.url).empty()) {
-        return "the URL is not of the form http://address:port/path";
-    }
-    if (!isToken(call.method)) {
-        return "the method is not valid";
-    }
-    if (!std::all_of(call.headers.begin(), call.headers.end(), isValidRequestField)) {
-        return "a header field is not valid";
-    }
-    return {};
-}
-
-http_failure makeFailure(error_code code, std::string message, std::string server, bool mayHaveBeenSent)
-{
-    return {{code, std::move(message), "call server", std::move(server)}, mayHaveBeenSent};
-}
-
-http_failure describeFailure(const transfer &ended, CURLcode code)
-{
-    const std::string message = ended.errorText[0] != '\0' ? ended.errorText.data() : curl_easy_strerror(code);
-    error_code kind = error_code::unreachable;
-    if (ended.resendRefused) {
-        return makeFailure(error_code::unreachable, "the connection was lost after the request was written", ended.server, true);
-    }
-    if (ended.stoppedBeforeSend) {
-        return makeFailure(error_code::cancelled, "the call was stopped before it was sent", ended.server, ended.writeAllowed);
-    }
-    if (code == CURLE_OK) {
-        return makeFailure(error_code::unreachable, "the connection was closed within the head of the reply", ended.server, true);
-    }
-    if (ended.tooLarge) {
-        return makeFailure(error_code::tooLarge, "the reply is too large", ended.server, ended.writeAllowed);
-    }
-    switch (code) {
-    case CURLE_URL_MALFORMAT:
-    case CURLE_COULDNT_RESOLVE_HOST:
-        kind = error_code::invalidArgument;
-        break;
-    case CURLE_UNSUPPORTED_PROTOCOL: // Also reported for a reply that is not HTTP/1.x.
-        kind = ended.writeAllowed ? error_code::protocolError : error_code::invalidArgument;
-        break;
-    case CURLE_WEIRD_SERVER_REPLY:
-    case CURLE_BAD_CONTENT_ENCODING:
-    case CURLE_WRITE_ERROR:
-        kind = error_code::protocolError;
-        break;
-    case CURLE_OUT_OF_MEMORY:
-    case CURLE_FAILED_INIT:
-        kind = error_code::internal;
-        break;
-    default:
-        break;
-    }
-    return makeFailure(kind, message, ended.server, ended.writeAllowed);
-}
-
-std::size_t onBody(char *data, std::size_t size, std::size_t count, void *user);
-std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user);
-
-int onBeforeSend(void *user, char *, char *, int, int)
-{
-    auto &running = *static_cast<transfer *>(user);
-    if (running.lastSocket) {
-        running.lastSocket->connected = true;
-    }
-    if (running.writeAllowed) {
-        // libcurl sends a request again when a reused connection is lost before the first byte of the reply.
-        running.resendRefused = true;
-        return CURL_PREREQFUNC_ABORT;
-    }
-    if (running.call.beforeSend && !running.call.beforeSend()) {
-        running.stoppedBeforeSend = true;
-        return CURL_PREREQFUNC_ABORT;
-    }
-    running.writeAllowed = true;
-    return CURL_PREREQFUNC_OK;
-}
-
 } // namespace
 
 class http_client::impl : public std::enable_shared_from_this<http_client::impl>
@@ -266,7 +91,7 @@
                        tl::unexpected(makeFailure(error_code::invalidArgument, std::string(problem), serverAddress(call.url), false)));
             return http_call_handle{id};
         }
-        auto started = std::make_unique<transfer>();
+        auto started = std::make_unique<http_transfer>();
         started->id = id;
         started->call = std::move(call);
         started->done = std::move(done);
@@ -402,13 +227,11 @@
         curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &impl::onOpenSocket);
         curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &impl::onCloseSocket);
         curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
-        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
-        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
-        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onBeforeSend);
+        http_transfer::setCallbacks(easy);
         curl_easy_setopt(easy, CURLOPT_MAXFILESIZE_LARGE, static_cast<curl_off_t>(m_settings.maxReplyBytes));
     }
 
-    static void configure(transfer &started)
+    static void configure(http_transfer &started)
     {
         CURL *easy = started.easy;
         const auto &call = started.call;
@@ -446,7 +269,7 @@
         curl_easy_setopt(easy, CURLOPT_HTTPHEADER, started.headers);
     }
 
-    static void addHeader(transfer &started, const std::string &line)
+    static void addHeader(http_transfer &started, const std::string &line)
     {
         if (curl_slist *extended = curl_slist_append(started.headers, line.c_str())) {
             started.headers = extended;
@@ -535,7 +358,7 @@
     {
         char *pointer = nullptr;
         curl_easy_getinfo(easy, CURLINFO_PRIVATE, &pointer);
-        const auto found = m_transfers.find(reinterpret_cast<transfer *>(pointer)->id);
+        const auto found = m_transfers.find(reinterpret_cast<http_transfer *>(pointer)->id);
         const auto ended = std::move(found->second);
         m_transfers.erase(found);
         m_deadlines.remove(ended->id, ended->deadline);
@@ -553,7 +376,7 @@
             ended->done(std::move(ended->reply));
         } else {
             ended->tooLarge = ended->tooLarge || code == CURLE_FILESIZE_EXCEEDED;
-            ended->done(tl::unexpected(describeFailure(*ended, code)));
+            ended->done(tl::unexpected(ended->describeFailure(code)));
         }
     }
 
@@ -616,7 +439,7 @@
 
     static curl_socket_t onOpenSocket(void *user, curlsocktype, curl_sockaddr *address)
     {
-        auto &running = *static_cast<transfer *>(user);
+        auto &running = *static_cast<http_transfer *>(user);
         auto &self = *static_cast<impl *>(running.client);
         if (running.writeAllowed) {
             running.resendRefused = true; // Without this, a connection would be opened only to be closed by onBeforeSend().
@@ -790,7 +613,7 @@
     deadline_queue m_deadlines;
     CURLM *m_multi = nullptr;
     std::size_t m_bufferedBytes = 0; ///< Size of the reply bodies of all transfers.
-    std::unordered_map<std::uint64_t, std::unique_ptr<transfer>> m_transfers;
+    std::unordered_map<std::uint64_t, std::unique_ptr<http_transfer>> m_transfers;
     std::unordered_map<curl_socket_t, std::shared_ptr<curl_socket>> m_sockets;
     std::unordered_map<std::string, std::size_t> m_connections; ///< Number of open connections by server address.
     std::vector<CURL *> m_handlePool; ///< Handles of ended calls, for reuse.
@@ -804,59 +627,6 @@
     bool m_closed = false;
 };
 
-namespace
-{
-
-std::size_t onBody(char *data, std::size_t size, std::size_t count, void *user)
-{
-    auto &running = *static_cast<transfer *>(user);
-    const std::size_t length = size * count;
-    if (!running.appendBody(data, length)) {
-        running.tooLarge = true;
-        return 0;
-    }
-    return length;
-}
-
-std::string_view trim(std::string_view text)
-{
-    const auto begin = text.find_first_not_of(" \t\r\n");
-    if (begin == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(begin, text.find_last_not_of(" \t\r\n") - begin + 1);
-}
-
-std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user)
-{
-    auto &running = *static_cast<transfer *>(user);
-    const std::string_view line(data, size * count);
-    running.headerBytes += line.size();
-    if (running.headerBytes > maxReplyHeaderBytes) {
-        running.tooLarge = true;
-        return 0;
-    }
-    if (line.starts_with("HTTP/")) {
-        // Discards an interim response such as "100 Continue" that precedes the final one.
-        running.discardReply();
-        running.headComplete = false;
-        const auto space = line.find(' ');
-        if (space != std::string_view::npos) {
-            const auto text = line.substr(space + 1);
-            std::from_chars(text.data(), text.data() + text.size(), running.reply.status);
-        }
-        return line.size();
-    }
-    if (trim(line).empty()) {
-        running.headComplete = running.reply.status >= 200;
-    } else if (const auto colon = line.find(':'); colon != std::string_view::npos) {
-        running.reply.headers.push_back({std::string(trim(line.substr(0, colon))), std::string(trim(line.substr(colon + 1)))});
-    }
-    return line.size();
-}
-
-} // namespace
-
 expected<std::unique_ptr<http_client>> http_client::create(asio::io_context &context, const settings &settings)
 {
     auto implementation = std::make_shared<impl>(context, settings);
