Bound what callers can make a host hold

Requests were read to their end, up to 1 MiB of head and 4 MiB of body whatever the configuration allowed, each field and chunk took much more than its bytes, and nothing bounded the sum over all clients. header_timeout_ms was not told apart from idle_timeout_ms.

One memory_account without I/O counts connections, heads, bodies and responses not yet taken, for all servers of a process. Its budget is a fifth of memoryMb. From half of it on, new requests of more than 32 KiB get 503; above it, the clients without progress for longest are closed. Requests are limited while they arrive (connection_input): 431 and 413 come without reading to the end, chunks and trailers are not kept, bytes before a head are bounded. A client that is told 408 has a request that never runs, also when its last byte has arrived meanwhile. Replies that are being received take at most a quarter of memoryMb. The socket buffers of callers are limited when memoryMb is given.

Tests that change: UnfinishedRequestsAreClosed expects the 408 and the end of the connection, in place of the end alone; MalformedRequestGets400 expects 431 for a head over the limit; in test_unfinished_bodies_leave_memory_for_other_requests sending may fail, because a body over the limit is no longer read to its end. The bounds are the same.

The processor time of a request was not measured.

--- a/daemons/gatewayd/main.cpp
+++ b/daemons/gatewayd/main.cpp
@@ -61,6 +61,7 @@
     asio::signal_set reloadSignals(context, SIGHUP);
     http_client_settings clientSettings;
     clientSettings.connectTimeout = connectTimeout;
+    clientSettings.maxBufferedBytes = settings->replyMemoryBytes();
     clientSettings.maxIdleConnections = settings->maxDescriptors / 3; // The rest is for connections of callers and other sockets.
     const auto client = http_client::create(context, clientSettings);
     if (!client) {
--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <limits/usage_cap_limits.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -61,6 +62,17 @@
     std::optional<std::chrono::milliseconds> revocationTime; ///< From the publication of the withdrawal.
     bool learnedLimits = true; ///< Learn from the answers of each backend server how many calls it takes well.
 
+    /// Memory of the machine when the settings do not give it, in bytes: with it, the limits below are those that held before.
+    static constexpr std::uint64_t defaultMemoryBytes = std::uint64_t{256} * 1024 * 1024;
+
+    /// @return Limit of the bytes that callers and other hosts may make this process hold: a fifth of the memory. Requests that are being
+    /// handled are held up to three times, and the rest of the process takes about 20 MB of the 112 MB of the smallest host.
+    [[nodiscard]] std::size_t callerMemoryBytes() const { return memoryBytes.value_or(defaultMemoryBytes) / 5; }
+
+    /// @return Limit of the bytes of replies of backend servers, other hosts and the store that are being received: a quarter of the
+    /// memory.
+    [[nodiscard]] std::size_t replyMemoryBytes() const { return memoryBytes.value_or(defaultMemoryBytes) / 4; }
+
     /// @return The shortest of the bounds on changes of the published state; changes of all kinds are read together.
     [[nodiscard]] std::chrono::milliseconds shortestChangeBound() const;
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -36,6 +36,11 @@
 constexpr std::chrono::milliseconds canServeInterval{200};
 /// Limits of the connections of callers until the configuration with its limits is known. All requests are refused until then.
 constexpr std::chrono::milliseconds idleTimeBeforeRoutes{60'000};
+/// Retry-After of a request for which there is no memory. Requests that make progress take less, and those without are closed.
+constexpr std::chrono::milliseconds retryAfterNoMemory{1000};
+/// Buffers of a connection in the kernel, which also take memory of the machine; set when its size is known. Requests and responses of
+/// usual size fit in.
+constexpr int socketBufferBytes = 64 * 1024;
 /// Requests that still have no answer get a failure this long before the process is killed.
 constexpr std::chrono::milliseconds stopMargin{500};
 /// Time after these answers until the event loop stops, in which they leave this host.
@@ -77,10 +82,14 @@
             serverSettings.address = address->address;
             serverSettings.port = address->port;
             serverSettings.maxConnections = maxConnections;
+            serverSettings.memoryBudget = settings.callerMemoryBytes();
+            serverSettings.socketBufferBytes = settings.memoryBytes ? socketBufferBytes : 0;
             if (server == &m_callerServer) {
                 // The limits of the configuration apply, which may change while the server runs; see caller_front and closeConnections().
                 serverSettings.maxHeadBytes = maxReadHeadBytes;
                 serverSettings.maxBodyBytes = maxReadBodyBytes;
+                serverSettings.requestLimits = [this] { return callerLimits(); };
+                serverSettings.refuse = [this](int status) { return refuseUnread(status); };
                 serverSettings.idleTimeout = std::nullopt;
                 serverSettings.writeTimeout = std::nullopt;
             } else if (server == &m_hostServer) {
@@ -155,9 +164,29 @@
         }
         if (limits.idleTimeout.count() > 0) {
             m_callerServer->closeIdleConnections(limits.idleTimeout);
-            m_callerServer->closeUnfinishedRequests(std::max(limits.headerTimeout, limits.idleTimeout));
             m_callerServer->closeStalledResponses(limits.idleTimeout);
         }
+        const bool headsAreLimited = limits.headerTimeout.count() > 0;
+        m_callerServer->closeUnfinishedRequests(headsAreLimited ? limits.headerTimeout : limits.idleTimeout, limits.idleTimeout);
+    }
+
+    /// @return The limits of the configuration in force; before the first one, those that hold when a configuration gives none.
+    [[nodiscard]] request_limits callerLimits() const
+    {
+        const auto limits = m_state.table ? m_state.table->limits() : http_request_limits();
+        return {limits.maxHeaderBytes, limits.maxBodyBytes};
+    }
+
+    /// @return The response to a request of a caller that was refused before it was read whole.
+    http_response refuseUnread(int status)
+    {
+        constexpr int noMemory = 503;
+        m_state.metrics.requestEnded("none", status == noMemory ? "noMemory" : "tooLarge", std::chrono::microseconds(0));
+        if (status == noMemory) {
+            return m_state.codec.encodeNotRun({error_code::overloaded, "there is no memory for a request of this size", "read request", {}},
+                                              retryAfterNoMemory);
+        }
+        return m_state.codec.encodeFailure(status, {error_code::tooLarge, "the request exceeds a limit", "read request", {}});
     }
 
     void pollStop()
--- a/libs/transport/include/transport/http_response.h
+++ b/libs/transport/include/transport/http_response.h
@@ -3,6 +3,8 @@
 #include <base/error.h>
 #include <transport/http_header.h>
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 namespace orioledrum
@@ -10,11 +12,12 @@
 
 /// Response of an http_server to an http_request.
 struct http_response {
-    int status = 200; ///< 200 to 999.
+    int status = 200; ///< 200 to 599.
     std::string contentType = "application/json"; ///< Empty: no Content-Type is sent.
     http_headers headers; ///< Additional header fields. The server sets Content-Type, Content-Length and Connection.
     std::string body;
 };
+};
 
 /// @param status HTTP status code.
 /// @param failure Error that the body describes.
--- a/libs/transport/include/transport/http_server.h
+++ b/libs/transport/include/transport/http_server.h
@@ -58,13 +58,17 @@
     /// @return Number of open connections of all servers on the same io_context.
     [[nodiscard]] std::size_t connections() const;
 
+    /// @return Bytes that the clients of all servers on the same io_context make the process hold; see settings::memoryBudget.
+    [[nodiscard]] std::size_t heldBytes() const;
+
     /// Closes the connections of all servers on the same io_context that have waited for a request for at least `idleFor`.
     /// A request that has already arrived is still read and answered.
     void closeIdleConnections(std::chrono::milliseconds idleFor);
 
-    /// Closes the connections of all servers on the same io_context on which a request began to arrive at least `after` ago and is
-    /// still incomplete. Callers that send very slowly, or stop in the middle of a request, would otherwise keep descriptors in use.
-    void closeUnfinishedRequests(std::chrono::milliseconds after);
+    /// Closes the connections of all servers on the same io_context on which a head began to arrive at least `headTime` ago and is
+    /// incomplete, or whose incomplete body has grown by less than 1 KiB for at least `bodyTime`. Their clients receive a 408. Callers that
+    /// send very slowly, or stop in the middle of a request, would otherwise keep descriptors in use. 0: no limit.
+    void closeUnfinishedRequests(std::chrono::milliseconds headTime, std::chrono::milliseconds bodyTime);
 
     /// Closes the connections of all servers on the same io_context whose client has taken no byte of a response for at least `after`.
     void closeStalledResponses(std::chrono::milliseconds after);
--- a/libs/transport/src/socket_registry.cpp
+++ b/libs/transport/src/socket_registry.cpp
@@ -2,6 +2,8 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace orioledrum
@@ -12,6 +14,13 @@
 
 thread_local std::shared_ptr<peer_close_watch> threadWatch; // NOLINT(cppcoreguidelines-avoid-non-const-global-variables)
 
+/// Sends a response without blocking to a client whose request is incomplete and never runs. It may be lost when the client still sends.
+void sendTimeout(int descriptor)
+{
+    constexpr std::string_view text = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    ::send(descriptor, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 } // namespace
 
 asio::execution_context::id socket_registry::id;
@@ -39,10 +48,99 @@
     return m_connectionCount;
 }
 
-void socket_registry::addIdle(int descriptor)
+void socket_registry::setMemoryBudget(std::size_t bytes)
+{
+    const std::lock_guard lock(m_mutex);
+    m_account.setBudget(std::max(m_account.budget(), bytes));
+}
+
+void socket_registry::setPolicy(const asio::ip::tcp::endpoint &address, std::shared_ptr<const request_policy> policy)
+{
+    const std::lock_guard lock(m_mutex);
+    if (policy) {
+        m_policies[address] = std::move(policy);
+    } else {
+        m_policies.erase(address);
+    }
+}
+
+std::shared_ptr<const request_policy> socket_registry::policy(const asio::ip::tcp::endpoint &local) const
+{
+    const std::lock_guard lock(m_mutex);
+    auto found = m_policies.find(local);
+    if (found == m_policies.end()) {
+        found = m_policies.find({local.protocol(), local.port()}); // A server that listens on all addresses.
+    }
+    return found == m_policies.end() ? nullptr : found->second;
+}
+
+memory_account::holder_id socket_registry::addHolder(int descriptor)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto holder = m_account.add(std::chrono::steady_clock::now());
+    m_holderDescriptors[holder] = descriptor;
+    return holder;
+}
+
+void socket_registry::removeHolder(memory_account::holder_id holder)
+{
+    const std::lock_guard lock(m_mutex);
+    m_account.remove(holder);
+    m_holderDescriptors.erase(holder);
+}
+
+bool socket_registry::setHolder(memory_account::holder_id holder, memory_account::phase waitsFor, std::size_t bytes)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool open = m_account.set(holder, waitsFor, bytes, std::chrono::steady_clock::now());
+    shutdownClosedHolders();
+    return open;
+}
+
+bool socket_registry::growHolder(memory_account::holder_id holder, std::size_t bytes)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool accepted = m_account.grow(holder, bytes, std::chrono::steady_clock::now());
+    shutdownClosedHolders();
+    return accepted;
+}
+
+void socket_registry::recordTransfer(memory_account::holder_id holder, std::size_t bytes)
+{
+    const std::lock_guard lock(m_mutex);
+    m_account.recordTransfer(holder, bytes, std::chrono::steady_clock::now());
+}
+
+bool socket_registry::admitsLarge(std::size_t bytes) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_account.admitsLarge(bytes);
+}
+
+std::size_t socket_registry::heldBytes() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_account.used();
+}
+
+void socket_registry::shutdownClosedHolders()
+{
+    for (const auto &closed : m_account.takeClosed()) {
+        const auto found = m_holderDescriptors.find(closed.id);
+        if (found == m_holderDescriptors.end()) {
+            continue;
+        }
+        if (closed.waitedFor == memory_account::phase::receiving) {
+            sendTimeout(found->second);
+        }
+        ::shutdown(found->second, SHUT_RDWR);
+    }
+}
+
+void socket_registry::addIdle(int descriptor, std::chrono::steady_clock::time_point since)
 {
     const std::lock_guard lock(m_mutex);
-    m_idle[descriptor] = std::chrono::steady_clock::now();
+    m_idle[descriptor] = since;
 }
 
 void socket_registry::removeIdle(int descriptor)
@@ -51,16 +149,23 @@
     m_idle.erase(descriptor);
 }
 
-void socket_registry::addUnfinished(int descriptor, std::chrono::steady_clock::time_point since)
+void socket_registry::addUnfinishedHead(int descriptor, memory_account::holder_id holder, std::chrono::steady_clock::time_point since)
 {
     const std::lock_guard lock(m_mutex);
-    m_unfinished[descriptor] = since;
+    m_unfinishedHeads[descriptor] = {holder, since};
+}
+
+void socket_registry::addUnfinishedBody(int descriptor, memory_account::holder_id holder)
+{
+    const std::lock_guard lock(m_mutex);
+    m_unfinishedBodies[descriptor] = holder;
 }
 
 void socket_registry::removeUnfinished(int descriptor)
 {
     const std::lock_guard lock(m_mutex);
-    m_unfinished.erase(descriptor);
+    m_unfinishedHeads.erase(descriptor);
+    m_unfinishedBodies.erase(descriptor);
 }
 
 void socket_registry::addWriting(int descriptor)
@@ -86,13 +191,23 @@
     }
 }
 
-void socket_registry::shutdownUnfinished(std::chrono::milliseconds after)
+void socket_registry::shutdownUnfinished(std::chrono::milliseconds headTime, std::chrono::milliseconds bodyTime)
 {
-    const auto latestStart = std::chrono::steady_clock::now() - after;
+    const auto now = std::chrono::steady_clock::now();
     const std::lock_guard lock(m_mutex);
-    for (const auto &[descriptor, since] : m_unfinished) {
-        if (since <= latestStart) {
-            ::shutdown(descriptor, SHUT_RDWR);
+    const auto end = [this](int descriptor, memory_account::holder_id holder) {
+        m_account.close(holder); // The rest may have arrived meanwhile; the request must not be handled after the 408.
+        sendTimeout(descriptor);
+        ::shutdown(descriptor, SHUT_RDWR);
+    };
+    for (const auto &[descriptor, head] : m_unfinishedHeads) {
+        if (headTime.count() > 0 && head.since <= now - headTime) {
+            end(descriptor, head.holder);
+        }
+    }
+    for (const auto &[descriptor, holder] : m_unfinishedBodies) {
+        if (bodyTime.count() > 0 && m_account.lastProgress(holder) <= now - bodyTime) {
+            end(descriptor, holder);
         }
     }
 }
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -1,5 +1,6 @@
 """Tests a real gatewayd process with callers, backend servers and a stand-in of the users' platform."""
 import asyncio
+import contextlib
 import json
 import pathlib
 import signal
@@ -124,7 +125,8 @@
             caller = socket.create_connection(("127.0.0.1", self.platform.gateways["g1"]["ports"]["callers"]), timeout=10)
             self.addCleanup(caller.close)
             caller.sendall(f"POST /order/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: body{number}\r\nContent-Length: 16000000\r\n\r\n".encode())
-            caller.sendall(bytes(15_500_000))
+            with contextlib.suppress(ConnectionError):  # The body is refused before it is read to its end.
+                caller.sendall(bytes(15_500_000))
             callers.append(caller)
         self.assertEqual(self.search().status, 200)
         status = pathlib.Path(f"/proc/{self.platform.gateways['g1']['process'].pid}/status").read_text()
