Answer half-closed callers, and HEAD with the length of the reply

A caller that shut down its writing side after its request got 500, because the end of its input counted as a disconnect. TCP shows the difference only when bytes are sent, so the first 9 bytes of the response, the same for all, are sent when the input ends: a closed caller resets the connection, and its request is cancelled as before.

The response to HEAD had the length 0; it now has the Content-Length of the backend server.

--- a/libs/transport/include/transport/http_response.h
+++ b/libs/transport/include/transport/http_response.h
@@ -16,7 +16,8 @@
     std::string contentType = "application/json"; ///< Empty: no Content-Type is sent.
     http_headers headers; ///< Additional header fields. The server sets Content-Type, Content-Length and Connection.
     std::string body;
-};
+    /// Content-Length of the response to HEAD, which has no body; empty: the size of the body.
+    std::optional<std::uint64_t> headLength{};
 };
 
 /// @param status HTTP status code.
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -153,7 +153,7 @@
         const restinio::http_status_line_t line(status, std::string(reasonPhrase(response.status)));
         if (m_request->header().method() == restinio::http_method_head()) {
             auto message = m_request->create_response<restinio::user_controlled_output_t>(line);
-            message.set_content_length(response.body.size());
+            message.set_content_length(response.headLength.value_or(response.body.size()));
             response.body.clear();
             send(std::move(message), std::move(response));
             return;
--- a/libs/transport/src/peer_close_watch.cpp
+++ b/libs/transport/src/peer_close_watch.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <string_view>
 #include <utility>
 
 namespace orioledrum
@@ -32,7 +33,7 @@
 
 void peer_close_watch::waitForInput()
 {
-    if (m_waiting || m_socket == nullptr) {
+    if (m_waiting || m_endOfInput || m_socket == nullptr) {
         return;
     }
     m_waiting = true;
@@ -58,8 +59,29 @@
         waitForInput();
         return;
     }
+    if (size == 0) {
+        onEndOfInput();
+        return;
+    }
     const auto onClose = std::exchange(m_onClose, nullptr);
     onClose();
 }
 
+void peer_close_watch::onEndOfInput()
+{
+    if (std::exchange(m_endOfInput, true)) {
+        return;
+    }
+    constexpr std::string_view versionOfResponse = "HTTP/1.1 ";
+    const auto sent = ::send(m_socket->native_handle(), versionOfResponse.data(), versionOfResponse.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    m_sentAhead = sent > 0 ? static_cast<std::size_t>(sent) : 0;
+    // Not a wait for input: the end of the input would end it at once.
+    m_socket->async_wait(asio::ip::tcp::socket::wait_error, [self = shared_from_this()](const asio::error_code &code) {
+        if (!code && self->m_socket != nullptr && self->m_onClose) {
+            const auto onClose = std::exchange(self->m_onClose, nullptr);
+            onClose();
+        }
+    });
+}
+
 } // namespace orioledrum
--- a/libs/transport/src/peer_close_watch.h
+++ b/libs/transport/src/peer_close_watch.h
@@ -2,14 +2,18 @@
 
 #include <asio/ip/tcp.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
+#include <utility>
 
 namespace orioledrum
 {
 
 /// Detects that the client of an accepted HTTP connection closes it while a request is being handled; RESTinio does not read
-/// during this time. Not thread-safe.
+/// during this time. A client that has only shut down its writing side still takes the response. TCP shows the difference only when bytes
+/// are sent, so the first bytes of the response, which are always the same, are sent ahead: a closed client resets the connection then.
+/// Not thread-safe.
 class peer_close_watch : public std::enable_shared_from_this<peer_close_watch>
 {
 public:
@@ -24,17 +28,24 @@
     /// Stops watching, because the request was answered. onClose is not called any more.
     void stop();
 
+    /// @return Number of bytes of the response that were sent ahead, once.
+    [[nodiscard]] std::size_t takeSentAhead() { return std::exchange(m_sentAhead, 0); }
+
     /// Stops watching, because the socket is about to be closed or destroyed.
     void detach();
 
 private:
     void waitForInput();
     void onReadable();
+    /// The client has shut down its writing side or closed the connection.
+    void onEndOfInput();
 
     asio::ip::tcp::socket *m_socket;
     std::function<void()> m_onClose;
     /// A wait for input is pending. stop() does not cancel it, because that would also cancel RESTinio's operations.
     bool m_waiting = false;
+    bool m_endOfInput = false; ///< The client does not send any more; a wait for a reset is pending.
+    std::size_t m_sentAhead = 0;
 };
 
 } // namespace orioledrum
--- a/libs/transport/src/server_socket.h
+++ b/libs/transport/src/server_socket.h
@@ -68,7 +68,7 @@
     template<typename Buffers, typename Handler>
     void async_write_some(const Buffers &buffers, Handler &&handler) // NOLINT(readability-identifier-naming)
     {
-        constexpr std::size_t sentAhead = 0;
+        const auto sentAhead = m_watch ? m_watch->takeSentAhead() : std::size_t{0};
         m_registry->addWriting(native_handle());
         auto executor = asio::get_associated_executor(handler, get_executor());
         base::async_write_some(
