--- a/tests/process/test_caller_memory.py
+++ b/tests/process/test_caller_memory.py
@@ -38,12 +38,12 @@
         status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
         return int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1])
 
-    async def connect(self, receive_buffer=None):
+    async def connect(self, receive_buffer=None, port="callers"):
         client = socket.socket()
         client.setblocking(False)
         if receive_buffer:
             client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-        await self.platform.loop.sock_connect(client, ("127.0.0.1", self.platform.gateways["g1"]["ports"]["callers"]))
+        await self.platform.loop.sock_connect(client, ("127.0.0.1", self.platform.gateways["g1"]["ports"][port]))
         return client
 
     async def send(self, client, *parts):
@@ -83,8 +83,8 @@
         self.assertLess(peak_kb, MEMORY_MB * 1024)
         self.assertLess(self.greatest_descriptors, MAX_OPEN_DESCRIPTORS)
 
-    async def send_and_stay(self, *parts):
-        client = await self.connect()
+    async def send_and_stay(self, *parts, port="callers"):
+        client = await self.connect(port=port)
         try:
             await self.send(client, *parts)
             await asyncio.sleep(60)
@@ -209,6 +209,27 @@
 
         self.play([client(number) for number in range(300)], 10)
 
+    def test_messages_between_hosts(self):
+        """Guards against memory that is taken by parts of searches and other messages on the port for hosts that stop short of their end."""
+        size = 5 << 20
+        paths = ("/hosts/search", "/hosts/changes", "/hosts/digest")
+        clients = [self.send_and_stay(head(number, target=paths[number % 3], Content_Length=size) + b"\r\n", *[b"x" * 65_536] * 79, port="hosts")
+                   for number in range(60)]
+        self.play(clients, 10)
+
+    def test_replies_without_end(self):
+        """Guards against memory that is taken by replies of backend servers that do not end, to many requests at once."""
+        for number in range(2):
+            self.platform.backends[f"single-{number}"].mode = "endless_body"
+        requests = [self.send_and_stay(head(number, "GET", "/fetch/x") + b"\r\n") for number in range(60)]
+
+        async def heal():
+            await asyncio.sleep(4)
+            for number in range(2):
+                self.platform.backends[f"single-{number}"].mode = "serve"
+
+        self.play([*requests, heal()], 6)
+
     def test_requests_at_the_limits_are_served(self):
         """Guards against limits that refuse a request whose head or body has exactly the configured size."""
         async def request(name, head_bytes, body_bytes, chunked):
