Make room for callers when silent clients use all connections

When as many connections were open as the host allows, further ones were closed until the timeouts ended the silent ones. Now the one that has waited longest for its client, and for at least 1 s, is closed in place of the new one. An incomplete request gets 408 and never runs.

--- a/libs/transport/src/server_traits.h
+++ b/libs/transport/src/server_traits.h
@@ -77,8 +77,8 @@
 namespace orioledrum
 {
 
-/// Rejects connections over the limit. RESTinio's own limiter cannot be used, because connections refer to it in their
-/// destructor, which may run after the server was destroyed.
+/// Makes room for connections over the limit, or rejects them. RESTinio's own limiter cannot be used, because connections refer to it in
+/// their destructor, which may run after the server was destroyed.
 class connection_limiter
 {
 public:
@@ -90,7 +90,7 @@
 
     [[nodiscard]] restinio::ip_blocker::inspection_result_t inspect(const restinio::ip_blocker::incoming_info_t &) const noexcept
     {
-        return m_registry.connectionCount() < m_maxConnections ? restinio::ip_blocker::allow() : restinio::ip_blocker::deny();
+        return m_registry.makeRoom(m_maxConnections) ? restinio::ip_blocker::allow() : restinio::ip_blocker::deny();
     }
 
 private:
--- a/libs/transport/src/socket_registry.cpp
+++ b/libs/transport/src/socket_registry.cpp
@@ -40,6 +40,9 @@
 {
     const std::lock_guard lock(m_mutex);
     --m_connectionCount;
+    if (m_connectionsMadeRoom > 0) {
+        --m_connectionsMadeRoom;
+    }
 }
 
 std::size_t socket_registry::connectionCount() const
@@ -191,27 +194,66 @@
     }
 }
 
+void socket_registry::endUnfinished(int descriptor, memory_account::holder_id holder)
+{
+    m_account.close(holder); // The rest may have arrived meanwhile; the request must not be handled after the 408.
+    sendTimeout(descriptor);
+    ::shutdown(descriptor, SHUT_RDWR);
+}
+
 void socket_registry::shutdownUnfinished(std::chrono::milliseconds headTime, std::chrono::milliseconds bodyTime)
 {
     const auto now = std::chrono::steady_clock::now();
     const std::lock_guard lock(m_mutex);
-    const auto end = [this](int descriptor, memory_account::holder_id holder) {
-        m_account.close(holder); // The rest may have arrived meanwhile; the request must not be handled after the 408.
-        sendTimeout(descriptor);
-        ::shutdown(descriptor, SHUT_RDWR);
-    };
     for (const auto &[descriptor, head] : m_unfinishedHeads) {
         if (headTime.count() > 0 && head.since <= now - headTime) {
-            end(descriptor, head.holder);
+            endUnfinished(descriptor, head.holder);
         }
     }
     for (const auto &[descriptor, holder] : m_unfinishedBodies) {
         if (bodyTime.count() > 0 && m_account.lastProgress(holder) <= now - bodyTime) {
-            end(descriptor, holder);
+            endUnfinished(descriptor, holder);
         }
     }
 }
 
+bool socket_registry::makeRoom(std::size_t maxConnections)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_connectionCount < maxConnections + m_connectionsMadeRoom) {
+        return true;
+    }
+    const auto latestStart = std::chrono::steady_clock::now() - minRoomWait;
+    // The entry that has waited longest and long enough.
+    const auto longest = [latestStart](const auto &entries, auto since) {
+        const auto earlier = [&](const auto &a, const auto &b) { return since(a.second) < since(b.second); };
+        const auto found = std::min_element(entries.begin(), entries.end(), earlier);
+        return found != entries.end() && since(found->second) <= latestStart ? found : entries.end();
+    };
+    const auto self = [](const auto &since) { return since; };
+    const auto head = longest(m_unfinishedHeads, [](const unfinished_head &each) { return each.since; });
+    const auto body = longest(m_unfinishedBodies, [this](const auto &holder) { return m_account.lastProgress(holder); });
+    const auto writing = longest(m_writing, self);
+    const auto idle = longest(m_idle, self);
+    if (head != m_unfinishedHeads.end()) {
+        endUnfinished(head->first, head->second.holder);
+        m_unfinishedHeads.erase(head);
+    } else if (body != m_unfinishedBodies.end()) {
+        endUnfinished(body->first, body->second);
+        m_unfinishedBodies.erase(body);
+    } else if (writing != m_writing.end()) {
+        ::shutdown(writing->first, SHUT_RDWR);
+        m_writing.erase(writing);
+    } else if (idle != m_idle.end()) {
+        ::shutdown(idle->first, SHUT_RD); // A request that has arrived is still read.
+        m_idle.erase(idle);
+    } else {
+        return false;
+    }
+    ++m_connectionsMadeRoom;
+    return true;
+}
+
 void socket_registry::setCurrentWatch(std::shared_ptr<peer_close_watch> watch)
 {
     threadWatch = std::move(watch);
--- a/libs/transport/src/socket_registry.h
+++ b/libs/transport/src/socket_registry.h
@@ -42,6 +42,13 @@
     void removeConnection();
     [[nodiscard]] std::size_t connectionCount() const;
 
+    /// A connection has arrived. When there are maxConnections already, closes the one that has waited longest for its client, if one has
+    /// for at least minRoomWait: within a request first, which gets a 408, then within a response, then one without a request.
+    /// @return Whether there is room for the new connection.
+    bool makeRoom(std::size_t maxConnections);
+    /// Longer than callers that make progress wait for the network, short against the timeouts that would close a silent one.
+    static constexpr std::chrono::milliseconds minRoomWait{1000};
+
     /// Raises the budget of the bytes that all connections hold; see memory_account. 0 changes nothing.
     void setMemoryBudget(std::size_t bytes);
     /// Sets the policy of the server at an address; null removes it.
@@ -101,6 +108,8 @@
 private:
     void shutdown() noexcept override {}
 
+    /// Ends an incomplete request and its connection. Called with the lock held.
+    void endUnfinished(int descriptor, memory_account::holder_id holder);
     /// Shuts down the sockets that the account has decided to close. Called with the lock held.
     void shutdownClosedHolders();
 
@@ -118,6 +127,7 @@
     std::unordered_map<int, memory_account::holder_id> m_unfinishedBodies; ///< By descriptor.
     std::unordered_map<int, std::chrono::steady_clock::time_point> m_writing; ///< Start of the pending write by descriptor.
     std::size_t m_connectionCount = 0;
+    std::size_t m_connectionsMadeRoom = 0; ///< Closed by makeRoom() and still counted.
 };
 
 } // namespace orioledrum
--- a/tests/process/test_caller_memory.py
+++ b/tests/process/test_caller_memory.py
@@ -209,6 +209,18 @@
 
         self.play([client(number) for number in range(300)], 10)
 
+    def test_more_silent_clients_than_connections(self):
+        """Guards against ordinary callers that are not accepted, because silent clients use all connections that the host allows."""
+        starts = [b"", head(0), head(0, Content_Length=1000) + b"\r\n"]
+        statuses = []
+
+        async def caller():
+            await asyncio.sleep(1.6)  # Before the timeouts close the silent clients.
+            statuses.append((await self.platform.send("g1", "/fetch/x")).status)
+
+        self.play([*(self.send_and_stay(starts[number % 3]) for number in range(420)), caller()], 3)
+        self.assertEqual(statuses, [200])
+
     def test_messages_between_hosts(self):
         """Guards against memory that is taken by parts of searches and other messages on the port for hosts that stop short of their end."""
         size = 5 << 20
