Count the capacity of reply buffers, and return freed ones

A reply buffer takes up to twice what it holds, and the C library keeps freed large buffers once it has raised its threshold. Replies and responses now count by their capacity, and with memoryMb given large buffers go back to the system when they are freed.

--- a/daemons/gatewayd/main.cpp
+++ b/daemons/gatewayd/main.cpp
@@ -10,6 +10,8 @@
 
 #include <boost/program_options.hpp>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <exception>
 #include <functional>
@@ -27,6 +29,9 @@
 /// milliseconds.
 constexpr std::chrono::milliseconds connectTimeout{300};
 
+/// An allocation of at least this size is returned to the system when it is freed: the initial value of the C library.
+constexpr int largeAllocationBytes = 128 * 1024;
+
 int fail(int code, const std::string &message)
 {
     std::cerr << "gatewayd: " << message << "\n";
@@ -55,6 +60,10 @@
         std::cout << file << ": valid\n";
         return 0;
     }
+    if (settings->memoryBytes) {
+        // The allocator would otherwise raise this threshold, and keep the memory of large bodies that have been freed.
+        ::mallopt(M_MMAP_THRESHOLD, largeAllocationBytes);
+    }
     asio::io_context context(1);
     // Created first: a signal that arrives during start-up is queued for its handler and does not terminate the process.
     asio::signal_set stopSignals(context, SIGTERM, SIGINT);
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -159,7 +159,7 @@
             return;
         }
         auto message = m_request->create_response(line);
-        m_input->setResponse(response.body.size());
+        m_input->setResponse(response.body.capacity());
         message.set_body(std::move(response.body));
         send(std::move(message), std::move(response));
     }
--- a/libs/transport/src/http_transfer.cpp
+++ b/libs/transport/src/http_transfer.cpp
@@ -106,9 +106,12 @@
     if (size > maxReplyBytes || (size > minReplyShare && size > unused / 4)) {
         return false;
     }
+    // A buffer that grows takes up to twice what it holds.
+    const auto before = reply.body.capacity();
     reply.body.append(data, length);
-    m_accountedBytes += length;
-    *bufferedBytes += length;
+    const auto grown = reply.body.capacity() - before;
+    m_accountedBytes += grown;
+    *bufferedBytes += grown;
     return true;
 }
 
