--- a/libs/transport/src/lingering_close.h
+++ b/libs/transport/src/lingering_close.h
@@ -1,13 +1,14 @@
 #pragma once
 
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
-
+// Before Asio, which allocates differently when the configuration of the standard library is not known to it.
 #include <chrono>
 #include <cstddef>
 #include <memory>
 
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
 namespace orioledrum
 {
 
--- a/libs/transport/src/peer_close_watch.h
+++ b/libs/transport/src/peer_close_watch.h
@@ -1,12 +1,13 @@
 #pragma once
 
-#include <asio/ip/tcp.hpp>
-
+// Before Asio, which allocates differently when the configuration of the standard library is not known to it.
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <utility>
 
+#include <asio/ip/tcp.hpp>
+
 namespace orioledrum
 {
 
