--- a/scripts/platform_standin.py
+++ b/scripts/platform_standin.py
@@ -45,6 +45,8 @@
     unframed_reset: like unframed, but resets the connection 5 bytes before the end of the body
     endless_head: sends header lines until the caller closes the connection
     endless_body: sends a body without length until the caller closes the connection
+    status:TEXT: runs the request and answers with TEXT in place of the status code
+    interim: runs the request, sends 100 (Continue) and closes the connection
     """
 
     def __init__(self, platform, name, service, zone, slots=2):
@@ -168,6 +170,12 @@
             writer.write(f"HTTP/1.1 200 OK\r\nServer-Stamp: {answer['Server-Stamp']}\r\nContent-".encode())
             writer.close()
             return False
+        elif mode.startswith("status:"):
+            writer.write(make_response(mode.removeprefix("status:"), answer, payload))
+        elif mode == "interim":
+            writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            writer.close()
+            return False
         elif mode == "wrong_id":
             answer["Request-Id"] = "another"
             writer.write(make_response(200, answer, payload))
