Ignore a handover whose level or share is not a number

A host that takes an organisation over keeps the level and the share that the earlier owner tells. std::clamp passes a value that is not a number on, so the bucket of the cap kept it, and its conversion to a count of tokens is undefined.

Such an answer now counts as none: the host waits until no earlier owner can act.

Measured: handoverWithoutNumbersConfirmsNothing fails without the fix and passes with it; the 15 tests of usage caps pass. Nothing else was run on this commit.

--- a/libs/limits/src/usage_cap_owner.cpp
+++ b/libs/limits/src/usage_cap_owner.cpp
@@ -169,7 +169,11 @@
 void usage_cap_owner::claimAnswered(const usage_cap &cap, const std::optional<usage_handover> &answer, time_point now)
 {
     auto &state = m_caps[cap.organisation];
-    if (!answer || !answer->stopped || !state.ownedSince || state.confirmed || now >= m_fleet.placeOf(cap.organisation).certainFrom) {
+    // A level that is not a number would stay one in the bucket.
+    if (!answer || !std::isfinite(answer->level) || !std::isfinite(answer->share)) {
+        return;
+    }
+    if (!answer->stopped || !state.ownedSince || state.confirmed || now >= m_fleet.placeOf(cap.organisation).certainFrom) {
         return;
     }
     state.confirmed = true;
--- a/libs/limits/tests/test_usage_caps.cpp
+++ b/libs/limits/tests/test_usage_caps.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 #include <algorithm>
 #include <memory>
 #include <optional>
@@ -306,6 +308,23 @@
     EXPECT_EQ(takeAll(second->owner, cap, startTime + 501ms), 50);
 }
 
+// Guards against an answer of a faulty host whose level or share is not a number: the bucket would keep it and hand out tokens without end.
+TEST_F(usage_host_case, handoverWithoutNumbersConfirmsNothing)
+{
+    const auto cap = makeCap(100, 100);
+    const auto second = makeHost(1);
+    auto known = hosts({});
+    std::find_if(known.begin(), known.end(), [&](const auto &host) { return host.id == m_ranked[0].id; })->state =
+        usage_host_state::leaving;
+    second->setHosts(known, startTime + 500ms);
+    EXPECT_EQ(second->owner.request(cap, 1, startTime + 500ms).result, usage_grant::kind::unavailable);
+    const auto invalid = std::numeric_limits<double>::quiet_NaN();
+    for (const auto &handover : {usage_handover{true, invalid, 1}, usage_handover{true, 1, invalid}}) {
+        second->owner.claimAnswered(cap, handover, startTime + 501ms);
+        EXPECT_EQ(second->owner.request(cap, 1, startTime + 502ms).result, usage_grant::kind::unavailable);
+    }
+}
+
 // Guards against a process that acts as the owner after a pause in which another host has taken over.
 TEST_F(usage_host_case, ownerStartsAnewAfterAPause)
 {
