Let large replies that are received together share the limit

A reply over 256 KiB failed when it took more than a quarter of what other replies, and its own buffer, left of maxBufferedBytes. Two replies of 12 MB with the default of 64 MB exceeded that as soon as they overlapped, and the callers got 502.

A reply may now take all that is left, and its buffer grows by a quarter instead of doubling. The new unit test fails without the change.

--- a/libs/transport/include/transport/http_client.h
+++ b/libs/transport/include/transport/http_client.h
@@ -26,8 +26,9 @@
     std::chrono::milliseconds connectTimeout{1000};
     std::chrono::milliseconds unacknowledgedTimeout{5000}; ///< A connection is closed when sent data is not acknowledged within this time.
     std::size_t maxReplyBytes = std::size_t{16} * 1024 * 1024; ///< A larger reply body fails with tooLarge.
-    /// Limit of the reply bodies that are being received, summed over all calls. A reply that takes more than a quarter of what is left
-    /// of it, and more than 256 KiB, fails with tooLarge, so that servers that send without end do not starve the other calls.
+    /// Limit of the reply bodies that are being received, summed over all calls. A reply that takes more than what is left of it, and more
+    /// than 256 KiB, fails with tooLarge, so that servers that send without end do not starve the other calls. Of n equal replies that
+    /// are received together each may have limit / (1.25 n + 1) bytes: buffers grow by a quarter.
     std::size_t maxBufferedBytes = std::size_t{64} * 1024 * 1024;
     std::size_t maxIdleConnections = 1024; ///< Limit of the connections kept for reuse, summed over all addresses.
     std::size_t maxConnectionsPerAddress = 0; ///< Calls over this limit wait for a free connection; 0: no limit.
--- a/libs/transport/src/http_transfer.cpp
+++ b/libs/transport/src/http_transfer.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cctype>
 #include <optional>
+#include <utility>
 
 namespace orioledrum
 {
@@ -103,11 +104,17 @@
 {
     const auto size = reply.body.size() + length;
     const auto unused = maxBufferedBytes - std::min(maxBufferedBytes, *bufferedBytes);
-    if (size > maxReplyBytes || (size > minReplyShare && size > unused / 4)) {
+    if (size > maxReplyBytes || (size > minReplyShare && size > unused)) {
         return false;
     }
-    // A buffer that grows takes up to twice what it holds.
     const auto before = reply.body.capacity();
+    if (size > before && size > minReplyShare) {
+        // std::string doubles its capacity, which would take up to twice the reply from what other replies may use.
+        std::string larger;
+        larger.reserve(size + size / 4);
+        larger.append(reply.body);
+        reply.body = std::move(larger);
+    }
     reply.body.append(data, length);
     const auto grown = reply.body.capacity() - before;
     m_accountedBytes += grown;
--- a/libs/transport/tests/test_http_client.cpp
+++ b/libs/transport/tests/test_http_client.cpp
@@ -435,6 +435,32 @@
     }
 }
 
+// Guards against a valid large reply that fails because another one is received at the same time: two replies of a quarter of the limit
+// each.
+TEST_F(HttpClientTest, LargeRepliesShareTheLimit)
+{
+    http_client_settings settings;
+    settings.maxBufferedBytes = std::size_t{8} * 1024 * 1024;
+    recreateClient(settings);
+    const std::string body(settings.maxBufferedBytes / 4, 'z');
+    // The first byte after the head comes when both replies have begun.
+    std::atomic<int> begun = 0;
+    scripted_http_server server([&](const std::string &) {
+        ++begun;
+        while (begun < 2) {
+            std::this_thread::sleep_for(1ms);
+        }
+        return scripted_http_server::ok(body);
+    });
+    auto first = start(makeCall(server.url("/"), 5s)).result;
+    auto second = start(makeCall(server.url("/"), 5s)).result;
+    for (auto *call : {&first, &second}) {
+        const auto result = call->get();
+        ASSERT_TRUE(result.has_value());
+        EXPECT_EQ(result->body.size(), body.size());
+    }
+}
+
 // Guards against an answer that goes to the next call: a server sends a second copy of a reply, or a part of one, before the next request.
 // The connection must not be used again, however the copy is divided.
 TEST_F(HttpClientTest, SecondCopyOfAReplyIsNotUsed)
