Let a host that is alone in its zone read its first state sooner

A host that starts waits an eighth of the bound for hosts of its zone before it reads the store.

A host that knows hosts of other zones and none of its own now waits a thirty-second part of the bound. Zones of two hosts still wait.

--- a/libs/gateway/src/change_sync.h
+++ b/libs/gateway/src/change_sync.h
@@ -78,7 +78,10 @@
     change_sync_actions stateRequested(std::uint64_t request, const state_request &message, time_point now);
 
     /// Sets the addresses of the live hosts of this host's zone. A tick() is due afterwards while the first state is not known.
-    void setZoneHosts(const std::vector<std::string> &addresses);
+    /// @param otherZonesKnown Hosts of other zones are known.
+    void setZoneHosts(const std::vector<std::string> &addresses, bool otherZonesKnown);
+    /// @return When the platform is read for the first state if no other host has it; nothing when it is being read, or the state is known.
+    [[nodiscard]] std::optional<time_point> firstReadAt() const { return m_first.readsSourceAt(); }
     /// @return True once the first state is known.
     [[nodiscard]] bool synchronized() const { return m_follower.synchronized(); }
     /// From now on, pulls are refused.
--- a/libs/gateway/src/change_sync_start.cpp
+++ b/libs/gateway/src/change_sync_start.cpp
@@ -16,11 +16,11 @@
 
 } // namespace
 
-void change_sync::setZoneHosts(const std::vector<std::string> &addresses)
+void change_sync::setZoneHosts(const std::vector<std::string> &addresses, bool otherZonesKnown)
 {
     m_selection.setZoneHosts(addresses);
     if (m_settings.asksReadersFirst) {
-        m_first.setReaders(m_selection.stateCandidates(), m_selection.isReader());
+        m_first.setReaders(m_selection.stateCandidates(), m_selection.isReader(), otherZonesKnown);
     }
 }
 
--- a/libs/gateway/src/first_state.cpp
+++ b/libs/gateway/src/first_state.cpp
@@ -19,6 +19,8 @@
     timing result;
     // Membership sends complete digests each 250 ms while it grows; with a bound of 3 s, the second exchange ends within it.
     result.peerWait = bound / 8;
+    // Hosts that start together know one another after some tens of milliseconds, unless the machines are overloaded.
+    result.aloneWait = bound / 32;
     result.retryInterval = std::max(minRetryInterval, bound / 20);
     result.deadline = bound / 4;
     return result;
@@ -34,7 +36,7 @@
     m_startedAt = now;
 }
 
-void first_state::setReaders(std::vector<std::string> readers, bool selfIsReader)
+void first_state::setReaders(std::vector<std::string> readers, bool selfIsReader, bool otherZonesKnown)
 {
     if (readers != m_readers) {
         m_failed.clear();
@@ -42,6 +44,7 @@
     }
     m_readers = std::move(readers);
     m_selfIsReader = selfIsReader;
+    m_otherZonesKnown = otherZonesKnown;
 }
 
 void first_state::readerFailed()
@@ -54,7 +57,7 @@
     if (!m_startedAt || now >= *m_startedAt + m_times.deadline) {
         return read_source{};
     }
-    const auto peersKnownAt = *m_startedAt + m_times.peerWait;
+    const auto peersKnownAt = *readsSourceAt();
     if (m_selfIsReader && now >= peersKnownAt) {
         return read_source{};
     }
@@ -84,13 +87,21 @@
     return ask{m_asked, m_selfIsReader ? std::chrono::milliseconds(0) : left, left};
 }
 
+std::optional<time_point> first_state::readsSourceAt() const
+{
+    if (!m_startedAt) {
+        return std::nullopt;
+    }
+    return *m_startedAt + (m_readers.empty() && m_otherZonesKnown ? m_times.aloneWait : m_times.peerWait);
+}
+
 time_point first_state::nextTick() const
 {
     if (!m_startedAt) {
         return time_point::max();
     }
     if (m_selfIsReader || m_asked.empty()) {
-        return std::min(*m_startedAt + m_times.peerWait, m_askAgainAt.value_or(time_point::max()));
+        return std::min(*readsSourceAt(), m_askAgainAt.value_or(time_point::max()));
     }
     return *m_startedAt + m_times.deadline;
 }
--- a/libs/gateway/src/first_state.h
+++ b/libs/gateway/src/first_state.h
@@ -16,7 +16,8 @@
 ///
 /// Until the hosts of the zone are known, it waits at most `peerWait`. A host that is no reader, by the hosts that it knows so far, is none
 /// when it knows more, and asks at once; a reader that is still reading the list holds the question. One that may be a reader asks the
-/// others for what they have already, and reads the source at the end of `peerWait`. All waits end at one deadline.
+/// others for what they have already, and reads the source at the end of `peerWait`. A host that knows hosts of other zones and none of its
+/// own waits only `aloneWait`. All waits end at one deadline.
 ///
 /// A state machine without I/O. Not thread-safe.
 class first_state
@@ -25,6 +26,7 @@
     /// Limits, as parts of the bound on changes.
     struct timing {
         std::chrono::milliseconds peerWait{0}; ///< Until the hosts of the zone are known.
+        std::chrono::milliseconds aloneWait{0}; ///< The same while hosts of other zones are known, but none of this one.
         std::chrono::milliseconds retryInterval{0}; ///< Between two questions to the same host that has no state yet.
         std::chrono::milliseconds deadline{0}; ///< From the start until the source is read in any case.
 
@@ -51,7 +53,8 @@
     void start(time_point now);
     /// Sets the hosts to ask, in this order.
     /// @param selfIsReader This host is a reader by the hosts that are known so far.
-    void setReaders(std::vector<std::string> readers, bool selfIsReader);
+    /// @param otherZonesKnown Hosts of other zones are known.
+    void setReaders(std::vector<std::string> readers, bool selfIsReader, bool otherZonesKnown);
     /// The reader that was asked has no state yet, but is going to read the list.
     void readerIsReading() { readerFailed(); }
     /// The reader that was asked has failed or refused.
@@ -61,6 +64,8 @@
     decision next(time_point now);
     /// @return When next() is to be called again.
     [[nodiscard]] time_point nextTick() const;
+    /// @return When the source is read if no other host has the state; nothing when no wait is in progress.
+    [[nodiscard]] std::optional<time_point> readsSourceAt() const;
     /// @return True when questions of other hosts may be held, because this host is a reader by the hosts that it knows.
     [[nodiscard]] bool mayRead() const { return m_selfIsReader || m_readers.empty(); }
     [[nodiscard]] bool active() const { return m_startedAt.has_value(); }
@@ -75,6 +80,7 @@
     std::string m_asked; // Empty: none.
     std::optional<time_point> m_askAgainAt; // When all have failed.
     bool m_selfIsReader = false;
+    bool m_otherZonesKnown = false;
 };
 
 } // namespace orioledrum
--- a/libs/gateway/src/gateway_state.h
+++ b/libs/gateway/src/gateway_state.h
@@ -14,6 +14,7 @@
 #include <search/replica_registry.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -49,6 +50,8 @@
     relay_client relays;
     service_split serviceSplit;
     std::shared_ptr<const route_table> table; ///< Active route table; null before the first one.
+    /// While this host waits for its first state: when it reads the platform itself. Not reset afterwards.
+    std::optional<time_point> firstReadAt;
     /// Requests that have no answer yet, those of other hosts included.
     std::unordered_map<const open_request *, std::weak_ptr<open_request>> openRequests;
     bool stopping = false;
--- a/libs/gateway/src/host_link.cpp
+++ b/libs/gateway/src/host_link.cpp
@@ -178,16 +178,19 @@
     m_relayView = view;
     std::vector<relay_host> relays;
     std::vector<std::string> zoneHosts;
+    bool otherZonesKnown = false;
     for (const auto &member : view->members) {
         if (member.state == host_state::live && !member.address.empty()) {
             relays.push_back({member.address, member.zone, m_capacities.of(member.host)});
             if (member.zone == m_state.settings.zone) {
                 zoneHosts.push_back(member.address);
+            } else {
+                otherZonesKnown = true;
             }
         }
     }
     m_state.relays.setHosts(relays);
-    m_reader.setZoneHosts(zoneHosts);
+    m_reader.setZoneHosts(zoneHosts, otherZonesKnown);
 }
 
 void host_link::apply(const membership_actions &actions)
--- a/libs/gateway/src/publication_reader.cpp
+++ b/libs/gateway/src/publication_reader.cpp
@@ -117,6 +117,7 @@
 void publication_reader::start()
 {
     run(m_sync.start(monotonic_clock::now()));
+    m_state.firstReadAt = m_sync.firstReadAt();
 }
 
 void publication_reader::stop()
@@ -163,11 +164,12 @@
     run(m_sync.stateRequested(id, *message, monotonic_clock::now()));
 }
 
-void publication_reader::setZoneHosts(const std::vector<std::string> &addresses)
+void publication_reader::setZoneHosts(const std::vector<std::string> &addresses, bool otherZonesKnown)
 {
-    m_sync.setZoneHosts(addresses);
+    m_sync.setZoneHosts(addresses, otherZonesKnown);
     if (!m_sync.synchronized()) {
         run(m_sync.tick(monotonic_clock::now()));
+        m_state.firstReadAt = m_sync.firstReadAt();
     }
 }
 
--- a/libs/gateway/src/publication_reader.h
+++ b/libs/gateway/src/publication_reader.h
@@ -38,7 +38,8 @@
     void stop();
 
     /// Sets the addresses of the live hosts of this host's zone.
-    void setZoneHosts(const std::vector<std::string> &addresses);
+    /// @param otherZonesKnown Hosts of other zones are known.
+    void setZoneHosts(const std::vector<std::string> &addresses, bool otherZonesKnown);
 
     /// @return True once the first state is known.
     [[nodiscard]] bool hasState() const { return m_sync.synchronized(); }
--- a/libs/gateway/tests/fakes/simulated_zone.cpp
+++ b/libs/gateway/tests/fakes/simulated_zone.cpp
@@ -94,7 +94,7 @@
             addresses.push_back(addressOf(peer));
         }
     }
-    m_hosts[host].sync->setZoneHosts(addresses);
+    m_hosts[host].sync->setZoneHosts(addresses, m_starting.otherZonesKnown);
 }
 
 void simulated_zone::restart(std::size_t host)
--- a/libs/gateway/tests/fakes/simulated_zone.h
+++ b/libs/gateway/tests/fakes/simulated_zone.h
@@ -46,6 +46,7 @@
         /// Time after its start at which membership tells a host all hosts of the zone; a quarter of it, one in four of them. 0: known
         /// before.
         std::chrono::milliseconds peersKnownAfter{0};
+        bool otherZonesKnown = false;
     };
 
     simulated_zone(std::size_t hosts, const change_sync_settings &settings, const timing &times)
--- a/libs/gateway/tests/test_change_sync.cpp
+++ b/libs/gateway/tests/test_change_sync.cpp
@@ -395,7 +395,7 @@
         const fake_change_source source;
         for (const auto extreme : {std::chrono::microseconds(std::chrono::hours(24)), std::chrono::microseconds(std::chrono::hours(-24))}) {
             change_sync sync(settings, source, self);
-            sync.setZoneHosts(addresses);
+            sync.setZoneHosts(addresses, false);
             time_point now{seconds(3600)};
             const auto list = std::get<start_platform_read>(sync.start(now).front());
             const auto asked = sync.readCompleted(list.id, fake_change_source::makeListPage(5, 0, 1), now);
--- a/libs/gateway/tests/test_first_state.cpp
+++ b/libs/gateway/tests/test_first_state.cpp
@@ -160,6 +160,23 @@
     EXPECT_EQ(zone.listsBegun(), 1U);
 }
 
+// Guards against a host that is the only one of its zone and waits for others of it, while its callers get no answer: after a start of all
+// processes of a small fleet, 0.4 s of each caller's requests were refused.
+TEST(FirstStateTest, aHostThatIsAloneInItsZoneWaitsOnlyForTheOtherZones)
+{
+    const milliseconds bound(3000);
+    for (const auto *times : {&fast, &slow}) {
+        simulated_zone zone(1, settingsOf(bound), *times, {milliseconds(0), milliseconds(40), true});
+        zone.runUntil(zone.now() + bound);
+        EXPECT_LE(longestStart(zone), longestOwnRead(bound, *times) + bound / 32);
+        EXPECT_EQ(zone.listsBegun(), 1U);
+    }
+    // Hosts of the zone become known before it reads the list.
+    simulated_zone zone(10, settingsOf(bound), fast, {milliseconds(0), milliseconds(280), true});
+    zone.runUntil(zone.now() + bound);
+    EXPECT_LE(zone.listsBegun(), readersPerZone);
+}
+
 // Guards against a first state of another era than the store has, when hosts start while it comes back with older state.
 TEST(FirstStateTest, hostsThatStartDuringAReturnHaveTheStateOfTheNewEra)
 {
