Count hosts that start together as established at once

After a start of all hosts, an owner handed out one host's share of a cap for 9 s, the time for which a host must be live before it counts.

The wait guards against an owner behind a partition that still counts the same hosts. Heartbeat counters tell whether any known host remembers an earlier run of another; where none does and none was lost, all hosts have started together, and the owner hands out the share of the live ones as soon as it is certain to be the only one.

The new unit tests fail without the change (first) and guard its conditions (second).

--- a/libs/gateway/src/usage_hosts.cpp
+++ b/libs/gateway/src/usage_hosts.cpp
@@ -43,7 +43,7 @@
     hosts.reserve(view.members.size());
     const bool suspicion = suspicionCounts(view);
     for (const auto &member : view.members) {
-        hosts.push_back({member.host, member.address, member.zone, toUsageState(member.state, suspicion)});
+        hosts.push_back({member.host, member.address, member.zone, toUsageState(member.state, suspicion), member.firstRun});
     }
     return hosts;
 }
--- a/libs/limits/include/limits/usage_fleet.h
+++ b/libs/limits/include/limits/usage_fleet.h
@@ -28,6 +28,7 @@
     std::string address; ///< "ip:port" for traffic between entry hosts.
     zone_id zone;
     usage_host_state state = usage_host_state::live;
+    bool firstRun = false; ///< No host remembers an earlier run of its process.
 
     bool operator==(const usage_host &) const = default;
 };
@@ -76,7 +77,8 @@
     [[nodiscard]] const usage_place &placeOf(const std::string &organisation) const;
 
     /// @return The share of the known hosts that have not been lost for long enough to be sure of it, this one included; greater than 0. A
-    /// part of the fleet behind a partition hands out this share of a cap.
+    /// part of the fleet behind a partition hands out this share of a cap. While all known hosts have started together, no earlier owner
+    /// can count them as its own, and all of them count at once.
     [[nodiscard]] double establishedShare(time_point now) const;
     /// @return A time since which establishedShare() has not risen.
     [[nodiscard]] time_point establishedSince(time_point now) const;
@@ -96,6 +98,8 @@
         time_point changedAt; ///< Time of the latest change of its state.
     };
 
+    /// @return True shortly after a start of all known hosts, as long as none of them was lost.
+    [[nodiscard]] bool startedTogether(time_point now) const;
     /// @return The number of hosts among which a cap is divided.
     [[nodiscard]] std::size_t hostCount() const { return std::max({std::size_t{1}, m_hosts.size(), m_heardHosts}); }
     [[nodiscard]] usage_place findPlace(const std::string &organisation) const;
@@ -107,6 +111,7 @@
     usage_fleet_times m_times;
     std::map<entry_host_id, known_host> m_hosts;
     std::optional<time_point> m_settledAt;
+    bool m_allInFirstRun = true; ///< All hosts that have been known are in their first run, and none was lost. False after a pause.
     std::size_t m_zoneCount = 1;
     std::size_t m_heardHosts = 0; ///< Greatest number that another host knew.
     time_point m_heardAt;
--- a/libs/limits/src/usage_fleet.cpp
+++ b/libs/limits/src/usage_fleet.cpp
@@ -29,6 +29,7 @@
     for (auto &host : hosts) {
         zones.insert(host.zone);
         ids.insert(host.id);
+        m_allInFirstRun = m_allInFirstRun && host.firstRun && host.state != usage_host_state::lost;
         const auto [found, added] = m_hosts.try_emplace(host.id);
         auto &known = found->second;
         if (added) {
@@ -74,6 +75,7 @@
         known.liveSince = now;
         known.changedAt = now;
     }
+    m_allInFirstRun = false;
     m_places.clear();
 }
 
@@ -153,8 +155,16 @@
     return place;
 }
 
+bool usage_fleet::startedTogether(time_point now) const
+{
+    return m_allInFirstRun && m_settledAt && now - *m_settledAt < 2 * m_times.establish;
+}
+
 double usage_fleet::establishedShare(time_point now) const
 {
+    if (startedTogether(now)) {
+        return liveShare();
+    }
     const auto established = std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto &entry) {
         const auto &known = entry.second;
         return entry.first == m_self || (known.host.state != usage_host_state::lost && now - known.liveSince >= m_times.establish);
--- a/libs/limits/tests/test_usage_caps.cpp
+++ b/libs/limits/tests/test_usage_caps.cpp
@@ -379,3 +379,49 @@
     // A quarter of the rate from 4 to 9 s, when all hosts are established, then the whole: 1.25 + 3.
     EXPECT_EQ(takeAll(started.owner, cap, startTime + 12s), 4);
 }
+
+// Guards against caps that are refused for a long time after a start of all hosts: 11 s after a power failure of the whole fleet, where 6 s
+// are enough, callers within their caps were refused.
+TEST_F(usage_host_case, hostsThatStartTogetherServeTheWholeCapOnceTheyAreCertain)
+{
+    const auto cap = makeCap(100, 100);
+    auto together = hosts({});
+    for (auto &host : together) {
+        host.firstRun = true;
+    }
+    host_machines started(m_ranked[0], startTime);
+    started.setHosts(together, startTime);
+    EXPECT_EQ(takeAll(started.owner, cap, startTime + 3900ms), 0) << "another host may own the organisation";
+    EXPECT_GE(takeAll(started.owner, cap, startTime + 5s), 99);
+}
+
+// Guards against the whole cap at a start while other hosts may be counted by an owner that this one does not know: one of them ran before,
+// one was lost and returned, or this process was paused.
+TEST_F(usage_host_case, hostsThatRanBeforeAreEstablishedLater)
+{
+    const auto cap = makeCap(100, 100);
+    auto together = hosts({});
+    for (auto &host : together) {
+        host.firstRun = true;
+    }
+    auto oneOld = together;
+    std::find_if(oneOld.begin(), oneOld.end(), [&](const auto &host) { return host.id == m_ranked[1].id; })->firstRun = false;
+    host_machines withOld(m_ranked[0], startTime);
+    withOld.setHosts(oneOld, startTime);
+    EXPECT_LE(takeAll(withOld.owner, cap, startTime + 5s), 26);
+
+    auto oneLost = together;
+    std::find_if(oneLost.begin(), oneLost.end(), [&](const auto &host) { return host.id == m_ranked[1].id; })->state =
+        usage_host_state::lost;
+    host_machines withLost(m_ranked[0], startTime);
+    withLost.setHosts(together, startTime);
+    withLost.setHosts(oneLost, startTime + 1s);
+    withLost.setHosts(together, startTime + 2s);
+    EXPECT_LE(takeAll(withLost.owner, cap, startTime + 5s), 26);
+
+    host_machines paused(m_ranked[0], startTime);
+    paused.setHosts(together, startTime);
+    paused.fleet.restart(startTime + 1s);
+    paused.owner.restart(startTime + 1s);
+    EXPECT_LE(takeAll(paused.owner, cap, startTime + 6s), 26);
+}
--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -32,6 +32,9 @@
     std::size_t otherZonePeers = 1; ///< Number of peers of other zones contacted in each period.
     std::size_t fullMeshHosts = 7; ///< In a fleet of up to this many hosts, all peers are contacted in each period.
     std::size_t maxDigestEntries = 20; ///< Maximum number of entries in a digest.
+    /// A process with a heartbeat counter of at most this is in its first run; see member::firstRun. A host that restarts continues with
+    /// the counter of its earlier run. About 10 s after a start.
+    std::uint64_t firstRunHeartbeats = 16;
     /// Time between heartbeats in a growth phase: the first seconds of a process, and while the number of known hosts grows quickly.
     /// Without shorter periods and complete digests, 118 hosts that started together knew each other only after 8 s.
     std::chrono::milliseconds growthPeriod{250};
@@ -91,6 +94,7 @@
         host_state state = host_state::down; ///< The state last reported.
         bool stateReported = false; ///< A state has been reported.
         bool heartbeatSeen = false; ///< A heartbeat of the host has been received.
+        bool firstRun = false; ///< See member::firstRun.
         bool listed = false; ///< The host list contains the host.
         bool listedLeaving = false; ///< The host list marks the host as leaving.
     };
@@ -127,6 +131,7 @@
     std::size_t m_hostsAtGrowth = 0; ///< Number of known hosts when the growth phase was last extended.
     time_point m_nextStateScan;
     std::unordered_map<zone_id, std::size_t> m_zoneSizes; ///< Hosts of each zone, this one included.
+    bool m_ranBefore = false; ///< Another host remembers an earlier run of this one.
     bool m_viewOutdated = true; ///< m_view does not yet show the latest changes.
 };
 
--- a/libs/membership/include/membership/membership_view.h
+++ b/libs/membership/include/membership/membership_view.h
@@ -18,6 +18,8 @@
     incarnation_id incarnation; ///< Empty when the host is known only from the host list.
     host_state state = host_state::suspect;
     bool self = false;
+    /// The process started shortly before this host heard of it, and no host that it has met remembers an earlier run.
+    bool firstRun = false;
 };
 
 /// Immutable snapshot of the fleet that can be published to all threads.
--- a/libs/membership/src/membership.cpp
+++ b/libs/membership/src/membership.cpp
@@ -144,10 +144,15 @@
     m_viewOutdated = false;
     auto view = std::make_shared<membership_view>();
     view->members.reserve(m_hosts.size() + 1);
-    view->members.push_back({m_self.host, m_self.zone, m_self.address, m_self.incarnation, m_self.state, true});
+    view->members.push_back({m_self.host, m_self.zone, m_self.address, m_self.incarnation, m_self.state, true, !m_ranBefore});
     for (const auto &[id, host] : m_hosts) {
-        view->members.push_back(
-            {id, host.entry.zone, host.entry.address, host.heartbeatSeen ? host.entry.incarnation : incarnation_id(), host.state, false});
+        view->members.push_back({id,
+                                 host.entry.zone,
+                                 host.entry.address,
+                                 host.heartbeatSeen ? host.entry.incarnation : incarnation_id(),
+                                 host.state,
+                                 false,
+                                 host.firstRun});
     }
     std::sort(view->members.begin(), view->members.end(), [](const member &left, const member &right) { return left.host < right.host; });
     view->platform = m_list;
@@ -165,6 +170,8 @@
         // An entry of an earlier run of this host. A higher heartbeat makes all hosts accept the entry of the current run.
         if (entry.incarnation != m_self.incarnation && entry.heartbeat >= m_self.heartbeat) {
             m_self.heartbeat = entry.heartbeat + 1;
+            m_viewOutdated = m_viewOutdated || !m_ranBefore;
+            m_ranBefore = true;
             return true;
         }
         return false;
@@ -175,6 +182,11 @@
         return false;
     }
     const bool restarted = host.heartbeatSeen && host.entry.incarnation != entry.incarnation;
+    // A counter that jumps is that of an earlier run, which the host has just learnt.
+    const auto counted = host.heartbeatSeen && !restarted ? entry.heartbeat - host.entry.heartbeat : entry.heartbeat;
+    const bool firstRun = counted <= m_settings.firstRunHeartbeats && (host.firstRun || !host.heartbeatSeen);
+    m_viewOutdated = m_viewOutdated || firstRun != host.firstRun;
+    host.firstRun = firstRun;
     const bool zoneChanged = created || host.entry.zone != entry.zone;
     if (!host.heartbeatSeen || restarted || zoneChanged || host.entry.address != entry.address || host.entry.state != entry.state) {
         m_viewOutdated = true;
--- a/libs/membership/tests/test_membership.cpp
+++ b/libs/membership/tests/test_membership.cpp
@@ -71,6 +71,25 @@
     RC_ASSERT(restartIsObserved(hosts, *rc::gen::inRange<std::size_t>(1, 4), *rc::gen::arbitrary<std::uint32_t>(), false));
 }
 
+// Guards against a restarted host that passes for one without an earlier run: others may still hand out tokens that its earlier run
+// counted.
+TEST(Membership, FirstRunsAreToldFromRestarts)
+{
+    fake_gossip fleet(5, 2, 3, 2, 20ms);
+    fleet.run(5s);
+    EXPECT_TRUE(fleet.entryOf(1, 0)->firstRun);
+    EXPECT_TRUE(fleet.entryOf(1, 1)->firstRun);
+    fleet.run(30s);
+    fleet.kill(0);
+    fleet.run(500ms);
+    fleet.start(0);
+    fleet.run(3s);
+    for (std::size_t viewer = 0; viewer < 5; ++viewer) {
+        EXPECT_FALSE(fleet.entryOf(viewer, 0)->firstRun) << "seen by " << viewer;
+    }
+    EXPECT_FALSE(fleet.entryOf(0, 1)->firstRun) << "it runs for half a minute";
+}
+
 // Shows that NewerIncarnationWins detects the fault: when digests omit the recipient's entry, a restarted host does not learn the
 // heartbeat of its earlier run, and the other hosts ignore its lower heartbeats.
 TEST(DisabledMembershipMechanism, RestartedHostStaysBelowEarlierHeartbeat)
