Measure the network delay of callers

Targets of requests were reduced by four one-way delays of 3 ms, a setting. Callers 1 ms away lost 8 ms of a target of 40 ms, and 10 ms on a connection that was already open.

The round trip time that the kernel measures on the connection is used now, with two trips on a reused connection; the setting is the upper limit and stands in where nothing is measured. Retry-After before the first routes covers the wait for the first state, which was longer than the 200 ms that it named.

--- a/libs/gateway/src/caller_front.cpp
+++ b/libs/gateway/src/caller_front.cpp
@@ -1,6 +1,7 @@
 #include <caller_front.h>
 
 #include <caller_authentication.h>
+#include <caller_delay.h>
 #include <caller_request.h>
 #include <gateway_state.h>
 #include <usage_caps.h>
@@ -14,18 +15,18 @@
 namespace
 {
 
-/// Retry-After in the answer to a request that arrives before the first route table. Many times the duration of a read of the
+/// Shortest Retry-After in the answer to a request that arrives before the first route table. Many times the duration of a read of the
 /// platform's store (about 10 ms), so that the routes are probably known by then.
-constexpr std::chrono::milliseconds retryAfterNoRoutes{200};
-/// The final answer must leave this long (plus callerDelay) before the caller's deadline, to allow for delays of this host's event loop.
+constexpr std::chrono::milliseconds minRetryAfterNoRoutes{200};
+/// Added to the wait for the first state: a read of the platform's store, and passing the state on to other hosts of the zone.
+constexpr std::chrono::milliseconds firstReadTime{100};
+/// The final answer must leave this long (plus caller_delay::oneWay) before the caller's deadline, to allow for delays of this host's event
+/// loop.
 constexpr std::chrono::milliseconds eventLoopMargin{5};
 /// As eventLoopMargin, but for the target time. Shorter, because a search that is to be answered earlier misses more shards.
 constexpr std::chrono::milliseconds targetMargin{4};
 /// The total margin before the deadline is at most the timeout divided by this, so that short timeouts keep most of their time.
 constexpr int timeoutPerMaxMargin = 10;
-/// Number of one-way delays from the start of a caller's request on a new connection to the receipt of its answer: two for the
-/// connection, one for the request, one for the answer.
-constexpr int oneWayTripCount = 4;
 /// A request waits for the answer of one host at most for its time until the target divided by this; it may ask two hosts.
 constexpr int patienceDivisor = 4;
 /// Retry-After of a request that has waited for a token until this host stops: other hosts can serve it at once.
@@ -110,7 +111,11 @@
     };
     if (!m_state.table) {
         const error reason{error_code::notReady, "no routes are known yet", "find route", {}};
-        refuse(m_state.codec.encodeNotRun(reason, retryAfterNoRoutes), "noRoutes");
+        auto retryAfter = minRetryAfterNoRoutes;
+        if (m_state.firstReadAt) {
+            retryAfter = std::max(retryAfter, std::chrono::ceil<std::chrono::milliseconds>(*m_state.firstReadAt - now) + firstReadTime);
+        }
+        refuse(m_state.codec.encodeNotRun(reason, retryAfter), "noRoutes");
         return;
     }
     const auto &limits = m_state.table->limits();
@@ -160,9 +165,10 @@
     incoming.matchedRoute = route;
     incoming.receivedAt = now;
     const auto timeout = std::min(route->timeout, fields.timeLeft.value_or(route->timeout));
-    const auto margin = std::min(m_state.settings.callerDelay + eventLoopMargin, timeout / timeoutPerMaxMargin);
+    const auto delay = caller_delay::of(exchange->network(), m_state.settings.callerDelay);
+    const auto margin = std::min<std::chrono::microseconds>(delay.oneWay + eventLoopMargin, timeout / timeoutPerMaxMargin);
     incoming.deadline = now + timeout - margin;
-    incoming.targetTime = now + route->targetLatency - m_state.settings.callerDelay * oneWayTripCount - targetMargin;
+    incoming.targetTime = now + route->targetLatency - delay.total - targetMargin;
     incoming.request = std::move(request);
     incoming.exchange = std::move(exchange);
     ++m_state.requestsByRoute[route->key()];
