Explain where a request would go now

Operators could only see afterwards, in logs, why a request went to one backend server or was refused.

The admission of searches moves from gather_run to search_admission, unchanged, so that both use it.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -8,6 +8,7 @@
 #include <publication_reader.h>
 #include <replica_prober.h>
 #include <request_caps.h>
+#include <route_explainer.h>
 #include <status_handler.h>
 #include <transport/http_server.h>
 #include <usage_caps.h>
@@ -60,8 +61,9 @@
         , m_callAudit(m_state.registry, m_state.log)
         , m_usage(m_state, client)
         , m_front(m_state, m_usage)
-        , m_status(m_state)
         , m_reader(m_state, source, client)
+        , m_explainer(m_state, m_reader, m_usage)
+        , m_status(m_state, m_explainer)
         , m_link(m_state, client, m_reader, m_usage, settings.seeds)
         , m_prober(m_state, client)
         , m_canServeTimer(context)
@@ -227,8 +229,9 @@
     call_audit m_callAudit;
     usage_caps m_usage;
     caller_front m_front;
-    status_handler m_status;
     publication_reader m_reader;
+    route_explainer m_explainer;
+    status_handler m_status;
     host_link m_link;
     replica_prober m_prober;
     std::unique_ptr<http_server> m_callerServer;
--- a/libs/gateway/src/publication_reader.h
+++ b/libs/gateway/src/publication_reader.h
@@ -41,6 +41,9 @@
     /// @param otherZonesKnown Hosts of other zones are known.
     void setZoneHosts(const std::vector<std::string> &addresses, bool otherZonesKnown);
 
+    /// @return The latest moment of which it is certain that all changes published before it are known.
+    [[nodiscard]] std::optional<time_point> confirmedAt() const { return m_sync.confirmedAt(); }
+
     /// @return True once the first state is known.
     [[nodiscard]] bool hasState() const { return m_sync.synchronized(); }
 
--- a/libs/gateway/src/relay_client.cpp
+++ b/libs/gateway/src/relay_client.cpp
@@ -63,6 +63,14 @@
     return parts;
 }
 
+relay_client::assigned_parts relay_client::previewParts(const std::vector<service_id> &shards, time_point targetTime, time_point now)
+{
+    const auto random = m_selector.random();
+    auto parts = assignParts(shards, targetTime, now);
+    m_selector.restore(random);
+    return parts;
+}
+
 void relay_client::assignOtherZones(assigned_parts &parts,
                                     const std::vector<service_id> &shards,
                                     std::vector<std::size_t> positions,
--- a/libs/gateway/src/relay_client.h
+++ b/libs/gateway/src/relay_client.h
@@ -57,6 +57,9 @@
     /// with this host.
     [[nodiscard]] assigned_parts assignParts(const std::vector<service_id> &shards, time_point targetTime, time_point now);
 
+    /// @return What assignParts() would return now. The next call of assignParts() decides as if this function had not been called.
+    [[nodiscard]] assigned_parts previewParts(const std::vector<service_id> &shards, time_point targetTime, time_point now);
+
     /// Sends a part of a search to another host.
     /// @param address "ip:port" of the host.
     /// @param done Called exactly once, asynchronously.
--- a/libs/gateway/src/status_handler.cpp
+++ b/libs/gateway/src/status_handler.cpp
@@ -1,6 +1,7 @@
 #include <status_handler.h>
 
 #include <gateway_state.h>
+#include <route_explainer.h>
 #include <transport/http_exchange.h>
 
 #include <utility>
@@ -8,8 +9,9 @@
 namespace orioledrum
 {
 
-status_handler::status_handler(gateway_state &state)
+status_handler::status_handler(gateway_state &state, const route_explainer &explainer)
     : m_state(state)
+    , m_explainer(explainer)
 {
 }
 
@@ -35,6 +37,16 @@
         exchange->respond(std::move(response));
         return;
     }
+    if (request.path == "/route") {
+        const auto asked = route_explainer::question::parse(request.query);
+        if (asked) {
+            exchange->respond({200, "application/json", {}, m_explainer.explain(*asked, monotonic_clock::now())});
+        } else {
+            const error reason{error_code::invalidArgument, "the query is not valid", "explain route", request.remoteAddress};
+            exchange->respond(errorResponse(400, reason));
+        }
+        return;
+    }
     const bool isReady = ready();
     if (isReady != std::exchange(m_wasReady, isReady)) {
         m_state.log.write("status",
--- a/libs/gateway/src/status_handler.h
+++ b/libs/gateway/src/status_handler.h
@@ -5,13 +5,15 @@
 namespace orioledrum
 {
 
+class route_explainer;
 struct gateway_state;
 
-/// Serves the metrics on /metrics; answers any other path as a readiness check of the load balancer.
+/// Serves the metrics on /metrics and explanations of routes on /route; answers any other path as a readiness check of the load balancer.
 class status_handler final : public http_handler
 {
 public:
-    explicit status_handler(gateway_state &state);
+    /// All arguments must outlive this object.
+    status_handler(gateway_state &state, const route_explainer &explainer);
 
     void handle(http_request request, std::shared_ptr<http_exchange> exchange) override;
 
@@ -21,6 +23,7 @@
 
 private:
     gateway_state &m_state;
+    const route_explainer &m_explainer;
     bool m_wasReady = false;
 };
 
--- a/libs/gateway/src/usage_caps.cpp
+++ b/libs/gateway/src/usage_caps.cpp
@@ -53,6 +53,11 @@
     return organisation.capped() && m_state.settings.usageCaps.has_value();
 }
 
+const usage_place *usage_caps::findPlace(const organisation &organisation) const
+{
+    return limits(organisation) ? &m_fleet.placeOf(organisation.name) : nullptr;
+}
+
 usage_cap usage_caps::capOf(const organisation &organisation) const
 {
     return {organisation.name, organisation.requestsPerSecond, organisation.burst, m_state.settings.usageCaps.value_or(usage_cap_limits())};
--- a/libs/gateway/src/usage_caps.h
+++ b/libs/gateway/src/usage_caps.h
@@ -45,6 +45,9 @@
     /// @return True when a request of the organisation needs a token.
     [[nodiscard]] bool limits(const organisation &organisation) const;
 
+    /// @return Where the tokens of an organisation are handed out; null when its requests need none. Valid until the known hosts change.
+    [[nodiscard]] const usage_place *findPlace(const organisation &organisation) const;
+
     /// Asks for a token for one request.
     /// @param patience How long the request may wait for the answer of one host.
     /// @param done Called once, possibly before this function returns, unless cancel() is called.
--- a/libs/search/include/search/gather_run.h
+++ b/libs/search/include/search/gather_run.h
@@ -69,7 +69,7 @@
     complete, ///< All shards answered.
     partial, ///< Not all shards answered, but the minimum coverage was reached.
     notStarted, ///< Too few shards are reachable; no backend server was called.
-    overloaded, ///< Too few shards are expected to answer soon enough, see gather_run::refuseFactor; no backend server was called.
+    overloaded, ///< Too few shards are expected to answer soon enough, see search_admission; no backend server was called.
     tooFew, ///< The minimum coverage can no longer be reached.
     late, ///< The minimum coverage was not reached before the deadline.
 };
@@ -151,11 +151,12 @@
     static constexpr double skipFactor = 1.5;
     /// Maximum number of skipped shards, as a share of the reachable shards beyond the minimum coverage.
     static constexpr double maxSkippedShare = 0.5;
-    /// A search is refused when too few shards are expected to answer within this multiple of the time until the target.
-    static constexpr double refuseFactor = 1.25;
 
     gather_run(gather_input input, replica_registry &registry, latency_profile &profile);
 
+    /// @return How many of the shards must answer for a minimum coverage; at least 1.
+    [[nodiscard]] static std::size_t requiredShards(double minCoverage, std::size_t shards);
+
     /// Queues the first calls, or finishes with `notStarted` or `overloaded`.
     void start(time_point now) override;
 
@@ -252,8 +253,6 @@
     [[nodiscard]] std::uint32_t reservedServers() const;
     // Finishes the run when too few shards are reachable or would answer in time; otherwise marks shards to skip. False when finished.
     bool admit(time_point now);
-    // Time until enough shards are reachable, rounded up; 0 when not known.
-    [[nodiscard]] std::chrono::milliseconds timeUntilReachable(time_point now) const;
     // Queues a call; false when no backend server may be called. The flags are those of selection_criteria.
     bool send(std::size_t shard, bool reuseTried, bool requireFreeSlot, time_point now);
     // Sends a retry if it is allowed; false when none is sent.
--- a/libs/search/include/search/relay_selector.h
+++ b/libs/search/include/search/relay_selector.h
@@ -67,6 +67,10 @@
                                                    const std::vector<std::string> &used = {},
                                                    bool strongHostsOnly = false);
 
+    /// @return The source of the random choices of choose(). With restore(), a choice can be made without an effect on later ones.
+    [[nodiscard]] const random_source &random() const { return m_random; }
+    void restore(const random_source &random) { m_random = random; }
+
     /// @param zones Availability zones of the hosts that may gather.
     /// @return The capacities that part_sizing needs; 0 where a capacity is not known.
     [[nodiscard]] free_capacity freeCapacity(const std::vector<zone_id> &zones) const;
--- a/libs/search/include/search/replica.h
+++ b/libs/search/include/search/replica.h
@@ -142,6 +142,13 @@
     void setToldCold(std::chrono::milliseconds remaining, time_point now);
 
     [[nodiscard]] const replica_entry &entry() const { return m_entry; }
+    /// @return When the latest load was reported; time_point() when none was.
+    [[nodiscard]] time_point loadReportedAt() const { return m_loadReportedAt; }
+    /// @return When it last answered a call or probe, with any status; time_point() when it never did.
+    [[nodiscard]] time_point lastResponseAt() const { return m_lastResponseAt; }
+    /// @return True when a connection could not be opened and no response has arrived since.
+    [[nodiscard]] bool unreachable() const { return m_unreachable; }
+    [[nodiscard]] time_point backoffUntil() const { return m_backoffUntil; }
     [[nodiscard]] std::size_t outstandingCalls() const { return m_outstanding.size(); }
     [[nodiscard]] bool cold(time_point now) const { return now < std::max(m_coldUntil, m_toldColdUntil); }
     /// @return Time for which it is still cold by what this host has seen itself, rounded up; 0 when it is not. What another host has told
--- a/libs/search/include/search/replica_registry.h
+++ b/libs/search/include/search/replica_registry.h
@@ -19,6 +19,8 @@
 namespace orioledrum
 {
 
+struct replica_candidate;
+
 /// Defines a ranking of the backend servers of a service that is the same on all hosts. Hosts that work on one request call only
 /// the first few of them, so that all these hosts together stay within the request's limit on backend servers.
 struct replica_preference {
@@ -129,6 +131,11 @@
     /// @return The backend server, or null when no backend server may be called.
     [[nodiscard]] replica_ptr choose(const selection_criteria &criteria, time_point now);
 
+    /// @return The backend servers of a service in the order in which choose() would take them for a first call now, those that may not be
+    /// called last. Changes nothing.
+    [[nodiscard]] std::vector<replica_candidate>
+    candidates(const service_id &service, std::chrono::microseconds unqueuedLatency, time_point now) const;
+
     /// @return Lowest expected latency of a call to the service, including stalledPenalty but no other penalty, or nothing when no
     /// backend server may be called.
     /// @param unqueuedLatency Latency of a call that does not wait in a queue.
@@ -169,6 +176,10 @@
 
     /// @return The budget of retries and hedges for a service.
     [[nodiscard]] extra_call_budget &budget(const service_id &service);
+    /// @return The same; null before the first call to the service.
+    [[nodiscard]] const extra_call_budget *findBudget(const service_id &service) const;
+    /// @return True when the hosts that share the limits are known, see host_counter.
+    [[nodiscard]] bool hostsSettled() const { return m_hosts.settled(); }
 
     /// Calls `visit` for each service to which calls were decided.
     void visitAccounts(const std::function<void(const service_id &, const call_account &)> &visit) const;
--- a/libs/search/src/gather_run.cpp
+++ b/libs/search/src/gather_run.cpp
@@ -1,6 +1,7 @@
 #include <search/gather_run.h>
 
 #include <base/rendezvous.h>
+#include <search/search_admission.h>
 
 #include <algorithm>
 #include <cmath>
@@ -196,37 +197,25 @@
 
 bool gather_run::admit(time_point now)
 {
-    const auto untilTarget = std::chrono::duration<double, std::micro>(m_input.target - now).count();
-    struct expected_shard {
-        std::chrono::microseconds time;
-        std::size_t shard;
-    };
-    std::vector<expected_shard> expected;
-    for (std::size_t shard = 0; shard < m_shards.size(); ++shard) {
-        if (!m_registry.reachable(m_input.shards[shard], now)) {
-            continue;
-        }
-        const auto &service = m_input.shards[shard];
-        const auto unqueuedLatency = m_profile.unqueuedLatency(now);
-        if (const auto time = m_shards[shard].relayed ? m_registry.expectedRelayTime(service, unqueuedLatency, now)
-                                                      : m_registry.expectedTime(service, unqueuedLatency, now)) {
-            expected.push_back({*time, shard});
-        }
-    }
-    if (expected.size() < requiredShards()) {
-        m_result.reachableIn = timeUntilReachable(now);
-        finish(gather_end::notStarted);
-        return false;
-    }
-    std::sort(expected.begin(), expected.end(), [](const expected_shard &a, const expected_shard &b) { return a.time < b.time; });
-    m_result.expected = expected[requiredShards() - 1].time;
-    if (untilTarget > 0 && static_cast<double>(m_result.expected.count()) > untilTarget * refuseFactor) {
-        finish(gather_end::overloaded);
+    const auto untilTarget = std::chrono::duration_cast<std::chrono::microseconds>(m_input.target - now);
+    std::vector<bool> relayed;
+    relayed.reserve(m_shards.size());
+    for (const auto &shard : m_shards) {
+        relayed.push_back(shard.relayed);
+    }
+    const auto admission =
+        search_admission::decide(m_registry, m_input.shards, relayed, requiredShards(), m_profile.unqueuedLatency(now), untilTarget, now);
+    m_result.expected = admission.expected;
+    m_result.reachableIn = admission.reachableIn;
+    if (admission.result != search_admission::verdict::admitted) {
+        finish(admission.result == search_admission::verdict::notStarted ? gather_end::notStarted : gather_end::overloaded);
         return false;
     }
+    const auto &expected = admission.shards;
+    const auto skipTime = static_cast<double>(untilTarget.count()) * skipFactor;
     auto maxSkipped = static_cast<std::size_t>(static_cast<double>(expected.size() - requiredShards()) * maxSkippedShare);
     for (auto each = expected.rbegin(); each != expected.rend() && maxSkipped > 0; ++each, --maxSkipped) {
-        if (static_cast<double>(each->time.count()) <= untilTarget * skipFactor) {
+        if (static_cast<double>(each->time.count()) <= skipTime) {
             break;
         }
         if (m_shards[each->shard].relayed) {
@@ -238,21 +227,6 @@
     return true;
 }
 
-std::chrono::milliseconds gather_run::timeUntilReachable(time_point now) const
-{
-    std::vector<time_point> times;
-    for (const auto &service : m_input.shards) {
-        if (const auto from = m_registry.reachableFrom(service, now)) {
-            times.push_back(*from);
-        }
-    }
-    if (times.size() < requiredShards()) {
-        return std::chrono::milliseconds(0);
-    }
-    std::sort(times.begin(), times.end());
-    return std::chrono::ceil<std::chrono::milliseconds>(times[requiredShards() - 1] - now);
-}
-
 bool gather_run::send(std::size_t shard, bool reuseTried, bool requireFreeSlot, time_point now)
 {
     auto &state = m_shards[shard];
@@ -345,7 +319,7 @@
     const auto untilTarget = std::chrono::duration<double, std::micro>(m_input.target - now).count();
     const auto unqueuedLatency = static_cast<double>(m_profile.unqueuedLatency(now).count());
     return std::all_of(result.shards.begin(), result.shards.end(), [&](const gathered_shard &shard) {
-        return shard.loadFactor <= 0 || shard.loadFactor * unqueuedLatency > untilTarget * refuseFactor;
+        return shard.loadFactor <= 0 || shard.loadFactor * unqueuedLatency > untilTarget * search_admission::refuseFactor;
     });
 }
 
@@ -543,13 +517,18 @@
     }
 }
 
-std::size_t gather_run::requiredShards() const
+std::size_t gather_run::requiredShards(double minCoverage, std::size_t shards)
 {
     // The tolerance keeps 0.89 of 100 shards at 89 despite rounding errors.
-    const auto least = static_cast<std::size_t>(std::ceil(m_input.minCoverage * static_cast<double>(m_shards.size()) - 1e-9));
+    const auto least = static_cast<std::size_t>(std::ceil(minCoverage * static_cast<double>(shards) - 1e-9));
     return std::max<std::size_t>(1, least);
 }
 
+std::size_t gather_run::requiredShards() const
+{
+    return requiredShards(m_input.minCoverage, m_shards.size());
+}
+
 bool gather_run::minCoverageReached() const
 {
     return m_answeredCount >= requiredShards();
--- a/libs/search/tests/test_replica_registry.cpp
+++ b/libs/search/tests/test_replica_registry.cpp
@@ -1,5 +1,6 @@
 #include <fakes/scripted_backends.h>
 #include <search/relay_selector.h>
+#include <search/replica_candidate.h>
 #include <search/replica_registry.h>
 
 #include <gtest/gtest.h>
@@ -92,6 +93,40 @@
     EXPECT_EQ(choose(), "b");
 }
 
+// Guards against an explanation that differs from the choice, that hides why a backend server gets no call, or that changes later choices.
+TEST_F(ReplicaRegistryTest, candidatesAreInTheOrderOfChoice)
+{
+    const auto order = [this] {
+        std::string names;
+        for (const auto &each : m_registry.candidates(service, callLatency, m_now)) {
+            names += each.obstacles.empty() ? each.id.str() : "-" + each.id.str();
+            for (const auto reason : each.obstacles.empty() ? each.reasons : each.obstacles) {
+                names += "(" + std::string(reason) + ")";
+            }
+        }
+        return names;
+    };
+    EXPECT_EQ(order(), "ab(otherZone)");
+    EXPECT_EQ(choose(), "a");
+    find("a")->setReportedLoad({2, 4, 2}, m_now);
+    EXPECT_EQ(order(), "b(otherZone)a(busy)");
+    EXPECT_EQ(choose(), "b");
+    find("b")->setQuietUntil(m_now + milliseconds(500));
+    EXPECT_EQ(order(), "a(busy)-b(quiet)");
+    EXPECT_EQ(choose(), "a");
+    // A cold backend server takes a limited number of calls; explaining takes none of them.
+    route_service limits;
+    limits.maxColdRequestsPerSecond = 1;
+    setLimits(m_registry, limits, 1);
+    const auto before = countColdCalls();
+    m_now += milliseconds(10'000);
+    find("a")->setCold(milliseconds(3000), m_now);
+    for (int asked = 0; asked < 50; ++asked) {
+        EXPECT_EQ(order(), "a(cold)");
+    }
+    EXPECT_EQ(countColdCalls(), before);
+}
+
 // Guards against calls and probes to a backend server that says in an answer that it leaves, also after its entry was written again, or was
 // removed and came back; a later incarnation gets calls.
 TEST_F(ReplicaRegistryTest, aLeavingBackendServerGetsNothingUntilItsNextIncarnation)
--- a/tools/orioledrumctl/host_commands.cpp
+++ b/tools/orioledrumctl/host_commands.cpp
@@ -4,8 +4,10 @@
 #include "command_line.h"
 #include "gateway_status.h"
 #include "log_commands.h"
+#include "route_explanation.h"
 #include "timeline.h"
 
+#include <curl/curl.h>
 #include <nlohmann/json.hpp>
 
 #include <arpa/inet.h>
@@ -115,6 +117,14 @@
     return std::nullopt;
 }
 
+std::string percentEncoded(const std::string &text)
+{
+    char *encoded = curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size()));
+    std::string result = encoded != nullptr ? encoded : "";
+    curl_free(encoded);
+    return result;
+}
+
 int exitCodeFor(const error &failure)
 {
     return failure.code == error_code::unreachable ? exitUnreachable : exitFailure;
@@ -232,6 +242,57 @@
     return exitOk;
 }
 
+int runRoute(const std::vector<std::string> &arguments)
+{
+    int exitCode = exitOk;
+    po::options_description options;
+    options.add_options()("gateway", po::value<std::string>()->required(), "ip:port of the metrics address of gatewayd")(
+        "method", po::value<std::string>()->default_value("GET"), "method of the request")(
+        "organisation", po::value<std::string>(), "organisation whose key the request would carry")(
+        "priority", po::value<std::uint32_t>(), "priority in place of that of the organisation and the route")(
+        "timeout-ms", po::value<std::uint32_t>()->default_value(3000), "timeout of the question");
+    const auto commandLine =
+        parseCommand("route",
+                     "Explains where a request to HOST and TARGET (path and query) would go now, and why, without "
+                     "sending it. The gateway asks its own decision code and calls no backend server. The exit code is "
+                     "1 when the request would be refused.",
+                     arguments,
+                     options,
+                     {"HOST", "TARGET"},
+                     exitCode);
+    if (!commandLine) {
+        return exitCode;
+    }
+    const auto &values = commandLine->values;
+    const auto gateway = values["gateway"].as<std::string>();
+    if (!isValidHost(gateway)) {
+        std::cerr << "orioledrumctl route: --gateway " << gateway << " must be an IP address and a port\n";
+        return exitUsage;
+    }
+    auto target = "/route?method=" + percentEncoded(values["method"].as<std::string>())
+        + "&host=" + percentEncoded(commandLine->positional[0]) + "&target=" + percentEncoded(commandLine->positional[1]);
+    if (values.count("organisation") > 0) {
+        target += "&organisation=" + percentEncoded(values["organisation"].as<std::string>());
+    }
+    if (values.count("priority") > 0) {
+        target += "&priority=" + std::to_string(values["priority"].as<std::uint32_t>());
+    }
+    const auto answer = admin_client({}, std::chrono::milliseconds(values["timeout-ms"].as<std::uint32_t>())).get(gateway, target);
+    if (!answer) {
+        std::cerr << "orioledrumctl: " << answer.error().describe() << '\n';
+        return exitCodeFor(answer.error());
+    }
+    const auto text = routeExplanationText(*answer, gateway);
+    if (!text) {
+        std::cerr << "orioledrumctl: " << text.error().describe() << '\n';
+        return exitFailure;
+    }
+    const auto explanation = json::parse(*answer);
+    std::cout << (commandLine->json() ? explanation.dump(2) + "\n" : *text);
+    const bool admitted = !explanation.contains("refusal") && explanation["admission"]["verdict"] == "admitted";
+    return admitted ? exitOk : exitFailure;
+}
+
 int runTimeline(const std::vector<std::string> &arguments)
 {
     int exitCode = exitOk;
--- a/tools/orioledrumctl/main.cpp
+++ b/tools/orioledrumctl/main.cpp
@@ -24,6 +24,7 @@
                               "  timeline --host ip:port [--host ...]   print the events of entry hosts\n"
                               "  timeline --log FILE...  print the state changes of hosts, from their logs\n"
                               "  explain ID LOGFILE...   explain how a request ended, from the logs of all hosts\n"
+                              "  route HOST TARGET --gateway ip:port   explain where a request would go now, without sending it\n"
                               "\n"
                               "'orioledrumctl COMMAND --help' lists the options of a command.\n"
                               "Exit codes: 0 ok, 1 failure or problems found, 2 usage, 3 unreachable.\n";
@@ -37,6 +38,7 @@
         {"status", runStatus},
         {"timeline", runTimeline},
         {"explain", runExplain},
+        {"route", runRoute},
     };
     if (!arguments.empty() && (arguments[0] == "--help" || arguments[0] == "-h")) {
         std::cout << usage;
