Read answers before calling a backend server or host slow

After a pause, a host with little processor time handled its timers before the answers that had arrived meanwhile.

--- a/libs/search/include/search/gather_run.h
+++ b/libs/search/include/search/gather_run.h
@@ -152,6 +152,10 @@
     /// Maximum number of skipped shards, as a share of the reachable shards beyond the minimum coverage.
     static constexpr double maxSkippedShare = 0.5;
 
+    /// A wakeup that comes later than this says that this host was busy or paused. Answers that have arrived since are unread, so that
+    /// neither backend servers nor gathering hosts may be taken for slow until they were read.
+    static constexpr std::chrono::milliseconds maxWakeupDelay{4};
+
     gather_run(gather_input input, replica_registry &registry, latency_profile &profile);
 
     /// @return How many of the shards must answer for a minimum coverage; at least 1.
@@ -302,6 +306,7 @@
     std::string m_relayRecords; // Records that other hosts have gathered.
     bool m_finished = false;
     time_point m_nextWakeup = time_point::max();
+    time_point m_waitsForUnreadUntil; // After a late wakeup: before this time, nothing is done about calls without an answer.
     gather_result m_result;
 };
 
--- a/libs/search/src/gather_run.cpp
+++ b/libs/search/src/gather_run.cpp
@@ -539,12 +539,17 @@
     if (m_finished) {
         return;
     }
-    for (std::size_t part = 0; part < m_relayPending.size(); ++part) {
-        if (m_relayPending[part] && now >= m_input.target + maxRelayDelay && !minCoverageReached()) {
-            relayFailed(part, false, now);
+    if (now - m_nextWakeup > maxWakeupDelay && now < m_input.target + 2 * maxRelayDelay) {
+        m_waitsForUnreadUntil = now + minHedgeInterval;
+    }
+    if (now >= m_waitsForUnreadUntil) {
+        for (std::size_t part = 0; part < m_relayPending.size(); ++part) {
+            if (m_relayPending[part] && now >= m_input.target + maxRelayDelay && !minCoverageReached()) {
+                relayFailed(part, false, now);
+            }
         }
+        sendHedges(now);
     }
-    sendHedges(now);
     finishOrSchedule(now);
 }
 
@@ -590,7 +595,7 @@
         m_nextWakeup = std::min(m_nextWakeup, m_input.target);
     }
     if (anyRelayPending()) {
-        m_nextWakeup = std::min(m_nextWakeup, std::max(now, m_input.target + maxRelayDelay));
+        m_nextWakeup = std::min(m_nextWakeup, std::max({now, m_input.target + maxRelayDelay, m_waitsForUnreadUntil}));
     }
     if (m_hedgesLeft == 0) {
         return;
@@ -599,7 +604,7 @@
         if (!shard.answered && !shard.failed && !shard.hedged && shard.outstanding.size() == 1 && shard.tried.size() < shard.maxServers) {
             const auto due =
                 std::max(shard.outstanding.front().sentAt + std::min<std::chrono::microseconds>(m_hedgeDelay, replica::minPausedAge),
-                         now + minHedgeInterval);
+                         std::max(now + minHedgeInterval, m_waitsForUnreadUntil));
             m_nextWakeup = std::min(m_nextWakeup, due);
         }
     }
