Ask for fairness among organisations before a request is sent

The decision existed without a caller, so an overload that one organisation caused cost all organisations the same share of their requests.

caller_front asks organisation_fairness after the usage token; a search that is refused for load and a request that backend servers refused count as overloaded. Requests without an organisation are not concerned.

--- a/libs/gateway/src/caller_front.cpp
+++ b/libs/gateway/src/caller_front.cpp
@@ -31,6 +31,9 @@
 constexpr int patienceDivisor = 4;
 /// Retry-After of a request that has waited for a token until this host stops: other hosts can serve it at once.
 constexpr std::chrono::milliseconds retryAfterStop{0};
+/// Retry-After of a request whose organisation has had its share of an overloaded service: a fifth of the window by which shares are
+/// divided, so that another share can apply then.
+constexpr std::chrono::milliseconds retryAfterUnfairShare{1000};
 /// Lines about requests without a valid key per second, a tenth of all lines about requests: anyone can send such requests, which must not
 /// displace the lines about others.
 constexpr std::uint32_t maxRefusedKeyLinesPerSecond = event_log::maxRequestLinesPerSecond / 10;
@@ -176,7 +179,26 @@
         acquireToken(std::move(incoming), now);
         return;
     }
-    makeCallerRequest(m_state, std::move(incoming))->start();
+    startRequest(std::move(incoming), now);
+}
+
+void caller_front::startRequest(caller_request::incoming_request incoming, time_point now)
+{
+    const auto *member = incoming.identity.member;
+    if (member == nullptr || m_state.fairness.admit(member->name, now)) {
+        makeCallerRequest(m_state, std::move(incoming))->start();
+        return;
+    }
+    constexpr const char *outcome = "unfairShare";
+    const error reason{error_code::overloaded, "the organisation has had its share of an overloaded service", "divide load", member->name};
+    m_state.metrics.requestRefused(outcome, member->name);
+    m_state.metrics.requestEnded(incoming.matchedRoute->name, outcome, std::chrono::microseconds(0));
+    m_state.log.writeRequest(
+        "front",
+        outcome,
+        now,
+        {{"id", incoming.requestId}, {"organisation", member->name}, {"config", static_cast<std::int64_t>(incoming.table->version())}});
+    incoming.exchange->respond(m_state.codec.encodeNotRun(reason, retryAfterUnfairShare));
 }
 
 void caller_front::acquireToken(caller_request::incoming_request incoming, time_point now)
@@ -212,7 +234,7 @@
     if (decision.result == usage_grant::kind::granted) {
         waiting.decided = true;
         m_state.openRequests.erase(&waiting);
-        makeCallerRequest(m_state, std::move(incoming))->start();
+        startRequest(std::move(incoming), monotonic_clock::now());
         return;
     }
     const bool overCap = decision.result == usage_grant::kind::refused;
--- a/libs/gateway/src/caller_front.h
+++ b/libs/gateway/src/caller_front.h
@@ -27,6 +27,8 @@
 private:
     class waiting_request;
 
+    /// Starts a request, or refuses it when its organisation has had its share of an overloaded service.
+    void startRequest(caller_request::incoming_request incoming, time_point now);
     /// Starts a request once it has a token.
     void acquireToken(caller_request::incoming_request incoming, time_point now);
     void tokenDecided(waiting_request &waiting, const usage_decision &decision);
--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -160,6 +160,7 @@
     }
     end();
     const auto now = monotonic_clock::now();
+    recordForFairness(false, now);
     cancelCalls();
     const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(now - m_incoming.receivedAt);
     m_state.metrics.requestEnded(m_incoming.matchedRoute->name, "callerGone", latency);
@@ -167,8 +168,16 @@
         "request", "callerGone", now, {{"id", m_incoming.requestId}, {"route", m_incoming.matchedRoute->name}, {"ms", latency}});
 }
 
-std::chrono::microseconds caller_request::respond(http_response response, std::string_view outcome, time_point now)
+void caller_request::recordForFairness(bool overloaded, time_point now)
 {
+    if (m_incoming.identity.member != nullptr) {
+        m_state.fairness.ended(overloaded, now);
+    }
+}
+
+std::chrono::microseconds caller_request::respond(http_response response, std::string_view outcome, time_point now, bool overloaded)
+{
+    recordForFairness(overloaded, now);
     const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(now - m_incoming.receivedAt);
     m_incoming.exchange->respond(std::move(response));
     m_incoming.exchange.reset();
--- a/libs/gateway/src/caller_request.h
+++ b/libs/gateway/src/caller_request.h
@@ -80,8 +80,10 @@
     [[nodiscard]] bool ended() const { return m_ended; }
     [[nodiscard]] const call_template &callTemplate() const { return *m_callTemplate; }
 
-    /// Sends the answer and records it in the metrics. @return Time since the request was received.
-    std::chrono::microseconds respond(http_response response, std::string_view outcome, time_point now);
+    /// Sends the answer and records it in the metrics and for the fairness among organisations.
+    /// @param overloaded The request was refused because backend servers are overloaded.
+    /// @return Time since the request was received.
+    std::chrono::microseconds respond(http_response response, std::string_view outcome, time_point now, bool overloaded = false);
 
     [[nodiscard]] const incoming_request &incoming() const { return m_incoming; }
     [[nodiscard]] gateway_state &state() { return m_state; }
@@ -97,6 +99,7 @@
     void end();
     void cancelCalls();
     void endWithFailure(int status, const error &reason, std::string_view outcome);
+    void recordForFairness(bool overloaded, time_point now);
     void armTimer(time_point now);
     void watchCaller();
     void callerDisconnected();
--- a/libs/gateway/src/forwarded_request.cpp
+++ b/libs/gateway/src/forwarded_request.cpp
@@ -50,7 +50,7 @@
         status = 503;
         const auto reachableFrom = state().registry.reachableFrom(m_service, now).value_or(now);
         const auto wait = std::max(retryAfterNotRun, std::chrono::ceil<std::chrono::milliseconds>(reachableFrom - now));
-        latency = respond(state().codec.encodeNotRun(reason, wait), toString(m_run.end()), now);
+        latency = respond(state().codec.encodeNotRun(reason, wait), toString(m_run.end()), now, m_run.lastEnd() == attempt_end::shed);
         break;
     }
     case forward_end::failed: {
--- a/libs/gateway/src/gateway_state.h
+++ b/libs/gateway/src/gateway_state.h
@@ -10,6 +10,7 @@
 
 #include <base/random_source.h>
 #include <config/route_table.h>
+#include <limits/organisation_fairness.h>
 #include <search/latency_profile.h>
 #include <search/replica_registry.h>
 
@@ -49,6 +50,7 @@
     backend_caller backendCaller;
     relay_client relays;
     service_split serviceSplit;
+    organisation_fairness fairness; ///< Of the requests that callers send to this host.
     std::shared_ptr<const route_table> table; ///< Active route table; null before the first one.
     /// While this host waits for its first state: when it reads the platform itself. Not reset afterwards.
     std::optional<time_point> firstReadAt;
--- a/libs/gateway/src/gathered_request.cpp
+++ b/libs/gateway/src/gathered_request.cpp
@@ -184,7 +184,8 @@
     } else if (end == gather_end::overloaded) {
         const error reason{error_code::overloaded, "too few shards would answer in time", "search", missingShard};
         const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(result.expected);
-        latency = respond(state().codec.encodeNotRun(reason, std::clamp(wait / 2, maxRetryAfter / 4, maxRetryAfter)), toString(end), now);
+        latency =
+            respond(state().codec.encodeNotRun(reason, std::clamp(wait / 2, maxRetryAfter / 4, maxRetryAfter)), toString(end), now, true);
     } else if (end == gather_end::notStarted) {
         const error reason{error_code::unreachable, "too few shards have a backend server", "search", missingShard};
         latency = respond(state().codec.encodeNotRun(reason, std::max(result.reachableIn, maxRetryAfter)), toString(end), now);
