--- a/libs/gateway/src/publication_reader.cpp
+++ b/libs/gateway/src/publication_reader.cpp
@@ -447,6 +447,14 @@
                        {"from", changes.from},
                        {"ageMs", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()},
                        {"routes", static_cast<std::int64_t>(m_state.table->routes().size())}});
+    const auto &organisations = m_state.table->organisations();
+    const auto capped = std::count_if(organisations.begin(), organisations.end(), [](const organisation &each) { return each.capped(); });
+    if (capped > 0 && !m_state.settings.usageCaps) {
+        // Event "capsNotKept": organisations have usage caps, but the settings do not say within which bounds.
+        m_state.log.write("platform",
+                          "capsNotKept",
+                          {{"version", static_cast<std::int64_t>(m_state.table->version())}, {"organisations", std::int64_t{capped}}});
+    }
     const auto &limits = m_state.table->limits();
     if (limits.maxHeaderBytes > maxReadHeadBytes || limits.maxBodyBytes > maxReadBodyBytes) {
         // Event "limitsNotReached": requests that the configuration allows are refused, because this host reads no larger ones.
