Take the measured delay of callers out again

With the round trip of each connection in place of four delays of 3 ms, answers were due up to 10 ms later.

The four delays stand for the host's own time as well; until that is known by itself they stay.

--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -52,7 +52,7 @@
     std::chrono::milliseconds stopTime{6000}; ///< From the stop signal until the process is killed.
     /// Entries that expired during a platform outage are published again within this time after the outage.
     std::chrono::milliseconds expiredEntryReturnTime{2000};
-    std::chrono::milliseconds callerDelay{3}; ///< Greatest one-way network delay to callers that is assumed; see caller_delay.
+    std::chrono::milliseconds callerDelay{3}; ///< One-way network delay between callers and this host.
     std::optional<std::uint64_t> memoryBytes; ///< Memory that this process may use.
     std::optional<double> processorShare; ///< Share of each processor that this process may use, above 0 and at most 1.
     std::optional<double> processors; ///< Number of processors.
--- a/libs/gateway/src/caller_front.cpp
+++ b/libs/gateway/src/caller_front.cpp
@@ -1,7 +1,6 @@
 #include <caller_front.h>
 
 #include <caller_authentication.h>
-#include <caller_delay.h>
 #include <caller_request.h>
 #include <gateway_state.h>
 #include <usage_caps.h>
@@ -20,13 +19,15 @@
 constexpr std::chrono::milliseconds minRetryAfterNoRoutes{200};
 /// Added to the wait for the first state: a read of the platform's store, and passing the state on to other hosts of the zone.
 constexpr std::chrono::milliseconds firstReadTime{100};
-/// The final answer must leave this long (plus caller_delay::oneWay) before the caller's deadline, to allow for delays of this host's event
-/// loop.
+/// The final answer must leave this long (plus callerDelay) before the caller's deadline, to allow for delays of this host's event loop.
 constexpr std::chrono::milliseconds eventLoopMargin{5};
 /// As eventLoopMargin, but for the target time. Shorter, because a search that is to be answered earlier misses more shards.
 constexpr std::chrono::milliseconds targetMargin{4};
 /// The total margin before the deadline is at most the timeout divided by this, so that short timeouts keep most of their time.
 constexpr int timeoutPerMaxMargin = 10;
+/// Number of one-way delays from the start of a caller's request on a new connection to the receipt of its answer: two for the
+/// connection, one for the request, one for the answer.
+constexpr int oneWayTripCount = 4;
 /// A request waits for the answer of one host at most for its time until the target divided by this; it may ask two hosts.
 constexpr int patienceDivisor = 4;
 /// Retry-After of a request that has waited for a token until this host stops: other hosts can serve it at once.
@@ -168,10 +169,9 @@
     incoming.matchedRoute = route;
     incoming.receivedAt = now;
     const auto timeout = std::min(route->timeout, fields.timeLeft.value_or(route->timeout));
-    const auto delay = caller_delay::of(exchange->network(), m_state.settings.callerDelay);
-    const auto margin = std::min<std::chrono::microseconds>(delay.oneWay + eventLoopMargin, timeout / timeoutPerMaxMargin);
+    const auto margin = std::min(m_state.settings.callerDelay + eventLoopMargin, timeout / timeoutPerMaxMargin);
     incoming.deadline = now + timeout - margin;
-    incoming.targetTime = now + route->targetLatency - delay.total - targetMargin;
+    incoming.targetTime = now + route->targetLatency - m_state.settings.callerDelay * oneWayTripCount - targetMargin;
     incoming.request = std::move(request);
     incoming.exchange = std::move(exchange);
     ++m_state.requestsByRoute[route->key()];
--- a/libs/transport/include/transport/http_exchange.h
+++ b/libs/transport/include/transport/http_exchange.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <transport/client_network.h>
 #include <transport/http_response.h>
 
 #include <functional>
@@ -28,9 +27,6 @@
     /// use a server with one thread, and call this function and respond() on that thread.
     /// @param callback Called when the connection is closed; it may call respond().
     virtual void onCallerDisconnected(std::function<void()> callback) = 0;
-
-    /// @return The network between this server and the client. To be called on the server's thread, before respond().
-    [[nodiscard]] virtual client_network network() const { return {}; }
 };
 
 } // namespace orioledrum
--- a/libs/transport/src/connection_input.cpp
+++ b/libs/transport/src/connection_input.cpp
@@ -1,6 +1,5 @@
 #include <connection_input.h>
 
-#include <round_trip.h>
 #include <socket_registry.h>
 
 #include <algorithm>
@@ -23,7 +22,6 @@
 
 connection_input::connection_input(socket_registry &registry, int descriptor)
     : m_registry(registry)
-    , m_descriptor(descriptor)
     , m_holder(registry.addHolder(descriptor))
 {
 }
@@ -116,7 +114,6 @@
 std::optional<std::string> connection_input::takeBody()
 {
     m_phase = phase::complete;
-    ++m_completeRequests;
     m_uncharged = 0;
     // The request is held, and a copy of its body in each call to a backend server.
     if (!m_registry.setHolder(m_holder, memory_account::phase::handling, m_charged + m_body.size())) {
@@ -145,17 +142,8 @@
     m_registry.recordTransfer(m_holder, bytes);
 }
 
-std::optional<std::chrono::microseconds> connection_input::measureRoundTrip()
-{
-    if (const auto latest = m_descriptor >= 0 ? smoothedRoundTrip(m_descriptor) : std::nullopt) {
-        m_roundTrip = std::min(*latest, m_roundTrip.value_or(*latest));
-    }
-    return m_roundTrip;
-}
-
 void connection_input::detach()
 {
-    m_descriptor = -1;
     m_registry.removeHolder(std::exchange(m_holder, 0));
 }
 
--- a/libs/transport/src/connection_input.h
+++ b/libs/transport/src/connection_input.h
@@ -48,12 +48,6 @@
     /// @param announcedBytes Content-Length; empty when the body comes in chunks.
     bool endHead(std::optional<std::uint64_t> announcedBytes);
     bool addBody(std::string_view data);
-    /// @return The smallest round trip time to the client that the kernel has reported at the requests of this connection: later values
-    /// contain the time by which a client delays its acknowledgements. Nothing when none is known.
-    std::optional<std::chrono::microseconds> measureRoundTrip();
-    /// @return Number of requests that were complete before the current one.
-    [[nodiscard]] std::size_t earlierRequests() const { return m_completeRequests > 0 ? m_completeRequests - 1 : 0; }
-
     /// The request is complete.
     /// @return Its body; empty when the request must not be handled, because its client was told that it never runs.
     std::optional<std::string> takeBody();
@@ -96,9 +90,6 @@
     bool charge(std::size_t bytes);
 
     socket_registry &m_registry;
-    int m_descriptor; ///< -1: closed.
-    std::optional<std::chrono::microseconds> m_roundTrip;
-    std::size_t m_completeRequests = 0;
     memory_account::holder_id m_holder;
     phase m_phase = phase::idle;
     std::shared_ptr<const request_policy> m_policy;
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -146,8 +146,6 @@
         }
     }
 
-    [[nodiscard]] client_network network() const override { return {m_input->measureRoundTrip(), m_input->earlierRequests() > 0}; }
-
 private:
     void write(http_response response)
     {
--- a/libs/transport/tests/test_http_server.cpp
+++ b/libs/transport/tests/test_http_server.cpp
@@ -86,26 +86,6 @@
 
 } // namespace
 
-// Guards against urgent requests that are given less time than they have: the delay of the network is not known, or a kept connection
-// counts as a new one.
-TEST_F(HttpServerTest, TellsTheNetworkToTheClient)
-{
-    asio::io_context context;
-    asio::ip::tcp::socket socket(context);
-    socket.connect({asio::ip::make_address("127.0.0.1"), server->port()});
-    for (const bool reused : {false, true}) {
-        asio::write(socket, asio::buffer(makeRequest("/queue", "", "keep-alive")));
-        const auto exchange = handler.take();
-        const auto network = exchange->network();
-        EXPECT_EQ(network.connectionReused, reused);
-        ASSERT_TRUE(network.roundTrip.has_value());
-        EXPECT_GT(network.roundTrip->count(), 0);
-        exchange->respond({200, "text/plain", {}, "x"});
-        std::string response;
-        asio::read_until(socket, asio::dynamic_buffer(response), "\r\n\r\nx");
-    }
-}
-
 // Guards against incomplete requests or responses.
 TEST_F(HttpServerTest, DeliversRequestAndResponse)
 {
