Count hosts that join later as established later

Hosts that started together count at once for twice `establish` after the fleet has settled. Many hosts that join unsettle it, so this time began again, and hosts that may come from behind a partition counted at once.

The time now begins when the fleet has settled first.

--- a/libs/limits/include/limits/usage_fleet.h
+++ b/libs/limits/include/limits/usage_fleet.h
@@ -111,6 +111,7 @@
     usage_fleet_times m_times;
     std::map<entry_host_id, known_host> m_hosts;
     std::optional<time_point> m_settledAt;
+    std::optional<time_point> m_firstSettledAt; ///< When the fleet was settled for the first time.
     bool m_allInFirstRun = true; ///< All hosts that have been known are in their first run, and none was lost. False after a pause.
     std::size_t m_zoneCount = 1;
     std::size_t m_heardHosts = 0; ///< Greatest number that another host knew.
--- a/libs/limits/src/usage_fleet.cpp
+++ b/libs/limits/src/usage_fleet.cpp
@@ -22,6 +22,7 @@
         m_settledAt.reset();
     } else if (!m_settledAt) {
         m_settledAt = now;
+        m_firstSettledAt = m_firstSettledAt.value_or(now);
     }
     std::set<zone_id> zones;
     std::set<entry_host_id> ids;
@@ -157,7 +158,7 @@
 
 bool usage_fleet::startedTogether(time_point now) const
 {
-    return m_allInFirstRun && m_settledAt && now - *m_settledAt < 2 * m_times.establish;
+    return m_allInFirstRun && m_firstSettledAt && now - *m_firstSettledAt < 2 * m_times.establish;
 }
 
 double usage_fleet::establishedShare(time_point now) const
--- a/libs/limits/tests/test_usage_caps.cpp
+++ b/libs/limits/tests/test_usage_caps.cpp
@@ -425,3 +425,21 @@
     paused.owner.restart(startTime + 1s);
     EXPECT_LE(takeAll(paused.owner, cap, startTime + 6s), 26);
 }
+
+// Guards against hosts that join a fleet later and count at once, because the fleet itself once started together: they may come from behind
+// a partition. Many of them unsettle the fleet for a moment.
+TEST_F(usage_host_case, hostsThatJoinAFleetThatStartedTogetherAreEstablishedLater)
+{
+    auto together = hosts({});
+    for (auto &host : together) {
+        host.firstRun = true;
+    }
+    usage_fleet fleet(m_ranked[0].id, m_ranked[0].zone);
+    fleet.update(together, true, {}, startTime);
+    EXPECT_DOUBLE_EQ(fleet.establishedShare(startTime + 1s), 1);
+    together.push_back({entry_host_id("h4"), "h4", zone_id("z0"), usage_host_state::live, true});
+    fleet.update(together, false, {}, startTime + 60s);
+    fleet.update(together, true, {}, startTime + 62s);
+    EXPECT_DOUBLE_EQ(fleet.establishedShare(startTime + 66s), 0.8);
+    EXPECT_DOUBLE_EQ(fleet.establishedShare(startTime + 70s), 1);
+}
