Explain a route with the time that a request has

Admission and parts could differ from those of a request.

Both use caller_front::timeUntilTarget() now, and the explanation has `untilTargetMs` and the share of an organisation's requests that is sent. test_route_explanation checks both; the first failed before, because the field was missing. Two tests of late hosts share their input.

--- a/libs/gateway/src/caller_front.cpp
+++ b/libs/gateway/src/caller_front.cpp
@@ -171,7 +171,7 @@
     const auto timeout = std::min(route->timeout, fields.timeLeft.value_or(route->timeout));
     const auto margin = std::min(m_state.settings.callerDelay + eventLoopMargin, timeout / timeoutPerMaxMargin);
     incoming.deadline = now + timeout - margin;
-    incoming.targetTime = now + route->targetLatency - m_state.settings.callerDelay * oneWayTripCount - targetMargin;
+    incoming.targetTime = now + timeUntilTarget(*route, m_state.settings);
     incoming.request = std::move(request);
     incoming.exchange = std::move(exchange);
     ++m_state.requestsByRoute[route->key()];
@@ -182,6 +182,11 @@
     startRequest(std::move(incoming), now);
 }
 
+std::chrono::milliseconds caller_front::timeUntilTarget(const route &route, const gateway_settings &settings)
+{
+    return route.targetLatency - settings.callerDelay * oneWayTripCount - targetMargin;
+}
+
 void caller_front::startRequest(caller_request::incoming_request incoming, time_point now)
 {
     const auto *member = incoming.identity.member;
--- a/libs/gateway/src/caller_front.h
+++ b/libs/gateway/src/caller_front.h
@@ -3,6 +3,7 @@
 #include <caller_request.h>
 #include <transport/http_handler.h>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string_view>
@@ -10,7 +11,9 @@
 namespace orioledrum
 {
 
+struct gateway_settings;
 struct gateway_state;
+struct route;
 struct usage_decision;
 class usage_caps;
 
@@ -24,6 +27,10 @@
 
     void handle(http_request request, std::shared_ptr<http_exchange> exchange) override;
 
+    /// @return Time from the receipt of a request of the route until its answer should leave this host to reach the caller within the
+    /// target latency. Not positive when the target cannot be reached.
+    static std::chrono::milliseconds timeUntilTarget(const route &route, const gateway_settings &settings);
+
 private:
     class waiting_request;
 
--- a/libs/gateway/src/route_explainer.cpp
+++ b/libs/gateway/src/route_explainer.cpp
@@ -1,5 +1,6 @@
 #include <route_explainer.h>
 
+#include <caller_front.h>
 #include <gateway_state.h>
 #include <publication_reader.h>
 #include <usage_caps.h>
@@ -169,6 +170,7 @@
         cap["owner"] = place->owner ? json(place->owner->id.str()) : json();
         cap["zoneOwner"] = place->zoneOwner ? json(place->zoneOwner->id.str()) : json();
     }
+    cap["sentShare"] = m_state.fairness.sentShare(member.name);
     answer["cap"] = std::move(cap);
 }
 
@@ -200,10 +202,11 @@
 void route_explainer::explainSearch(json &answer, const route &route, time_point now) const
 {
     const auto unqueuedLatency = m_state.profile(route)->unqueuedLatency(now);
-    const auto target = now + route.targetLatency;
+    const auto untilTarget = caller_front::timeUntilTarget(route, m_state.settings);
+    answer["route"]["untilTargetMs"] = untilTarget.count();
     std::vector<bool> relayed(route.shards.size(), false);
     answer["parts"] = json::array();
-    for (const auto &part : m_state.relays.previewParts(route.shards, target, now)) {
+    for (const auto &part : m_state.relays.previewParts(route.shards, now + untilTarget, now)) {
         json shards = json::array();
         for (const auto position : part.part.shards) {
             relayed[position] = true;
@@ -212,8 +215,7 @@
         answer["parts"].push_back({{"gatheredBy", part.address}, {"zone", part.part.zone.str()}, {"shards", std::move(shards)}});
     }
     const auto required = gather_run::requiredShards(route.minCoverage, route.shards.size());
-    const auto admission =
-        search_admission::decide(m_state.registry, route.shards, relayed, required, unqueuedLatency, route.targetLatency, now);
+    const auto admission = search_admission::decide(m_state.registry, route.shards, relayed, required, unqueuedLatency, untilTarget, now);
     answer["admission"] = {{"verdict", toText(admission.result)},
                            {"requiredShards", required},
                            {"reachableShards", admission.shards.size()},
--- a/libs/gateway/src/route_explainer.h
+++ b/libs/gateway/src/route_explainer.h
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
--- a/libs/search/tests/test_late_host.cpp
+++ b/libs/search/tests/test_late_host.cpp
@@ -23,6 +23,14 @@
     }
 }
 
+/// @return A search of which another host gathers all four shards.
+gather_input gatheredElsewhere(const scripted_backends &backends)
+{
+    auto input = backends.makeInput(target, deadline);
+    input.relays.push_back({{0, 1, 2, 3}, zone_id("za")});
+    return input;
+}
+
 } // namespace
 
 // Load pattern: a burst at a host with little processor time, which gets none for 60 ms while all answers arrive. Guards against hedges
@@ -67,9 +75,7 @@
 {
     scripted_backends backends(4, 2);
     const auto start = backends.now();
-    auto input = backends.makeInput(target, deadline);
-    input.relays.push_back({{0, 1, 2, 3}, zone_id("za")});
-    gather_run run(std::move(input), backends.registry(), backends.profile());
+    gather_run run(gatheredElsewhere(backends), backends.registry(), backends.profile());
     run.start(start);
     const auto wakesAt = start + target + gather_run::maxRelayDelay + milliseconds(20);
     run.wakeup(wakesAt);
@@ -88,9 +94,7 @@
 {
     scripted_backends backends(4, 2);
     const auto start = backends.now();
-    auto input = backends.makeInput(target, deadline);
-    input.relays.push_back({{0, 1, 2, 3}, zone_id("za")});
-    gather_run run(std::move(input), backends.registry(), backends.profile());
+    gather_run run(gatheredElsewhere(backends), backends.registry(), backends.profile());
     run.start(start);
     run.wakeup(start + target + 2 * gather_run::maxRelayDelay);
     EXPECT_FALSE(run.relayPending(0));
--- a/tests/process/test_route_explanation.py
+++ b/tests/process/test_route_explanation.py
@@ -37,6 +37,8 @@
         self.assertEqual(explained["route"]["name"], "search")
         self.assertEqual(explained["configVersion"], self.platform.config_version)
         self.assertEqual(explained["admission"]["verdict"], "admitted")
+        # Of the target of 120 ms, four delays of 3 ms to callers and a margin of 4 ms are left out, as for a request.
+        self.assertEqual(explained["route"]["untilTargetMs"], 104)
         self.assertEqual([service["service"] for service in explained["services"]], self.platform.shards)
         self.assertEqual(self.platform.get("g1", "/search/x?y=1", request_id="sent").status, 200)
         for service in explained["services"]:
@@ -67,6 +69,7 @@
         self.assertEqual(self.explain_json("h.example", "/search/x", "--organisation", "south", expected_code=1)["refusal"]["status"], 401)
         explained = self.explain_json("h.example", "/search/x", "--organisation", "north")
         self.assertEqual(explained["priority"], 3)
+        self.assertEqual(explained["cap"]["sentShare"], 1)
         self.assertEqual((explained["cap"]["ratePerS"], explained["cap"]["owner"]), (5, "g1"))
         self.assertNotIn("k-north", json.dumps(explained))
         self.assertEqual(self.platform.get("g1", "/route?target=x", port="metrics").status, 400)
--- a/tools/orioledrumctl/gateway_status.cpp
+++ b/tools/orioledrumctl/gateway_status.cpp
@@ -44,7 +44,7 @@
     labels.remove_prefix(at + name.size() + 2);
     for (std::size_t i = 0; i < labels.size() && labels[i] != '"'; ++i) {
         if (labels[i] == '\\' && i + 1 < labels.size()) {
-            ++i; // A backslash stands before a quotation mark, a backslash or the letter of a line feed.
+            ++i; // Skips the backslash of an escaped character.
         }
         value += labels[i];
     }
--- a/tools/orioledrumctl/route_explanation.cpp
+++ b/tools/orioledrumctl/route_explanation.cpp
@@ -113,6 +113,9 @@
         } else {
             text += "no cap\n";
         }
+        if (cap.at("sentShare").get<double>() < 1) {
+            fmt::format_to(out, "share of its requests that is sent under the present overload: {}\n", shown(cap.at("sentShare")));
+        }
     }
     const auto &admission = value.at("admission");
     fmt::format_to(out, "admission now: {}", shown(admission.at("verdict")));
--- a/tools/orioledrumctl/tests/test_route_explanation.cpp
+++ b/tools/orioledrumctl/tests/test_route_explanation.cpp
@@ -12,7 +12,7 @@
     "hosts": {"known": 4, "settled": true}, "stateAgeMs": 120, "configVersion": 7,
     "route": {"name": "find", "host": "h.example", "prefix": "/find/", "kind": "search", "retries": "idempotent", "timeoutMs": 1200,
               "targetMs": 120, "priority": 1, "public": false},
-    "priority": 0, "cap": {"organisation": "north", "ratePerS": 12.5, "burst": 4.0, "owner": "h3", "zoneOwner": "h1"},
+    "priority": 0, "cap": {"organisation": "north", "ratePerS": 12.5, "burst": 4.0, "owner": "h3", "zoneOwner": "h1", "sentShare": 0.25},
     "admission": {"verdict": "admitted", "requiredShards": 1, "reachableShards": 2, "expectedMs": 8.25, "reachableInMs": 0},
     "parts": [{"gatheredBy": "10.0.0.2:9000", "zone": "z2", "shards": ["s2"]}], "unqueuedMs": 8.0,
     "services": [{"service": "s1", "extraCalls": null, "servers": [
@@ -34,6 +34,7 @@
     EXPECT_NE(text->find("admission now: admitted, 1 of 2 reachable shards needed, expected after 8.25 ms"), std::string::npos) << *text;
     EXPECT_NE(text->find("part gathered by 10.0.0.2:9000 in zone z2: 1 shards: s2"), std::string::npos) << *text;
     EXPECT_NE(text->find("12.50 requests/s, burst 4.00, tokens from h3, without it from h1"), std::string::npos) << *text;
+    EXPECT_NE(text->find("share of its requests that is sent under the present overload: 0.25\n"), std::string::npos) << *text;
     const auto first = text->find(" 1  a ");
     const auto last = text->find("no  b ");
     ASSERT_NE(first, std::string::npos) << *text;
